Lay the ground: build, schema, model and ports

Cause: every later part needs settled ports to be built side by side. Change: a Maven build with explicit API mode, ktlint and detekt; the schema with its generated code committed; ids, verdict, fleet records and the versioned view; ports to the platform's table, object store, instance list and task interface, with an in-memory table that fails on demand; the events and commands of the deciding modules.

--- /dev/null
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -0,0 +1,40 @@
+// Entry point of the experiment tool: `gypsumturn-bench NAME…` runs the named experiments, or all of them.
+
+package org.gypsumturn.bench
+
+import kotlin.system.exitProcess
+
+/** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
+public typealias Experiment = (report: Report, quick: Boolean) -> Unit
+
+/** The experiments by name. */
+public val EXPERIMENTS: Map<String, Experiment> =
+    mapOf()
+
+private const val EXIT_OK = 0
+private const val EXIT_BOUND_BROKEN = 1
+private const val EXIT_USAGE = 2
+
+/** Runs the experiments named in [args]. */
+public fun main(args: Array<String>) {
+    exitProcess(runExperiments(args.toList(), ::println))
+}
+
+internal fun runExperiments(
+    args: List<String>,
+    print: (String) -> Unit,
+): Int {
+    val quick = "--quick" in args
+    val names = args.filter { it != "--quick" }.ifEmpty { EXPERIMENTS.keys.toList() }
+    val unknown = names.filter { it !in EXPERIMENTS }
+    if (unknown.isNotEmpty()) {
+        print("unknown experiment ${unknown.joinToString()}; known: ${EXPERIMENTS.keys.joinToString()}")
+        return EXIT_USAGE
+    }
+    val report = Report(print)
+    names.forEach { name ->
+        report.heading(name)
+        EXPERIMENTS.getValue(name)(report, quick)
+    }
+    return if (report.holds) EXIT_OK else EXIT_BOUND_BROKEN
+}
--- /dev/null
+++ b/platform-fake/src/test/kotlin/org/gypsumturn/platform/fake/FakeTableStoreTest.kt
@@ -0,0 +1,48 @@
+package org.gypsumturn.platform.fake
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.valueOrNull
+import org.gypsumturn.platform.CommitOutcome
+import org.gypsumturn.platform.Condition
+import org.gypsumturn.platform.RowKey
+import org.gypsumturn.platform.Transaction
+import org.gypsumturn.platform.Write
+
+class FakeTableStoreTest : AnnotationSpec() {
+    private val key = RowKey("a/1")
+
+    private fun put(revision: Revision, value: String) =
+        Transaction(listOf(Condition(key, revision)), listOf(Write(key, value)))
+
+    @Test
+    fun `a transaction on an outdated revision conflicts and writes nothing`() {
+        val table = FakeTableStore()
+        table.commit(put(Revision.ABSENT, "first"), 1_000)
+        val second = table.commit(put(Revision.ABSENT, "second"), 1_000).valueOrNull()
+        second.shouldBeInstanceOf<CommitOutcome.Conflict>()
+        table.read(listOf(key), 1_000).valueOrNull()!!.single().value shouldBe "first"
+    }
+
+    @Test
+    fun `a commit whose answer is lost has taken effect`() {
+        var next = TableFault.LOSE_ANSWER
+        val table = FakeTableStore { isCommit -> if (isCommit) next else TableFault.NONE }
+        table.commit(put(Revision.ABSENT, "kept"), 1_000).shouldBeInstanceOf<Verdict.MayHaveRun>()
+        next = TableFault.NONE
+        table.read(listOf(key), 1_000).valueOrNull()!!.single().value shouldBe "kept"
+    }
+
+    @Test
+    fun `a scan pages through a prefix in order and leaves other prefixes out`() {
+        val table = FakeTableStore()
+        val keys = listOf("a/1", "a/2", "a/3", "b/1").map(::RowKey)
+        table.commit(Transaction(emptyList(), keys.map { Write(it, "x") }), 1_000)
+        val first = table.scan("a/", null, 2, 1_000).valueOrNull()!!
+        val rest = table.scan("a/", first.last().key, 2, 1_000).valueOrNull()!!
+        (first + rest).map { it.key.value } shouldBe listOf("a/1", "a/2", "a/3")
+    }
+}
