--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -20,10 +20,7 @@
     exitProcess(runExperiments(args.toList(), ::println))
 }
 
-internal fun runExperiments(
-    args: List<String>,
-    print: (String) -> Unit,
-): Int {
+internal fun runExperiments(args: List<String>, print: (String) -> Unit): Int {
     val quick = "--quick" in args
     val names = args.filter { it != "--quick" }.ifEmpty { EXPERIMENTS.keys.toList() }
     val unknown = names.filter { it !in EXPERIMENTS }
--- a/bench/src/main/kotlin/org/gypsumturn/bench/Report.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Report.kt
@@ -49,31 +49,17 @@
     }
 
     /** Records a figure without a bound. */
-    public fun figure(
-        name: String,
-        value: Double,
-        unit: String,
-    ) {
+    public fun figure(name: String, value: Double, unit: String) {
         record(Measurement(name, value, unit))
     }
 
     /** Records a figure that may be at most [bound]. */
-    public fun atMost(
-        name: String,
-        value: Double,
-        unit: String,
-        bound: Double,
-    ) {
+    public fun atMost(name: String, value: Double, unit: String, bound: Double) {
         record(Measurement(name, value, unit, Bound(BoundSide.AT_MOST, bound)))
     }
 
     /** Records a figure that must be at least [bound]. */
-    public fun atLeast(
-        name: String,
-        value: Double,
-        unit: String,
-        bound: Double,
-    ) {
+    public fun atLeast(name: String, value: Double, unit: String, bound: Double) {
         record(Measurement(name, value, unit, Bound(BoundSide.AT_LEAST, bound)))
     }
 
