Weigh requests by load, team and target health

Cause: priorities, teams, failing targets and silent paths need rules of their own. Change: admission with team limits and early refusal, fair queueing, retry budget, slow start, ejection that separates target, connection and path, and three ways to divide slots among entries, one file each.

--- a/request/src/main/kotlin/org/gypsumturn/request/PendingRequest.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/PendingRequest.kt
@@ -2,7 +2,6 @@
 
 package org.gypsumturn.request
 
-import org.gypsumturn.model.Failure
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.PoolId
 
@@ -22,12 +21,26 @@
     /** Whether an earlier exchange may have run the request. */
     var mayHaveRun: Boolean = false
 
+    /** Exchanges so far, without those that a busy target refused. */
     var attempts: Int = 0
-    var lastTarget: InstanceId? = null
-    var lastFailure: Failure? = null
+
+    /** Whether the request has earned its part of the retry budget. */
+    var counted: Boolean = false
+
+    /** Target to which a retry goes if it can, over a new connection. */
+    var preferred: InstanceId? = null
+
+    /** Target to which a retry goes only if there is no other. */
+    var avoided: InstanceId? = null
 
     /** Whether the system may run the request again after an exchange without an answer. */
     val repeatable: Boolean get() = request.idempotent && request.key == null
+
+    /** Whether a reply would still be in time for someone. */
+    fun isWanted(nowMillis: Long): Boolean = awaited && request.deadlineMillis > nowMillis
+
+    /** Whether another exchange keeps the promise of at most one run. */
+    fun mayBeSentAgain(maxAttempts: Int): Boolean = attempts < maxAttempts && (!mayHaveRun || repeatable)
 }
 
 /** One exchange in progress. */
--- a/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
@@ -16,23 +16,25 @@
  * The request decisions of one entry. Not thread-safe. For the same settings, seed and sequence of events it gives the
  * same effects.
  *
- * Each arrived request gets exactly one [RequestEffect.Reply], unless its caller leaves first. Each keyed request whose
- * intent was recorded gets exactly one [RequestEffect.RecordOutcome], also after its caller left, unless an exchange
- * ended without an answer: then the intent stands, and repeats are told that the request may have run.
+ * Each arrived request gets exactly one [RequestEffect.Reply], unless its caller leaves first. Each request whose
+ * intent was recorded gets exactly one [RequestEffect.RecordOutcome], also after its caller left.
  *
  * @param self the node that hosts this dispatcher
  * @param seed start of the random choices among equal targets
  */
 public class RequestDispatcher(private val settings: DispatchSettings, private val self: NodeId, seed: Long) {
-    private val random = RandomSource.SPLIT_MIX_64.create(seed)
-    private val targets = TargetTable()
-    private val queues = LinkedHashMap<PoolId, PoolQueue>()
+    private val targets = TargetTable(settings.leavingNoticeMillis)
+    private val judge = FaultJudge(settings, targets)
+    private val limits = slotLimits()
+    private val chooser =
+        TargetChooser(settings, targets, limits, judge, RandomSource.SPLIT_MIX_64.create(seed))
+    private val admission = Admission(settings)
+    private val pools = LinkedHashMap<PoolId, PoolState>()
     private val pendingById = HashMap<RequestId, PendingRequest>()
     private val exchanges = HashMap<ExchangeId, Exchange>()
     private val deadlines = DeadlineIndex()
     private var view = FleetView()
-    private var ready = true
-    private var notReadyReason = ""
+    private var notReady: Failure? = null
     private var lastExchange = 0L
     private var lastReportMillis = Long.MIN_VALUE / 2
     private var reports = 0L
@@ -48,8 +50,8 @@
             is RequestEvent.ExchangeEnded -> exchangeEnded(nowMillis, event.exchange, event.result)
             is RequestEvent.ViewChanged -> viewChanged(nowMillis, event.view)
             is RequestEvent.TargetLeaving -> targets.markLeaving(nowMillis, event.instance)
-            is RequestEvent.ReadinessChanged -> readinessChanged(event.ready, event.reason)
-            is RequestEvent.PeerReported -> Unit
+            is RequestEvent.ReadinessChanged -> readinessChanged(event)
+            is RequestEvent.PeerReported -> limits.heard(nowMillis, event.report)
             RequestEvent.Tick -> tick(nowMillis)
         }
         return effects
@@ -57,18 +59,17 @@
 
     private fun arrived(nowMillis: Long, request: ArrivedRequest) {
         val service = view.services[request.service]
-        val refusal = when {
-            !ready -> Failure(FailureKind.NOT_READY, notReadyReason)
-            service == null -> Failure(FailureKind.INVALID, "unknown service ${request.service}")
-            request.deadlineMillis <= nowMillis -> timeout()
-            queue(service.pool).size >= service.maxQueued -> overloaded()
-            pendingById.size >= settings.maxQueuedTotal -> overloaded()
-            else -> null
-        }
+        val refusal = notReady
+            ?: if (service == null) {
+                Failure(FailureKind.INVALID, "unknown service ${request.service}")
+            } else {
+                admission.refusal(nowMillis, request, service, view, pool(service.pool).load(request.priority))
+            }
         if (service == null || refusal != null) {
-            effects += RequestEffect.Reply(request.id, Verdict.NotRun(refusal ?: timeout()))
+            effects += RequestEffect.Reply(request.id, Verdict.NotRun(refusal ?: timeoutFailure()))
             return
         }
+        admission.accept(request)
         val pending = PendingRequest(request, service.pool, nowMillis)
         pendingById[request.id] = pending
         deadlines.add(pending)
@@ -82,14 +83,14 @@
 
     private fun enqueue(nowMillis: Long, pending: PendingRequest) {
         pending.phase = Phase.QUEUED
-        queue(pending.pool).add(pending)
+        pool(pending.pool).queue.add(pending)
         dispatch(nowMillis, pending.pool)
     }
 
     private fun callerLeft(id: RequestId) {
         val pending = pendingById[id] ?: return
         pending.awaited = false
-        if (pending.phase == Phase.QUEUED) end(pending, notRunOrMaybe(pending, timeout()))
+        if (pending.phase == Phase.QUEUED) endUnanswered(pending, timeoutFailure())
     }
 
     private fun intentEnded(nowMillis: Long, id: RequestId, outcome: IntentOutcome) {
@@ -117,121 +118,162 @@
 
     private fun intentRecorded(nowMillis: Long, pending: PendingRequest) {
         pending.intentRecorded = true
-        when {
-            !pending.awaited || pending.request.deadlineMillis <= nowMillis -> end(pending, Verdict.NotRun(timeout()))
-            !ready -> end(pending, Verdict.NotRun(Failure(FailureKind.NOT_READY, notReadyReason)))
-            else -> enqueue(nowMillis, pending)
-        }
+        val failure = notReady ?: timeoutFailure().takeIf { !pending.isWanted(nowMillis) }
+        if (failure == null) enqueue(nowMillis, pending) else endUnanswered(pending, failure)
     }
 
     private fun exchangeEnded(nowMillis: Long, id: ExchangeId, result: ExchangeResult) {
         val exchange = exchanges.remove(id) ?: return
         val pending = exchange.pending
-        exchange.target.inUse--
+        val target = exchange.target
+        target.inUse--
+        pool(pending.pool).running--
+        judge.ended(nowMillis, target, result)
         when (result) {
-            is ExchangeResult.Answered ->
-                if (result.overloaded) retryOrEnd(nowMillis, pending, overloaded()) else end(pending, Verdict.Ran(id))
+            is ExchangeResult.Answered -> answered(nowMillis, exchange, result.overloaded)
 
-            is ExchangeResult.NotSent -> retryOrEnd(nowMillis, pending, result.failure)
+            is ExchangeResult.NotSent -> {
+                pending.avoided = target.id
+                retryOrEnd(nowMillis, pending, result.failure)
+            }
 
             is ExchangeResult.Unanswered -> {
                 pending.mayHaveRun = true
+                val connectionOnly = result.silent && target.health.silentSinceAnswer == 1
+                pending.preferred = target.id.takeIf { connectionOnly }
+                pending.avoided = target.id.takeIf { !connectionOnly }
                 retryOrEnd(nowMillis, pending, result.failure)
             }
         }
-        dispatch(nowMillis, exchange.target.instance.pool)
+        dispatch(nowMillis, pending.pool)
+    }
+
+    private fun answered(nowMillis: Long, exchange: Exchange, overloaded: Boolean) {
+        val pending = exchange.pending
+        if (overloaded) {
+            exchange.target.refused(nowMillis, settings.overloadPauseMillis)
+            refused(nowMillis, pending)
+        } else {
+            exchange.target.accepted()
+            pool(pending.pool).serviceTime.add(nowMillis - exchange.sentMillis)
+            end(pending, Verdict.Ran(exchange.id))
+        }
+    }
+
+    /** Puts back a request that a busy target refused. The pause of the target bounds this load, not the budget. */
+    private fun refused(nowMillis: Long, pending: PendingRequest) {
+        pending.attempts--
+        if (notReady == null && pending.isWanted(nowMillis)) {
+            putBack(pending)
+        } else {
+            endUnanswered(pending, busyFailure())
+        }
+    }
+
+    private fun putBack(pending: PendingRequest) {
+        pending.phase = Phase.QUEUED
+        pool(pending.pool).queue.putBack(pending)
     }
 
     private fun retryOrEnd(nowMillis: Long, pending: PendingRequest, failure: Failure) {
-        pending.lastFailure = failure
-        val allowed = !pending.mayHaveRun || pending.repeatable
-        val wanted = ready && pending.awaited && pending.request.deadlineMillis > nowMillis
-        if (allowed && wanted && pending.attempts < settings.maxAttempts) {
-            pending.phase = Phase.QUEUED
-            queue(pending.pool).putBack(pending)
+        val allowed = notReady == null && pending.isWanted(nowMillis) && pending.mayBeSentAgain(settings.maxAttempts)
+        if (allowed && pool(pending.pool).budget.spend()) {
+            putBack(pending)
         } else {
-            end(pending, notRunOrMaybe(pending, failure))
+            endUnanswered(pending, failure)
         }
     }
 
     private fun viewChanged(nowMillis: Long, newer: FleetView) {
         view = newer
-        targets.apply(newer)
-        queues.keys.toList().forEach { dispatch(nowMillis, it) }
+        targets.apply(nowMillis, newer.instances.values)
+        limits.viewChanged(newer)
+        renewLimits(nowMillis)
+        dispatchAll(nowMillis)
     }
 
-    private fun readinessChanged(nowReady: Boolean, reason: String) {
-        ready = nowReady
-        notReadyReason = reason
-        if (ready) return
-        val failure = Failure(FailureKind.NOT_READY, reason)
-        queues.values.flatMap { it.drain() }.forEach { end(it, notRunOrMaybe(it, failure)) }
+    private fun readinessChanged(event: RequestEvent.ReadinessChanged) {
+        val failure = Failure(FailureKind.NOT_READY, event.reason).takeIf { !event.ready }
+        notReady = failure
+        if (failure == null) return
+        pools.values.flatMap { it.queue.drain() }.forEach { endUnanswered(it, failure) }
     }
 
     private fun tick(nowMillis: Long) {
+        targets.expireNotices(nowMillis)
         deadlines.expired(nowMillis).forEach { if (pendingById[it.request.id] === it) expire(it) }
-        queues.keys.toList().forEach { dispatch(nowMillis, it) }
+        renewLimits(nowMillis)
+        dispatchAll(nowMillis)
         if (nowMillis - lastReportMillis >= settings.peerReportIntervalMillis) tellPeers(nowMillis)
     }
 
+    private fun renewLimits(nowMillis: Long) {
+        limits.renew(nowMillis, pools.mapValues { it.value.queue.size })
+    }
+
     private fun tellPeers(nowMillis: Long) {
         lastReportMillis = nowMillis
         reports++
-        val queued = queues.mapValues { (_, queue) -> QueuedCount(queue.size, queue.sizeOf(Priority.URGENT)) }
-        val use = targets.eligibleByPool().values.flatten().associate { it.id to SlotUse(it.instance.slots, it.inUse) }
+        val queued = pools.mapValues { (_, pool) ->
+            QueuedCount(pool.queue.size, pool.queue.sizeOf(Priority.URGENT))
+        }
+        val use = targets.eligibleByPool().values.flatten()
+            .associate { it.id to SlotUse(chooser.limit(nowMillis, it), it.inUse) }
         effects += RequestEffect.TellPeers(SlotReport(self, reports, queued, use))
     }
 
     private fun expire(pending: PendingRequest) {
         when (pending.phase) {
-            Phase.QUEUED -> end(pending, notRunOrMaybe(pending, timeout()))
-
-            Phase.RECORDING -> reply(pending, Verdict.NotRun(timeout()))
-
-            Phase.SENT -> {
-                reply(pending, Verdict.MayHaveRun(timeout()))
-            }
+            Phase.QUEUED -> endUnanswered(pending, timeoutFailure())
+            Phase.RECORDING -> reply(pending, Verdict.NotRun(timeoutFailure()))
+            Phase.SENT -> reply(pending, Verdict.MayHaveRun(timeoutFailure()))
         }
     }
 
-    private fun dispatch(nowMillis: Long, pool: PoolId) {
-        if (!ready) return
-        val queue = queues[pool] ?: return
-        while (queue.size > 0) {
-            val target = leastLoaded(pool) ?: return
-            send(nowMillis, queue.poll() ?: return, target)
-        }
+    private fun dispatchAll(nowMillis: Long) {
+        pools.keys.toList().forEach { dispatch(nowMillis, it) }
     }
 
-    private fun leastLoaded(pool: PoolId): Target? {
-        val free = targets.eligible(pool).filter { it.inUse < it.instance.slots }
-        val least = free.minOfOrNull { it.inUse } ?: return null
-        val equal = free.filter { it.inUse == least }
-        return equal[random.nextInt(equal.size)]
+    private fun dispatch(nowMillis: Long, pool: PoolId) {
+        if (notReady != null) return
+        val state = pools[pool] ?: return
+        while (state.queue.size > 0 && chooser.hasFree(nowMillis, pool)) {
+            val pending = state.queue.poll() ?: return
+            val remaining = pending.request.deadlineMillis - nowMillis
+            val target = if (state.isTooLate(remaining)) null else chooser.choose(nowMillis, pending)
+            if (target == null) {
+                endUnanswered(pending, timeoutFailure())
+            } else {
+                send(nowMillis, pending, target)
+            }
+        }
     }
 
     private fun send(nowMillis: Long, pending: PendingRequest, target: Target) {
-        val remaining = pending.request.deadlineMillis - nowMillis
-        if (remaining <= 0) {
-            end(pending, notRunOrMaybe(pending, timeout()))
-            return
-        }
+        val state = pool(pending.pool)
         lastExchange++
         val exchange = Exchange(ExchangeId(lastExchange), pending, target, nowMillis)
         exchanges[exchange.id] = exchange
         target.inUse++
-        pending.phase = Phase.SENT
+        state.running++
+        if (!pending.counted) state.budget.earn()
+        pending.counted = true
         pending.attempts++
-        pending.lastTarget = target.id
-        effects += RequestEffect.Send(exchange.id, pending.request.id, target.id, remaining)
+        pending.phase = Phase.SENT
+        val mayRetry = pending.repeatable && pending.attempts < settings.maxAttempts
+        val timeoutMillis = state.attemptMillis(pending.request.deadlineMillis - nowMillis, mayRetry)
+        effects += RequestEffect.Send(exchange.id, pending.request.id, target.id, timeoutMillis)
     }
 
-    private fun notRunOrMaybe(pending: PendingRequest, failure: Failure): Verdict<ExchangeId?> =
-        if (pending.mayHaveRun) Verdict.MayHaveRun(failure) else Verdict.NotRun(failure)
+    /** Ends a request that has no answer. */
+    private fun endUnanswered(pending: PendingRequest, failure: Failure) {
+        end(pending, if (pending.mayHaveRun) Verdict.MayHaveRun(failure) else Verdict.NotRun(failure))
+    }
 
     private fun end(pending: PendingRequest, verdict: Verdict<ExchangeId?>) {
-        if (pending.phase == Phase.QUEUED) queue(pending.pool).remove(pending)
+        if (pending.phase == Phase.QUEUED) pool(pending.pool).queue.remove(pending)
         pendingById.remove(pending.request.id)
+        admission.release(pending.request)
         if (pending.intentRecorded) effects += RequestEffect.RecordOutcome(pending.request.id, verdict)
         reply(pending, verdict)
     }
@@ -242,15 +284,13 @@
         effects += RequestEffect.Reply(pending.request.id, verdict)
     }
 
-    private fun queue(pool: PoolId): PoolQueue = queues.getOrPut(pool) {
-        PoolQueue { team -> team?.let { view.teams[it]?.share } ?: 1.0 }
+    private fun pool(id: PoolId): PoolState = pools.getOrPut(id) {
+        PoolState(settings) { team -> team?.let { view.teams[it]?.share } ?: 1.0 }
     }
 
-    private fun timeout() = Failure(FailureKind.TIMEOUT, "the deadline passed")
-
-    private fun overloaded() = Failure(FailureKind.OVERLOADED, "the pool has no capacity left", RETRY_AFTER_MILLIS)
-
-    private companion object {
-        const val RETRY_AFTER_MILLIS = 1_000L
+    private fun slotLimits(): SlotLimits = when (settings.slotScheme) {
+        SlotScheme.UNCOORDINATED -> AllSlots
+        SlotScheme.STATIC -> StaticSlots(self, targets)
+        SlotScheme.GRANTED -> GrantedSlots(self, settings, targets)
     }
 }
--- /dev/null
+++ b/request/src/main/kotlin/org/gypsumturn/request/ServiceTime.kt
@@ -0,0 +1,24 @@
+// Learns how long exchanges of a pool take, and from it how long a new request would wait.
+
+package org.gypsumturn.request
+
+/** Weight of the newest exchange in the moving mean. */
+private const val NEWEST_WEIGHT = 1.0 / 32
+
+/** Exponentially weighted mean of a pool's exchange times, in milliseconds. */
+internal class ServiceTime {
+    private var samples = 0L
+
+    /** The mean, or zero while nothing is known. */
+    var meanMillis: Double = 0.0
+        private set
+
+    fun add(millis: Long) {
+        samples++
+        val weight = maxOf(NEWEST_WEIGHT, 1.0 / samples)
+        meanMillis += (millis - meanMillis) * weight
+    }
+
+    /** Time until a request with [ahead] others before it starts, while [running] exchanges end one after another. */
+    fun expectedWaitMillis(ahead: Int, running: Int): Double = ahead * meanMillis / maxOf(running, 1)
+}
--- a/request/src/main/kotlin/org/gypsumturn/request/TargetTable.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/TargetTable.kt
@@ -2,35 +2,61 @@
 
 package org.gypsumturn.request
 
+import org.gypsumturn.model.DataCentreId
 import org.gypsumturn.model.FleetView
 import org.gypsumturn.model.Instance
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.InstanceState
 import org.gypsumturn.model.PoolId
 
+private const val MAX_PAUSE_DOUBLINGS = 5
+private const val LONG_AGO_MILLIS = Long.MIN_VALUE / 2
+
 /** One target as this entry knows it. */
 internal class Target(var instance: Instance) {
     val id: InstanceId get() = instance.id
+    val health = TargetHealth()
 
     /** Exchanges of this entry that run on the target. */
     var inUse: Int = 0
 
+    /** Since when the target is in service without a break. */
+    var warmSinceMillis: Long = LONG_AGO_MILLIS
+
+    /** Until when the target gets nothing because it refused for lack of slots. */
+    var pausedUntilMillis: Long = LONG_AGO_MILLIS
+
+    /** Whether the last ejection was for silence. */
+    var ejectedForSilence: Boolean = false
+
     /** Time of the platform's notice that the target is leaving, or null. */
     var leavingSinceMillis: Long? = null
 
-    /** Whether the view has shown the target out of service since the notice. */
-    var seenOutOfService: Boolean = false
+    /** Whether the view last showed the target out of service. */
+    var outOfService: Boolean = false
+
+    private var refusals = 0
 
     val inService: Boolean
         get() = instance.state == InstanceState.SERVING || instance.state == InstanceState.WARMING
+
+    /** Notes that the target refused for lack of slots; each refusal after another doubles the pause. */
+    fun refused(nowMillis: Long, pauseMillis: Long) {
+        pausedUntilMillis = nowMillis + (pauseMillis shl refusals)
+        refusals = minOf(refusals + 1, MAX_PAUSE_DOUBLINGS)
+    }
+
+    /** Notes that the target ran an exchange. */
+    fun accepted() {
+        refusals = 0
+    }
 }
 
 /** All targets of the view, by pool. */
-internal class TargetTable {
+internal class TargetTable(private val leavingNoticeMillis: Long) {
     private val targets = HashMap<InstanceId, Target>()
     private var byPool: Map<PoolId, List<Target>> = emptyMap()
-
-    fun find(id: InstanceId): Target? = targets[id]
+    private var filled = false
 
     /** The targets of [pool] that may take new work, in the order of their ids. */
     fun eligible(pool: PoolId): List<Target> = byPool[pool].orEmpty()
@@ -38,9 +64,15 @@
     /** All targets that may take new work, by pool. */
     fun eligibleByPool(): Map<PoolId, List<Target>> = byPool
 
-    fun apply(view: FleetView) {
-        targets.keys.retainAll(view.instances.keys)
-        view.instances.values.forEach { update(it) }
+    /** The targets in [dataCentre] that may take new work. */
+    fun inDataCentre(dataCentre: DataCentreId): List<Target> =
+        byPool.values.flatten().filter { it.instance.domain.dataCentre == dataCentre }
+
+    fun apply(nowMillis: Long, instances: Collection<Instance>) {
+        val present = instances.mapTo(HashSet()) { it.id }
+        targets.keys.retainAll(present)
+        instances.forEach { update(nowMillis, it) }
+        filled = filled || instances.isNotEmpty()
         rebuild()
     }
 
@@ -48,19 +80,30 @@
     fun markLeaving(nowMillis: Long, id: InstanceId) {
         val target = targets[id] ?: return
         target.leavingSinceMillis = nowMillis
-        target.seenOutOfService = false
         rebuild()
     }
 
-    private fun update(instance: Instance) {
-        val target = targets.getOrPut(instance.id) { Target(instance) }
+    /** Forgets notices that the view did not confirm for very long. */
+    fun expireNotices(nowMillis: Long) {
+        val expired = targets.values.filter { target ->
+            target.leavingSinceMillis?.let { nowMillis - it > leavingNoticeMillis } ?: false
+        }
+        expired.forEach { it.leavingSinceMillis = null }
+        if (expired.isNotEmpty()) rebuild()
+    }
+
+    private fun update(nowMillis: Long, instance: Instance) {
+        val known = targets[instance.id]
+        val target = known ?: Target(instance).also { targets[instance.id] = it }
+        val isFresh = known == null && (filled || instance.state == InstanceState.WARMING)
         target.instance = instance
         if (!target.inService) {
-            target.seenOutOfService = true
+            target.outOfService = true
             return
         }
-        val returned = target.seenOutOfService || instance.state == InstanceState.WARMING
-        if (target.leavingSinceMillis != null && returned) target.leavingSinceMillis = null
+        if (isFresh || target.outOfService) target.warmSinceMillis = nowMillis
+        if (target.outOfService) target.leavingSinceMillis = null
+        target.outOfService = false
     }
 
     private fun rebuild() {
