--- a/request/src/main/kotlin/org/gypsumturn/request/Admission.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/Admission.kt
@@ -12,7 +12,12 @@
 private const val MIN_RETRY_AFTER_MILLIS = 100L
 private const val MAX_RETRY_AFTER_MILLIS = 30_000L
 
-/** What admission knows of the pool that a request is for. */
+/**
+ * What admission knows of the pool that a request is for.
+ *
+ * @property queued requests that wait and are at least as urgent
+ * @property serviceMillis time within which nearly all exchanges end
+ */
 internal data class PoolLoad(val queued: Int, val expectedWaitMillis: Double, val serviceMillis: Double)
 
 /** Admission of requests at one entry. Counts the accepted requests of each team. */
--- a/request/src/main/kotlin/org/gypsumturn/request/DispatchSettings.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/DispatchSettings.kt
@@ -26,7 +26,8 @@
  * @property ejectionMillis time for which a faulty target gets nothing
  * @property maxEjectedShare part of a pool that may be ejected at once
  * @property overloadPauseMillis time for which a target gets nothing from this entry after it refused for lack of
- *   slots; doubled with each refusal that follows another
+ *   slots; doubled with each refusal that follows another, up to [maxOverloadPauseMillis]
+ * @property maxOverloadPauseMillis longest such time
  * @property leavingNoticeMillis time for which a notice that a target is leaving counts without the view's confirmation
  */
 public data class DispatchSettings(
@@ -40,5 +41,6 @@
     public val maxEjectedShare: Double = 0.5,
     public val slotScheme: SlotScheme = SlotScheme.GRANTED,
     public val overloadPauseMillis: Long = 20,
+    public val maxOverloadPauseMillis: Long = 640,
     public val leavingNoticeMillis: Long = 600_000,
 )
--- a/request/src/main/kotlin/org/gypsumturn/request/FairQueue.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/FairQueue.kt
@@ -4,6 +4,7 @@
 package org.gypsumturn.request
 
 import org.gypsumturn.model.TeamId
+import java.util.TreeMap
 
 /** The smallest share that counts, so that a stride stays finite. */
 private const val MIN_SHARE = 1e-3
@@ -11,40 +12,34 @@
 /** Requests of one priority, first in first out within each team. */
 internal class FairQueue(private val shareOf: (TeamId?) -> Double) {
     private class Lane(var pass: Double) {
-        val returned = LinkedHashMap<RequestId, PendingRequest>()
-        val waiting = LinkedHashMap<RequestId, PendingRequest>()
-
-        val isEmpty: Boolean get() = returned.isEmpty() && waiting.isEmpty()
-
-        fun poll(): PendingRequest {
-            val from = returned.ifEmpty { waiting }
-            val first = from.values.first()
-            from.remove(first.request.id)
-            return first
-        }
+        /** By [PendingRequest.queueNumber]. */
+        val waiting = TreeMap<Long, PendingRequest>()
     }
 
     private val lanes = LinkedHashMap<TeamId?, Lane>()
     private var currentPass = 0.0
+    private var lastNumber = 0L
 
     /** Number of requests that wait. */
     var size: Int = 0
         private set
 
     fun add(pending: PendingRequest) {
-        if (lane(pending).waiting.put(pending.request.id, pending) == null) size++
+        lastNumber++
+        pending.queueNumber = lastNumber
+        putBack(pending)
     }
 
-    /** Puts [pending] before the requests of its team that have not been tried. */
+    /** Puts [pending] where it was before it was taken, ahead of its team's later requests. */
     fun putBack(pending: PendingRequest) {
-        if (lane(pending).returned.put(pending.request.id, pending) == null) size++
+        if (lane(pending).waiting.put(pending.queueNumber, pending) == null) size++
     }
 
     fun remove(pending: PendingRequest) {
         val lane = lanes[pending.request.team] ?: return
-        val removed = lane.waiting.remove(pending.request.id) ?: lane.returned.remove(pending.request.id) ?: return
+        if (!lane.waiting.remove(pending.queueNumber, pending)) return
         size--
-        dropIfEmpty(removed.request.team, lane)
+        dropIfEmpty(pending.request.team, lane)
     }
 
     /** Takes the next request of the team with the smallest pass. */
@@ -53,14 +48,22 @@
         currentPass = lane.pass
         lane.pass += 1.0 / maxOf(shareOf(team), MIN_SHARE)
         size--
-        val next = lane.poll()
+        val next = lane.waiting.pollFirstEntry().value
         dropIfEmpty(team, lane)
         return next
     }
 
+    /** Removes the newest request of the team that has the most waiting. */
+    fun removeNewest(): PendingRequest? {
+        val (_, lane) = lanes.entries.maxByOrNull { it.value.waiting.size } ?: return null
+        val newest = lane.waiting.lastEntry().value
+        remove(newest)
+        return newest
+    }
+
     /** Removes and returns all requests. */
     fun drain(): List<PendingRequest> {
-        val all = lanes.values.flatMap { it.returned.values + it.waiting.values }
+        val all = lanes.values.flatMap { it.waiting.values }
         lanes.clear()
         size = 0
         return all
@@ -71,6 +74,6 @@
     }
 
     private fun dropIfEmpty(team: TeamId?, lane: Lane) {
-        if (lane.isEmpty) lanes.remove(team)
+        if (lane.waiting.isEmpty()) lanes.remove(team)
     }
 }
--- a/request/src/main/kotlin/org/gypsumturn/request/GrantedSlots.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/GrantedSlots.kt
@@ -12,11 +12,24 @@
 /** Weight of the newest demand in the smoothed demand of an entry. */
 private const val NEWEST_WEIGHT = 0.5
 
+/** Demand that an idle entry counts with. */
+private const val MIN_DEMAND = 1.0
+
+/** Weight of an urgent request that waits, against one that does not hurry. */
+private const val URGENT_WEIGHT = 8
+
+/**
+ * Waiting requests, other than urgent ones, that count at most. Beyond it a long queue tells how much an entry admitted
+ * for the slots that it had rather than what it needs.
+ */
+private const val MAX_WAITING = 32
+
 /** Part of the slots that each entry keeps whatever its demand, so that an arrival finds one. */
 private const val STANDING_SHARE = 0.25
 
 /**
- * Grants by demand. An entry that hears fewer than half of its peers, or that was paused for as long as reports live,
+ * Grants by demand. Demand is smoothed once for each report, by its sender and its hearers alike, so that all compute
+ * the same ranges. An entry that hears fewer than half of its peers, or that was paused for as long as reports live,
  * falls back to its static part, so grants that others have taken over lapse.
  */
 internal class GrantedSlots(
@@ -24,49 +37,80 @@
     private val settings: DispatchSettings,
     private val targets: TargetTable,
 ) : SlotLimits {
-    private class Heard(val atMillis: Long, val report: SlotReport)
+    private class Known(var atMillis: Long, var report: SlotReport) {
+        val demand = HashMap<PoolId, Double>()
+
+        /** Moves the smoothed demand for [pool], of which [members] are the targets, towards that of the report. */
+        fun smooth(pool: PoolId, members: List<Target>) {
+            val running = members.sumOf { report.useByInstance[it.id]?.inUse ?: 0 }
+            val queued = report.queuedByPool[pool] ?: QueuedCount(0, 0)
+            val waiting = minOf(queued.total - queued.urgent, MAX_WAITING) + URGENT_WEIGHT * queued.urgent
+            val now = (running + waiting).toDouble()
+            demand.merge(pool, now) { old, new -> old + (new - old) * NEWEST_WEIGHT }
+        }
+    }
 
     private val fallback = StaticSlots(self, targets)
-    private val heard = HashMap<NodeId, Heard>()
-    private val smoothed = HashMap<Pair<NodeId, PoolId>, Double>()
+    private val known = HashMap<NodeId, Known>()
     private var peersInView: Set<NodeId> = emptySet()
     private var limits: Map<InstanceId, Int>? = null
     private var renewedMillis: Long? = null
+    private var outdated = true
 
-    override fun limit(target: Target): Int = limits?.let { it[target.id] ?: 0 } ?: fallback.limit(target)
+    override fun limit(target: Target): Int {
+        if (outdated) recompute()
+        val granted = limits ?: return fallback.limit(target)
+        return granted[target.id] ?: 0
+    }
 
     override fun viewChanged(view: FleetView) {
         peersInView = entryNodes(view).toSet() - self
         fallback.viewChanged(view)
+        outdated = true
     }
 
     override fun heard(nowMillis: Long, report: SlotReport) {
-        val known = heard[report.node]
-        val isOld = known != null && report.sequence <= known.report.sequence && isFresh(nowMillis, known)
-        if (report.node == self || isOld) return
-        heard[report.node] = Heard(nowMillis, report)
+        if (report.node != self) note(nowMillis, report)
+    }
+
+    override fun told(nowMillis: Long, report: SlotReport) {
+        note(nowMillis, report)
     }
 
-    override fun renew(nowMillis: Long, queued: Map<PoolId, Int>) {
+    override fun renew(nowMillis: Long) {
         val last = renewedMillis
-        if (last != null && nowMillis - last > settings.peerLapseMillis / 2) heard.clear()
+        if (last != null && nowMillis - last > settings.peerLapseMillis / 2) known.keys.retainAll(setOf(self))
         renewedMillis = nowMillis
-        heard.values.removeIf { !isFresh(nowMillis, it) }
-        val known = peersInView.count { it in heard }
-        limits = if (known * 2 < peersInView.size) null else grants(queued)
+        val lapsed = known.entries.removeIf { (node, it) -> node != self && !isFresh(nowMillis, it) }
+        outdated = outdated || lapsed
     }
 
-    private fun isFresh(nowMillis: Long, heard: Heard) = nowMillis - heard.atMillis <= settings.peerLapseMillis
+    private fun note(nowMillis: Long, report: SlotReport) {
+        val before = known[report.node]
+        if (before != null && report.sequence <= before.report.sequence && isFresh(nowMillis, before)) return
+        val now = before ?: Known(nowMillis, report).also { known[report.node] = it }
+        now.atMillis = nowMillis
+        now.report = report
+        targets.eligibleByPool().forEach { (pool, members) -> now.smooth(pool, members) }
+        outdated = true
+    }
+
+    private fun isFresh(nowMillis: Long, it: Known) = nowMillis - it.atMillis <= settings.peerLapseMillis
 
-    private fun grants(queued: Map<PoolId, Int>): Map<InstanceId, Int> {
-        val entries = (heard.keys + self).sorted()
+    private fun recompute() {
+        outdated = false
+        val peersKnown = peersInView.count { it in known }
+        limits = if (peersKnown * 2 < peersInView.size) null else grants()
+    }
+
+    private fun grants(): Map<InstanceId, Int> {
+        val entries = (known.keys + self).sorted()
         val limits = HashMap<InstanceId, Int>()
         targets.eligibleByPool().forEach { (pool, members) ->
-            val demands = entries.map { demand(it, pool, members, queued) }
+            val demands = entries.map { MIN_DEMAND + (known[it]?.demand?.get(pool) ?: 0.0) }
             val (from, until) = range(entries.indexOf(self), demands, members.sumOf { it.instance.slots })
-            val order = slotOrder(members)
-            order.subList(from, until).forEach { limits.merge(it.id, 1, Int::plus) }
-            if (heard.isNotEmpty()) members.forEach { limits.computeIfPresent(it.id) { _, n -> capped(it, n) } }
+            slotOrder(members).subList(from, until).forEach { limits.merge(it.id, 1, Int::plus) }
+            members.forEach { target -> limits.computeIfPresent(target.id) { _, grant -> capped(target, grant) } }
         }
         return limits
     }
@@ -79,31 +123,16 @@
 
     private fun range(index: Int, demands: List<Double>, slots: Int): Pair<Int, Int> {
         val standing = STANDING_SHARE * slots / demands.size
-        val perDemand = (1.0 - STANDING_SHARE) * slots / maxOf(demands.sum(), 1e-9)
+        val perDemand = (1.0 - STANDING_SHARE) * slots / demands.sum()
         val parts = demands.map { standing + it * perDemand }
         val before = parts.take(index).sum()
         return before.roundToInt() to minOf(slots, (before + parts[index]).roundToInt())
     }
 
-    /** [grant] less what peers were last seen to use beyond what would be left for them. */
+    /** [grant] as far as peers were not last seen to use the slots still. */
     private fun capped(target: Target, grant: Int): Int {
-        val usedByPeers = heard.values.sumOf { it.report.useByInstance[target.id]?.inUse ?: 0 }
-        return minOf(grant, maxOf(target.inUse, target.instance.slots - usedByPeers)).coerceAtLeast(0)
-    }
-
-    private fun demand(node: NodeId, pool: PoolId, members: List<Target>, queued: Map<PoolId, Int>): Double {
-        val now = 1.0 + if (node == self) ownDemand(pool, members, queued) else peerDemand(node, pool, members)
-        val before = smoothed[node to pool] ?: now
-        val next = before + (now - before) * NEWEST_WEIGHT
-        smoothed[node to pool] = next
-        return next
-    }
-
-    private fun ownDemand(pool: PoolId, members: List<Target>, queued: Map<PoolId, Int>): Int =
-        members.sumOf { it.inUse } + (queued[pool] ?: 0)
-
-    private fun peerDemand(node: NodeId, pool: PoolId, members: List<Target>): Int {
-        val report = heard[node]?.report ?: return 0
-        return members.sumOf { report.useByInstance[it.id]?.inUse ?: 0 } + (report.queuedByPool[pool]?.total ?: 0)
+        val usedByPeers = known.values.filter { it.report.node != self }
+            .sumOf { it.report.useByInstance[target.id]?.inUse ?: 0 }
+        return minOf(grant, maxOf(0, target.instance.slots - usedByPeers))
     }
 }
--- a/request/src/main/kotlin/org/gypsumturn/request/PendingRequest.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/PendingRequest.kt
@@ -21,6 +21,9 @@
     /** Whether an earlier exchange may have run the request. */
     var mayHaveRun: Boolean = false
 
+    /** Place in the order of arrival within its queue. */
+    var queueNumber: Long = 0
+
     /** Exchanges so far, without those that a busy target refused. */
     var attempts: Int = 0
 
--- a/request/src/main/kotlin/org/gypsumturn/request/PoolQueue.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/PoolQueue.kt
@@ -41,6 +41,15 @@
         return levels.getValue(priority).poll()
     }
 
+    /** Number of requests that an arrival of [priority] may not displace. */
+    fun sizeUpTo(priority: Priority): Int = Priority.entries.filter { it <= priority }.sumOf { sizeOf(it) }
+
+    /** Removes the newest request of the least urgent priority below [priority], or null if there is none. */
+    fun displace(priority: Priority): PendingRequest? {
+        val lowest = Priority.entries.lastOrNull { it > priority && sizeOf(it) > 0 } ?: return null
+        return levels.getValue(lowest).removeNewest()
+    }
+
     /** Removes and returns all waiting requests, in no particular order. */
     fun drain(): List<PendingRequest> = levels.values.flatMap { it.drain() }
 }
--- a/request/src/main/kotlin/org/gypsumturn/request/PoolState.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/PoolState.kt
@@ -11,6 +11,9 @@
 /** Multiple of the mean exchange time below which an exchange is not given up early. */
 private const val MIN_ATTEMPT_FACTOR = 8.0
 
+/** Multiple of the mean exchange time within which nearly all exchanges end. */
+private const val TAIL_FACTOR = 3.0
+
 /** Queue, retry budget and learned exchange time of one pool. */
 internal class PoolState(settings: DispatchSettings, shareOf: (TeamId?) -> Double) {
     val queue = PoolQueue(shareOf)
@@ -20,12 +23,27 @@
     /** Exchanges of this entry that run for the pool. */
     var running: Int = 0
 
+    private val rates = Priority.entries.associateWith { StartRate() }
+
+    fun rate(priority: Priority): StartRate = rates.getValue(priority)
+
     /** What admission has to know for a request of [priority]. */
-    fun load(priority: Priority): PoolLoad {
-        val ahead = Priority.entries.filter { it <= priority }.sumOf { queue.sizeOf(it) }
-        return PoolLoad(queue.size, serviceTime.expectedWaitMillis(ahead, running), serviceTime.meanMillis)
+    fun load(nowMillis: Long, priority: Priority): PoolLoad {
+        val ahead = queue.sizeUpTo(priority)
+        val modelled = ahead * serviceTime.meanMillis / maxOf(running, 1)
+        // More urgent requests hold batch back only while a burst lasts, so its present rate says little of its wait.
+        val learned = if (priority ==
+            Priority.BATCH
+        ) {
+            null
+        } else {
+            rate(priority).waitMillis(nowMillis, queue.sizeOf(priority))
+        }
+        return PoolLoad(ahead, maxOf(learned ?: 0.0, modelled), tailMillis)
     }
 
+    private val tailMillis: Double get() = serviceTime.meanMillis * TAIL_FACTOR
+
     /** Time that an exchange gets; shorter than [remainingMillis] where a retry could follow it. */
     fun attemptMillis(remainingMillis: Long, mayRetry: Boolean): Long {
         val early = (remainingMillis * ATTEMPT_SHARE).toLong()
@@ -35,5 +53,5 @@
 
     /** Whether starting a request with [remainingMillis] left would only delay those behind it. */
     fun isTooLate(remainingMillis: Long): Boolean =
-        remainingMillis <= 0 || (queue.size > 0 && remainingMillis < serviceTime.meanMillis)
+        remainingMillis <= 0 || (queue.size > 0 && remainingMillis < tailMillis)
 }
--- a/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
@@ -10,6 +10,7 @@
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Priority
+import org.gypsumturn.model.Service
 import org.gypsumturn.model.Verdict
 
 /**
@@ -63,12 +64,14 @@
             ?: if (service == null) {
                 Failure(FailureKind.INVALID, "unknown service ${request.service}")
             } else {
-                admission.refusal(nowMillis, request, service, view, pool(service.pool).load(request.priority))
+                val load = pool(service.pool).load(nowMillis, request.priority)
+                admission.refusal(nowMillis, request, service, view, load)
             }
         if (service == null || refusal != null) {
             effects += RequestEffect.Reply(request.id, Verdict.NotRun(refusal ?: timeoutFailure()))
             return
         }
+        makeRoom(service, request)
         admission.accept(request)
         val pending = PendingRequest(request, service.pool, nowMillis)
         pendingById[request.id] = pending
@@ -81,9 +84,18 @@
         }
     }
 
+    /** Displaces a less urgent request from a full queue. */
+    private fun makeRoom(service: Service, request: ArrivedRequest) {
+        val queue = pool(service.pool).queue
+        if (queue.size < service.maxQueued) return
+        queue.displace(request.priority)?.let { endUnanswered(it, busyFailure()) }
+    }
+
     private fun enqueue(nowMillis: Long, pending: PendingRequest) {
         pending.phase = Phase.QUEUED
-        pool(pending.pool).queue.add(pending)
+        val state = pool(pending.pool)
+        state.queue.add(pending)
+        state.rate(pending.request.priority).entered(nowMillis)
         dispatch(nowMillis, pending.pool)
     }
 
@@ -151,7 +163,7 @@
     private fun answered(nowMillis: Long, exchange: Exchange, overloaded: Boolean) {
         val pending = exchange.pending
         if (overloaded) {
-            exchange.target.refused(nowMillis, settings.overloadPauseMillis)
+            exchange.target.refused(nowMillis, settings.overloadPauseMillis, settings.maxOverloadPauseMillis)
             refused(nowMillis, pending)
         } else {
             exchange.target.accepted()
@@ -188,7 +200,7 @@
         view = newer
         targets.apply(nowMillis, newer.instances.values)
         limits.viewChanged(newer)
-        renewLimits(nowMillis)
+        limits.renew(nowMillis)
         dispatchAll(nowMillis)
     }
 
@@ -202,15 +214,11 @@
     private fun tick(nowMillis: Long) {
         targets.expireNotices(nowMillis)
         deadlines.expired(nowMillis).forEach { if (pendingById[it.request.id] === it) expire(it) }
-        renewLimits(nowMillis)
+        limits.renew(nowMillis)
         dispatchAll(nowMillis)
         if (nowMillis - lastReportMillis >= settings.peerReportIntervalMillis) tellPeers(nowMillis)
     }
 
-    private fun renewLimits(nowMillis: Long) {
-        limits.renew(nowMillis, pools.mapValues { it.value.queue.size })
-    }
-
     private fun tellPeers(nowMillis: Long) {
         lastReportMillis = nowMillis
         reports++
@@ -219,7 +227,10 @@
         }
         val use = targets.eligibleByPool().values.flatten()
             .associate { it.id to SlotUse(chooser.limit(nowMillis, it), it.inUse) }
-        effects += RequestEffect.TellPeers(SlotReport(self, reports, queued, use))
+            .filterValues { it.granted > 0 || it.inUse > 0 }
+        val report = SlotReport(self, reports, queued, use)
+        limits.told(nowMillis, report)
+        effects += RequestEffect.TellPeers(report)
     }
 
     private fun expire(pending: PendingRequest) {
@@ -239,6 +250,7 @@
         val state = pools[pool] ?: return
         while (state.queue.size > 0 && chooser.hasFree(nowMillis, pool)) {
             val pending = state.queue.poll() ?: return
+            state.rate(pending.request.priority).left(nowMillis, state.queue.sizeOf(pending.request.priority))
             val remaining = pending.request.deadlineMillis - nowMillis
             val target = if (state.isTooLate(remaining)) null else chooser.choose(nowMillis, pending)
             if (target == null) {
--- a/request/src/main/kotlin/org/gypsumturn/request/ServiceTime.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/ServiceTime.kt
@@ -1,4 +1,4 @@
-// Learns how long exchanges of a pool take, and from it how long a new request would wait.
+// Learns how long exchanges of a pool take.
 
 package org.gypsumturn.request
 
@@ -18,7 +18,4 @@
         val weight = maxOf(NEWEST_WEIGHT, 1.0 / samples)
         meanMillis += (millis - meanMillis) * weight
     }
-
-    /** Time until a request with [ahead] others before it starts, while [running] exchanges end one after another. */
-    fun expectedWaitMillis(ahead: Int, running: Int): Double = ahead * meanMillis / maxOf(running, 1)
 }
--- a/request/src/main/kotlin/org/gypsumturn/request/SlotLimits.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/SlotLimits.kt
@@ -7,7 +7,6 @@
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.NodeRole
-import org.gypsumturn.model.PoolId
 
 /** Number of slots of a target that this entry may use. */
 internal interface SlotLimits {
@@ -19,8 +18,11 @@
     /** Takes note of a peer's report. */
     fun heard(nowMillis: Long, report: SlotReport) = Unit
 
-    /** Renews the limits; [queued] is this entry's own demand by pool. */
-    fun renew(nowMillis: Long, queued: Map<PoolId, Int>) = Unit
+    /** Takes note of the report that this entry gave to its peers. */
+    fun told(nowMillis: Long, report: SlotReport) = Unit
+
+    /** Lets lapse what is out of date. */
+    fun renew(nowMillis: Long) = Unit
 }
 
 /** All slots: the target itself refuses what exceeds them. */
--- a/request/src/main/kotlin/org/gypsumturn/request/TargetTable.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/TargetTable.kt
@@ -9,7 +9,7 @@
 import org.gypsumturn.model.InstanceState
 import org.gypsumturn.model.PoolId
 
-private const val MAX_PAUSE_DOUBLINGS = 5
+private const val MAX_PAUSE_DOUBLINGS = 10
 private const val LONG_AGO_MILLIS = Long.MIN_VALUE / 2
 
 /** One target as this entry knows it. */
@@ -41,8 +41,8 @@
         get() = instance.state == InstanceState.SERVING || instance.state == InstanceState.WARMING
 
     /** Notes that the target refused for lack of slots; each refusal after another doubles the pause. */
-    fun refused(nowMillis: Long, pauseMillis: Long) {
-        pausedUntilMillis = nowMillis + (pauseMillis shl refusals)
+    fun refused(nowMillis: Long, pauseMillis: Long, maxPauseMillis: Long) {
+        pausedUntilMillis = nowMillis + minOf(maxPauseMillis, pauseMillis shl refusals)
         refusals = minOf(refusals + 1, MAX_PAUSE_DOUBLINGS)
     }
 
