Use slots that nobody was seen to use

Cause: at half load an entry waited for its next grant while executors were mostly idle: urgent queue time p99 53 ms. Change: an entry may try one slot beyond its grant on a warm target of which at least three slots were last seen unused; a refusal stops that for one report interval.

--- a/request/src/main/kotlin/org/gypsumturn/request/GrantedSlots.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/GrantedSlots.kt
@@ -63,6 +63,9 @@
         return granted[target.id] ?: 0
     }
 
+    override fun spare(target: Target): Int =
+        if (limits == null) 0 else target.instance.slots - target.inUse - usedByPeers(target)
+
     override fun viewChanged(view: FleetView) {
         peersInView = entryNodes(view).toSet() - self
         fallback.viewChanged(view)
@@ -130,9 +133,9 @@
     }
 
     /** [grant] as far as peers were not last seen to use the slots still. */
-    private fun capped(target: Target, grant: Int): Int {
-        val usedByPeers = known.values.filter { it.report.node != self }
-            .sumOf { it.report.useByInstance[target.id]?.inUse ?: 0 }
-        return minOf(grant, maxOf(0, target.instance.slots - usedByPeers))
-    }
+    private fun capped(target: Target, grant: Int): Int =
+        minOf(grant, maxOf(0, target.instance.slots - usedByPeers(target)))
+
+    private fun usedByPeers(target: Target): Int = known.values.filter { it.report.node != self }
+        .sumOf { it.report.useByInstance[target.id]?.inUse ?: 0 }
 }
--- a/request/src/main/kotlin/org/gypsumturn/request/PendingRequest.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/PendingRequest.kt
@@ -46,5 +46,15 @@
     fun mayBeSentAgain(maxAttempts: Int): Boolean = attempts < maxAttempts && (!mayHaveRun || repeatable)
 }
 
-/** One exchange in progress. */
-internal class Exchange(val id: ExchangeId, val pending: PendingRequest, val target: Target, val sentMillis: Long)
+/**
+ * One exchange in progress.
+ *
+ * @property borrowed whether it uses a slot beyond this entry's grant
+ */
+internal class Exchange(
+    val id: ExchangeId,
+    val pending: PendingRequest,
+    val target: Target,
+    val sentMillis: Long,
+    val borrowed: Boolean,
+)
--- a/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
@@ -163,7 +163,7 @@
     private fun answered(nowMillis: Long, exchange: Exchange, overloaded: Boolean) {
         val pending = exchange.pending
         if (overloaded) {
-            exchange.target.refused(nowMillis, settings.overloadPauseMillis, settings.maxOverloadPauseMillis)
+            exchange.target.refused(nowMillis, settings, exchange.borrowed)
             refused(nowMillis, pending)
         } else {
             exchange.target.accepted()
@@ -264,7 +264,8 @@
     private fun send(nowMillis: Long, pending: PendingRequest, target: Target) {
         val state = pool(pending.pool)
         lastExchange++
-        val exchange = Exchange(ExchangeId(lastExchange), pending, target, nowMillis)
+        val borrowed = target.inUse >= chooser.limit(nowMillis, target)
+        val exchange = Exchange(ExchangeId(lastExchange), pending, target, nowMillis, borrowed)
         exchanges[exchange.id] = exchange
         target.inUse++
         state.running++
--- a/request/src/main/kotlin/org/gypsumturn/request/SlotLimits.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/SlotLimits.kt
@@ -12,6 +12,9 @@
 internal interface SlotLimits {
     fun limit(target: Target): Int
 
+    /** Slots of [target] that no entry was last seen to use. */
+    fun spare(target: Target): Int = 0
+
     /** Takes note of the entries and targets that exist. */
     fun viewChanged(view: FleetView) = Unit
 
--- a/request/src/main/kotlin/org/gypsumturn/request/TargetChooser.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/TargetChooser.kt
@@ -14,6 +14,9 @@
 /** Part of its slots that a target gets at most while the view calls it warming. */
 private const val WARMING_SHARE = 0.5
 
+/** Slots that nobody is known to use from which on an entry tries one beyond its grant. */
+private const val MIN_SPARE = 3
+
 /** Chooses targets by free slots, health and path. */
 internal class TargetChooser(
     private val settings: DispatchSettings,
@@ -30,11 +33,13 @@
     }
 
     /** Whether any target of [pool] may take an exchange. */
-    fun hasFree(nowMillis: Long, pool: PoolId): Boolean = targets.eligible(pool).any { isFree(nowMillis, it) }
+    fun hasFree(nowMillis: Long, pool: PoolId): Boolean =
+        targets.eligible(pool).any { isFree(nowMillis, it) || mayBorrow(nowMillis, it) }
 
     /** The target that [pending] goes to, or null if none may take it now. */
     fun choose(nowMillis: Long, pending: PendingRequest): Target? {
-        val free = targets.eligible(pending.pool).filter { isFree(nowMillis, it) }
+        val granted = targets.eligible(pending.pool).filter { isFree(nowMillis, it) }
+        val free = granted.ifEmpty { targets.eligible(pending.pool).filter { mayBorrow(nowMillis, it) } }
         val preferred = free.firstOrNull { it.id == pending.preferred }
         if (preferred != null) return preferred
         return mostFree(nowMillis, preferable(nowMillis, free, pending.avoided))
@@ -52,9 +57,20 @@
         return equal[random.nextInt(equal.size)]
     }
 
-    private fun isFree(nowMillis: Long, target: Target): Boolean = nowMillis >= target.pausedUntilMillis &&
-        !target.health.isEjected(nowMillis) &&
-        target.inUse < limit(nowMillis, target)
+    /**
+     * Whether a slot may be tried beyond this entry's grant, because several were last seen unused by anybody. Within
+     * a report's age others may take them too; the target then refuses without running anything.
+     */
+    private fun mayBorrow(nowMillis: Long, target: Target): Boolean = nowMillis >= target.noBorrowUntilMillis &&
+        takesWork(nowMillis, target) &&
+        warmShare(nowMillis, target) >= 1.0 &&
+        limits.spare(target) >= MIN_SPARE
+
+    private fun isFree(nowMillis: Long, target: Target): Boolean =
+        takesWork(nowMillis, target) && target.inUse < limit(nowMillis, target)
+
+    private fun takesWork(nowMillis: Long, target: Target): Boolean =
+        nowMillis >= target.pausedUntilMillis && !target.health.isEjected(nowMillis)
 
     private fun warmShare(nowMillis: Long, target: Target): Double {
         val age = nowMillis - target.warmSinceMillis
--- a/request/src/main/kotlin/org/gypsumturn/request/TargetTable.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/TargetTable.kt
@@ -26,6 +26,9 @@
     /** Until when the target gets nothing because it refused for lack of slots. */
     var pausedUntilMillis: Long = LONG_AGO_MILLIS
 
+    /** Until when no slot beyond this entry's grant is tried, because one was refused. */
+    var noBorrowUntilMillis: Long = LONG_AGO_MILLIS
+
     /** Whether the last ejection was for silence. */
     var ejectedForSilence: Boolean = false
 
@@ -41,8 +44,13 @@
         get() = instance.state == InstanceState.SERVING || instance.state == InstanceState.WARMING
 
     /** Notes that the target refused for lack of slots; each refusal after another doubles the pause. */
-    fun refused(nowMillis: Long, pauseMillis: Long, maxPauseMillis: Long) {
-        pausedUntilMillis = nowMillis + minOf(maxPauseMillis, pauseMillis shl refusals)
+    fun refused(nowMillis: Long, settings: DispatchSettings, wasBorrowed: Boolean) {
+        if (wasBorrowed) {
+            noBorrowUntilMillis = nowMillis + settings.peerReportIntervalMillis
+            return
+        }
+        pausedUntilMillis =
+            nowMillis + minOf(settings.maxOverloadPauseMillis, settings.overloadPauseMillis shl refusals)
         refusals = minOf(refusals + 1, MAX_PAUSE_DOUBLINGS)
     }
 
--- /dev/null
+++ b/request/src/test/kotlin/org/gypsumturn/request/RetryTest.kt
@@ -0,0 +1,94 @@
+// Which exchanges are followed by another, and where it goes.
+
+package org.gypsumturn.request
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.gypsumturn.model.Failure
+import org.gypsumturn.model.FailureKind
+import org.gypsumturn.model.Verdict
+
+class RetryTest : AnnotationSpec() {
+    private val refused = ExchangeResult.NotSent(Failure(FailureKind.UNREACHABLE, "refused"))
+    private val reset = ExchangeResult.Unanswered(Failure(FailureKind.BROKEN_ANSWER, "reset"), silent = false)
+    private val silent = ExchangeResult.Unanswered(Failure(FailureKind.TIMEOUT, "silent"), silent = true)
+    private val busy = ExchangeResult.Answered(503, overloaded = true)
+    private val plenty = DispatchSettings(retryBudgetShare = 10.0)
+
+    private fun RequestDispatcher.end(send: RequestEffect.Send, result: ExchangeResult, nowMillis: Long = 2) =
+        handle(nowMillis, RequestEvent.ExchangeEnded(send.exchange, result))
+
+    private fun twoTargets(settings: DispatchSettings = plenty) =
+        dispatcher(viewOf(instance("a"), instance("b")), settings)
+
+    @Test
+    fun `what was not sent goes to another target`() {
+        val dispatcher = twoTargets()
+        val first = dispatcher.handle(1, arrived(1, idempotent = false)).sends().single()
+        dispatcher.end(first, refused).sends().single().target shouldNotBe first.target
+    }
+
+    @Test
+    fun `what may have run is repeated only if it is idempotent`() {
+        val dispatcher = twoTargets()
+        val unsafe = dispatcher.handle(1, arrived(1, idempotent = false)).sends().single()
+        dispatcher.end(unsafe, reset).replies().single().verdict.shouldBeInstanceOf<Verdict.MayHaveRun>()
+        val safe = dispatcher.handle(1, arrived(2)).sends().single()
+        dispatcher.end(safe, reset).sends().size shouldBe 1
+    }
+
+    @Test
+    fun `a silent connection leaves time for a retry and is first blamed alone`() {
+        val dispatcher = twoTargets()
+        val first = dispatcher.handle(1, arrived(1, deadlineMillis = 1_000)).sends().single()
+        first.timeoutMillis shouldBeLessThan 999L
+        dispatcher.end(first, silent, nowMillis = 500).sends().single().target shouldBe first.target
+    }
+
+    @Test
+    fun `a busy target is paused and the request waits without losing an attempt`() {
+        val dispatcher = dispatcher(viewOf(instance("a")), DispatchSettings(maxAttempts = 1))
+        val first = dispatcher.handle(1, arrived(1)).sends().single()
+        dispatcher.end(first, busy).shouldBeEmpty()
+        dispatcher.handle(60, RequestEvent.Tick).sends().single().request shouldBe RequestId(1)
+    }
+
+    @Test
+    fun `the end of the deadline ends a running request as may have run and a waiting one as not run`() {
+        val dispatcher = dispatcher(viewOf(instance("a", slots = 1)))
+        val sent = dispatcher.handle(1, arrived(1, deadlineMillis = 100)).sends().single()
+        dispatcher.handle(1, arrived(2, deadlineMillis = 100))
+        val verdicts = dispatcher.handle(100, RequestEvent.Tick).replies().associate { it.request.value to it.verdict }
+        verdicts.getValue(1).shouldBeInstanceOf<Verdict.MayHaveRun>()
+        verdicts.getValue(2).shouldBeInstanceOf<Verdict.NotRun>()
+        dispatcher.end(sent, ExchangeResult.Answered(200, false), nowMillis = 101).replies().shouldBeEmpty()
+    }
+
+    @Test
+    fun `targets that all fail get no more retries than the budget`() {
+        val dispatcher = twoTargets(DispatchSettings(retryBudgetShare = 0.1))
+        var sends = 0
+        val open = ArrayDeque<RequestEffect.Send>()
+        (1L..200L).forEach { id ->
+            open += dispatcher.handle(id * 10, arrived(id, deadlineMillis = 100_000)).sends()
+            while (open.isNotEmpty()) {
+                sends++
+                open += dispatcher.end(open.removeFirst(), refused, id * 10).sends()
+            }
+        }
+        sends shouldBeLessThanOrEqual 220
+    }
+
+    @Test
+    fun `nothing is retried for a caller who left`() {
+        val dispatcher = twoTargets()
+        val first = dispatcher.handle(1, arrived(1)).sends().single()
+        dispatcher.handle(2, RequestEvent.CallerLeft(RequestId(1)))
+        dispatcher.end(first, refused).shouldBeEmpty()
+    }
+}
