Let a graceful shutdown finish what an entry accepted

Cause: an entry that was not ready told all that waited that it was not run, also in a graceful shutdown.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/requests/RequestsExperiment.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/requests/RequestsExperiment.kt
@@ -13,6 +13,7 @@
     measureFaults(report, quick)
     measureRetries(report, quick)
     measureLeaving(report)
+    measureMemory(report)
 }
 
 /** Name of a figure: what was measured, and where. */
--- a/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
@@ -35,7 +35,10 @@
     private val exchanges = HashMap<ExchangeId, Exchange>()
     private val deadlines = DeadlineIndex()
     private var view = FleetView()
-    private var notReady: Failure? = null
+
+    /** Why no request is accepted, and why none is started; null while that is done. */
+    private var refusing: Failure? = null
+    private var halted: Failure? = null
     private var lastExchange = 0L
     private var lastReportMillis = Long.MIN_VALUE / 2
     private var reports = 0L
@@ -60,7 +63,7 @@
 
     private fun arrived(nowMillis: Long, request: ArrivedRequest) {
         val service = view.services[request.service]
-        val refusal = notReady
+        val refusal = refusing
             ?: if (service == null) {
                 Failure(FailureKind.INVALID, "unknown service ${request.service}")
             } else {
@@ -130,7 +133,7 @@
 
     private fun intentRecorded(nowMillis: Long, pending: PendingRequest) {
         pending.intentRecorded = true
-        val failure = notReady ?: timeoutFailure().takeIf { !pending.isWanted(nowMillis) }
+        val failure = halted ?: timeoutFailure().takeIf { !pending.isWanted(nowMillis) }
         if (failure == null) enqueue(nowMillis, pending) else endUnanswered(pending, failure)
     }
 
@@ -175,7 +178,7 @@
     /** Puts back a request that a busy target refused. The pause of the target bounds this load, not the budget. */
     private fun refused(nowMillis: Long, pending: PendingRequest) {
         pending.attempts--
-        if (notReady == null && pending.isWanted(nowMillis)) {
+        if (halted == null && pending.isWanted(nowMillis)) {
             putBack(pending)
         } else {
             endUnanswered(pending, busyFailure())
@@ -188,7 +191,7 @@
     }
 
     private fun retryOrEnd(nowMillis: Long, pending: PendingRequest, failure: Failure) {
-        val allowed = notReady == null && pending.isWanted(nowMillis) && pending.mayBeSentAgain(settings.maxAttempts)
+        val allowed = halted == null && pending.isWanted(nowMillis) && pending.mayBeSentAgain(settings.maxAttempts)
         if (allowed && pool(pending.pool).budget.spend()) {
             putBack(pending)
         } else {
@@ -206,8 +209,9 @@
 
     private fun readinessChanged(event: RequestEvent.ReadinessChanged) {
         val failure = Failure(FailureKind.NOT_READY, event.reason).takeIf { !event.ready }
-        notReady = failure
-        if (failure == null) return
+        refusing = failure
+        halted = failure.takeIf { !event.finishesQueued }
+        if (failure == null || event.finishesQueued) return
         pools.values.flatMap { it.queue.drain() }.forEach { endUnanswered(it, failure) }
     }
 
@@ -246,7 +250,7 @@
     }
 
     private fun dispatch(nowMillis: Long, pool: PoolId) {
-        if (notReady != null) return
+        if (halted != null) return
         val state = pools[pool] ?: return
         while (state.queue.size > 0 && chooser.hasFree(nowMillis, pool)) {
             val pending = state.queue.poll() ?: return
--- a/request/src/main/kotlin/org/gypsumturn/request/RequestEvent.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/RequestEvent.kt
@@ -107,8 +107,17 @@
     /** The platform says that an instance is leaving, or it was seen to refuse new work. */
     public data class TargetLeaving(public val instance: InstanceId) : RequestEvent
 
-    /** Whether this entry may take new work: its view's lease holds and it is not shutting down. */
-    public data class ReadinessChanged(public val ready: Boolean, public val reason: String) : RequestEvent
+    /**
+     * Whether this entry may take new work: its view's lease holds and it is not shutting down.
+     *
+     * @property finishesQueued whether an entry that is no longer ready still runs what it accepted, as it does in a
+     *   graceful shutdown; otherwise what waits is told that it was not run
+     */
+    public data class ReadinessChanged(
+        public val ready: Boolean,
+        public val reason: String,
+        public val finishesQueued: Boolean = false,
+    ) : RequestEvent
 
     /** A peer told its demand and use. */
     public data class PeerReported(public val report: SlotReport) : RequestEvent
--- a/request/src/test/kotlin/org/gypsumturn/request/AdmissionTest.kt
+++ b/request/src/test/kotlin/org/gypsumturn/request/AdmissionTest.kt
@@ -31,6 +31,17 @@
         kindOf(dispatcher.refusalOf(arrived(3))) shouldBe FailureKind.NOT_READY
     }
 
+    @Test
+    fun `an entry that shuts down gracefully finishes what it accepted`() {
+        val dispatcher = dispatcher(viewOf(instance("a", slots = 1)))
+        val send = dispatcher.handle(1, arrived(1)).sends().single()
+        dispatcher.handle(1, arrived(2)).shouldBeEmpty()
+        dispatcher.handle(2, RequestEvent.ReadinessChanged(false, "shutdown", finishesQueued = true)).shouldBeEmpty()
+        kindOf(dispatcher.refusalOf(arrived(3))) shouldBe FailureKind.NOT_READY
+        val answer = ExchangeResult.Answered(200, overloaded = false)
+        dispatcher.handle(3, RequestEvent.ExchangeEnded(send.exchange, answer)).sends().size shouldBe 1
+    }
+
     @Test
     fun `a request that comes after its deadline or for an unknown service is not run`() {
         val dispatcher = dispatcher(viewOf(instance("a")))
--- a/request/src/test/kotlin/org/gypsumturn/request/SlotLimitsTest.kt
+++ b/request/src/test/kotlin/org/gypsumturn/request/SlotLimitsTest.kt
@@ -97,6 +97,19 @@
         holders[0].total() shouldBeLessThanOrEqual 6
     }
 
+    @Test
+    fun `a part cut off from its peers holds at most its static parts besides the grants of the rest`() {
+        val holders = granted()
+        holders.exchange(100, 1) { 4 }
+        val (rest, cutOff) = holders.take(5) to holders.drop(5)
+        (1L..25L).forEach { step ->
+            rest.exchange(100 + step * 100, 1 + step) { 4 }
+            cutOff.exchange(100 + step * 100, 1 + step) { 32 }
+        }
+        rest.sumOf { it.total() } shouldBe 48
+        cutOff.forEach { it.total() shouldBeLessThanOrEqual 6 }
+    }
+
     @Test
     fun `a report that comes late does not replace a newer one`() {
         val holders = granted()
