--- /dev/null
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
@@ -0,0 +1,78 @@
+// What all programs share on their command line: settings file, log format, check of the settings, version, exit codes.
+
+package org.gypsumturn.runtime.program
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.optional
+import org.gypsumturn.runtime.log.LogFormat
+import org.gypsumturn.runtime.log.configureLogging
+import org.gypsumturn.runtime.settings.Settings
+import org.gypsumturn.runtime.settings.SettingsResult
+import org.gypsumturn.runtime.settings.SettingsSchema
+import java.io.File
+import kotlin.system.exitProcess
+
+/** Exit codes of all programs. */
+public object ExitCode {
+    /** All went well. */
+    public const val OK: Int = 0
+
+    /** The call failed, or a bound was broken. */
+    public const val FAILED: Int = 1
+
+    /** The command line is wrong. */
+    public const val USAGE: Int = 2
+
+    /** The settings are wrong; nothing was started. */
+    public const val BAD_SETTINGS: Int = 3
+
+    /** The call may have taken effect; its answer is not known. */
+    public const val MAY_HAVE_RUN: Int = 4
+}
+
+/** Version of all programs. */
+public const val VERSION: String = "0.1.0"
+
+private const val CHECK_CONFIG = "check-config"
+
+/** Runs [serve] with checked settings, or ends the process with an exit code that says why not. */
+public fun runProgram(name: String, schema: SettingsSchema, args: Array<String>, serve: (Settings) -> Unit) {
+    if ("--version" in args) {
+        println("$name $VERSION")
+        exitProcess(ExitCode.OK)
+    }
+    val parser = ArgParser(name)
+    val config by parser.option(ArgType.String, "config", "c", "settings file (INI)")
+    val logFormat by parser
+        .option(ArgType.Choice<LogFormat>({ LogFormat.valueOf(it.uppercase()) }, { it.name.lowercase() }), "log-format")
+        .default(LogFormat.TEXT)
+    val action by parser
+        .argument(ArgType.Choice(listOf("serve", CHECK_CONFIG), { it }), "action", "serve, or only check the settings")
+        .optional()
+    parser.option(ArgType.Boolean, "version", description = "print the version")
+    parser.parse(args)
+    configureLogging(logFormat)
+    val settings = loadOrExit(schema, config?.let(::File))
+    if (action == CHECK_CONFIG) {
+        println("$name: settings are correct")
+        exitProcess(ExitCode.OK)
+    }
+    serve(settings)
+}
+
+private fun loadOrExit(schema: SettingsSchema, file: File?): Settings = when (val result = schema.load(file)) {
+    is SettingsResult.Loaded -> result.settings
+
+    is SettingsResult.Rejected -> {
+        result.problems.forEach { System.err.println(it) }
+        exitProcess(ExitCode.BAD_SETTINGS)
+    }
+}
+
+/** Runs [close] when the process is asked to end (SIGTERM or SIGINT), and blocks until then. */
+public fun serveUntilShutdown(close: () -> Unit) {
+    Runtime.getRuntime().addShutdownHook(Thread(close, "shutdown"))
+    Thread.currentThread().join()
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/settings/Settings.kt
@@ -0,0 +1,126 @@
+// Loading of settings from an INI file. All problems of a file are found before anything starts, and reported at once.
+
+package org.gypsumturn.runtime.settings
+
+import org.ini4j.Config
+import org.ini4j.Ini
+import java.io.File
+import java.io.IOException
+
+/** What is wrong with a setting. */
+public enum class SettingsProblemKind { UNREADABLE_FILE, UNKNOWN, DUPLICATE, MISSING, BAD_VALUE }
+
+/** A problem with one setting of a file. */
+public data class SettingsProblem(
+    public val kind: SettingsProblemKind,
+    public val file: String,
+    public val section: String,
+    public val key: String,
+    public val value: String,
+    public val allowed: String,
+    public val unit: String,
+) {
+    override fun toString(): String {
+        val place = if (section.isEmpty()) file else "$file: [$section] $key"
+        val unitText = if (unit.isEmpty()) "" else ", in $unit"
+        return when (kind) {
+            SettingsProblemKind.UNREADABLE_FILE -> "$place: cannot be read: $value"
+            SettingsProblemKind.UNKNOWN -> "$place: unknown setting (value \"$value\"); allowed: $allowed"
+            SettingsProblemKind.DUPLICATE -> "$place: set more than once (values $value); allowed: once"
+            SettingsProblemKind.MISSING -> "$place: missing; allowed: $allowed$unitText"
+            SettingsProblemKind.BAD_VALUE -> "$place: bad value \"$value\"; allowed: $allowed$unitText"
+        }
+    }
+}
+
+/** The values of a program's settings. */
+public class Settings internal constructor(private val values: Map<Setting<*>, Any>) {
+    /** The value of [setting], which must be one of the schema that these settings were loaded with. */
+    @Suppress("UNCHECKED_CAST")
+    public operator fun <T : Any> get(setting: Setting<T>): T = values.getValue(setting) as T
+}
+
+/** Outcome of loading settings. */
+public sealed interface SettingsResult {
+    /** Every setting has an allowed value. */
+    public data class Loaded(public val settings: Settings) : SettingsResult
+
+    /** Nothing may be started. */
+    public data class Rejected(public val problems: List<SettingsProblem>) : SettingsResult
+}
+
+/** The settings that a program knows. */
+public class SettingsSchema(public val settings: List<Setting<*>>) {
+    /** Loads [file]; null stands for an empty file. */
+    public fun load(file: File?): SettingsResult {
+        val fileName = file?.path ?: "(no file)"
+        return try {
+            check(fileName, read(file))
+        } catch (e: IOException) {
+            val reason = e.message ?: e.javaClass.simpleName
+            val problem =
+                SettingsProblem(
+                    SettingsProblemKind.UNREADABLE_FILE,
+                    fileName,
+                    "",
+                    "",
+                    reason,
+                    "a readable INI file",
+                    "",
+                )
+            SettingsResult.Rejected(listOf(problem))
+        }
+    }
+
+    private fun read(file: File?): Ini {
+        val ini = Ini()
+        ini.config =
+            Config().apply {
+                isMultiOption = true
+                isMultiSection = true
+                isEscape = false
+                isEmptyOption = true
+            }
+        if (file != null) file.inputStream().use { ini.load(it) }
+        return ini
+    }
+
+    private fun check(fileName: String, ini: Ini): SettingsResult {
+        val problems = unknownSettings(fileName, ini).toMutableList()
+        val values = HashMap<Setting<*>, Any>()
+        for (setting in settings) {
+            val texts = ini.getAll(setting.section).orEmpty().flatMap { it.getAll(setting.key).orEmpty() }
+            val value = if (texts.isEmpty()) setting.default else texts.first()?.let { setting.parse(it.trim()) }
+            when {
+                texts.size > 1 ->
+                    problems += problem(SettingsProblemKind.DUPLICATE, fileName, setting, texts.joinToString())
+
+                value != null -> values[setting] = value
+
+                texts.isEmpty() -> problems += problem(SettingsProblemKind.MISSING, fileName, setting, "")
+
+                else ->
+                    problems += problem(SettingsProblemKind.BAD_VALUE, fileName, setting, texts.first().orEmpty())
+            }
+        }
+        if (problems.isNotEmpty()) return SettingsResult.Rejected(problems)
+        return SettingsResult.Loaded(Settings(values))
+    }
+
+    private fun unknownSettings(fileName: String, ini: Ini): List<SettingsProblem> = ini.values.flatMap { section ->
+        val known = settings.filter { it.section == section.name }.map { it.key }
+        val allowed =
+            if (known.isEmpty()) {
+                "sections ${settings.map { it.section }.distinct().joinToString()}"
+            } else {
+                known.joinToString()
+            }
+        section.keys.filter { it !in known }.map { key ->
+            val value = section[key].orEmpty()
+            SettingsProblem(SettingsProblemKind.UNKNOWN, fileName, section.name, key, value, allowed, "")
+        }
+    }
+
+    private fun problem(kind: SettingsProblemKind, fileName: String, setting: Setting<*>, value: String) =
+        SettingsProblem(kind, fileName, setting.section, setting.key, value, setting.allowed, setting.unit)
+}
--- /dev/null
+++ b/runtime/src/test/kotlin/org/gypsumturn/runtime/settings/SettingsTest.kt
@@ -0,0 +1,56 @@
+package org.gypsumturn.runtime.settings
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.types.shouldBeInstanceOf
+import java.io.File
+
+class SettingsTest : AnnotationSpec() {
+    private val lease = wholeNumber("view", "lease_millis", 3_000, 100L..60_000L, "milliseconds", "lease of the view")
+    private val listen = address("entry", "address", null, "address for callers")
+    private val schema = SettingsSchema(listOf(lease, listen))
+
+    private fun load(content: String): SettingsResult {
+        val file = File.createTempFile("settings", ".ini")
+        file.deleteOnExit()
+        file.writeText(content)
+        return schema.load(file)
+    }
+
+    private fun problems(content: String) = load(content).shouldBeInstanceOf<SettingsResult.Rejected>().problems
+
+    @Test
+    fun `takes defaults where the file is silent`() {
+        val loaded = load("[entry]\naddress = 127.0.0.1:8080\n").shouldBeInstanceOf<SettingsResult.Loaded>()
+        loaded.settings[lease] shouldBe 3_000
+        loaded.settings[listen] shouldBe HostAndPort("127.0.0.1", 8080)
+    }
+
+    @Test
+    fun `reports a value with a unit of its own, with what is allowed and the unit`() {
+        val problem = problems("[entry]\naddress = 127.0.0.1:8080\n[view]\nlease_millis = 3s\n").single()
+        problem.kind shouldBe SettingsProblemKind.BAD_VALUE
+        problem.toString() shouldContain "[view] lease_millis: bad value \"3s\""
+        problem.toString() shouldContain "a whole number from 100 to 60000, in milliseconds"
+    }
+
+    @Test
+    fun `reports every problem of a file at once`() {
+        val found = problems("[entry]\nadress = 127.0.0.1:8080\n[view]\nlease_millis = 1\nlease_millis = 2\n")
+        found.map { it.kind } shouldContainExactlyInAnyOrder
+            listOf(SettingsProblemKind.UNKNOWN, SettingsProblemKind.DUPLICATE, SettingsProblemKind.MISSING)
+    }
+
+    @Test
+    fun `a host name is no IP number`() {
+        problems("[entry]\naddress = localhost:80\n").single().kind shouldBe SettingsProblemKind.BAD_VALUE
+    }
+
+    @Test
+    fun `a file that is not there is reported`() {
+        val result = schema.load(File("/nonexistent/settings.ini")).shouldBeInstanceOf<SettingsResult.Rejected>()
+        result.problems.single().kind shouldBe SettingsProblemKind.UNREADABLE_FILE
+    }
+}
