--- a/model/src/main/kotlin/org/gypsumturn/model/FleetView.kt
+++ b/model/src/main/kotlin/org/gypsumturn/model/FleetView.kt
@@ -80,9 +80,14 @@
     public val instances: List<Instance>,
     public val waves: List<Wave>,
     public val nodes: List<Node>,
+    public val membershipVersion: ViewVersion = version,
 )
 
-/** An immutable view of the fleet at one version. */
+/**
+ * An immutable view of the fleet at one version.
+ *
+ * @property membershipVersion version at which the system's nodes last changed, or a later one where that is not known
+ */
 public data class FleetView(
     public val version: ViewVersion = ViewVersion.NONE,
     public val pools: PersistentMap<PoolId, Pool> = persistentMapOf(),
@@ -91,6 +96,7 @@
     public val instances: PersistentMap<InstanceId, Instance> = persistentMapOf(),
     public val waves: PersistentMap<WaveId, Wave> = persistentMapOf(),
     public val nodes: PersistentMap<NodeId, Node> = persistentMapOf(),
+    public val membershipVersion: ViewVersion = version,
 ) {
     /** The members of [pool], in no particular order. */
     public fun membersOf(pool: PoolId): List<Instance> = instances.values.filter { it.pool == pool }
@@ -107,6 +113,21 @@
             .copy(version = change.version)
     }
 
+    /** This view with [records], each with the revision that it carries; for a process that reads records in bulk. */
+    public fun withRecords(records: List<Mutation>): FleetView = records
+        .fold(this) { view, mutation -> view.applyOne(mutation, recordRevision(mutation)) }
+        .copy(membershipVersion = version)
+
+    private fun recordRevision(mutation: Mutation): ViewVersion = when (mutation) {
+        is Mutation.PutPool -> mutation.pool.revision
+        is Mutation.PutService -> mutation.service.revision
+        is Mutation.PutTeam -> mutation.team.revision
+        is Mutation.PutInstance -> mutation.instance.revision
+        is Mutation.PutWave -> mutation.wave.revision
+        is Mutation.PutNode -> mutation.node.revision
+        else -> version
+    }
+
     /** This view as one record. */
     public fun toSnapshot(): ViewSnapshot = ViewSnapshot(
         version,
@@ -141,7 +162,10 @@
 
         is Mutation.RemoveWave -> copy(waves = waves.remove(mutation.id))
 
-        is Mutation.PutNode -> copy(nodes = nodes.put(mutation.node.id, mutation.node.copy(revision = at)))
+        is Mutation.PutNode -> copy(
+            nodes = nodes.put(mutation.node.id, mutation.node.copy(revision = at)),
+            membershipVersion = at,
+        )
 
         is Mutation.RemoveNode -> copy(nodes = nodes.remove(mutation.id))
     }
--- a/model/src/main/kotlin/org/gypsumturn/model/Verdict.kt
+++ b/model/src/main/kotlin/org/gypsumturn/model/Verdict.kt
@@ -65,3 +65,10 @@
     is Verdict.NotRun -> failure
     is Verdict.MayHaveRun -> failure
 }
+
+/** The answer of a request that ran; otherwise [leave] is called with the verdict, to return it from the caller. */
+public inline fun <T> Verdict<T>.valueOr(leave: (Verdict<Nothing>) -> Nothing): T = when (this) {
+    is Verdict.Ran -> value
+    is Verdict.NotRun -> leave(this)
+    is Verdict.MayHaveRun -> leave(this)
+}
--- /dev/null
+++ b/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
@@ -0,0 +1,115 @@
+// Makes this process a node of the system: adds it to the view, and writes its beat to the table, so that others know
+// which version it has in force and that it is alive.
+
+package org.gypsumturn.peer
+
+import org.gypsumturn.model.FleetView
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.Mutation
+import org.gypsumturn.model.Node
+import org.gypsumturn.model.OperationId
+import org.gypsumturn.model.OperatorId
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.ViewVersion
+import org.gypsumturn.runtime.duty.Duty
+import org.gypsumturn.view.NodeBeat
+import org.gypsumturn.view.NodeBeats
+import org.gypsumturn.view.PoolLoad
+import org.gypsumturn.view.mayChangeMembership
+import org.slf4j.LoggerFactory
+import java.util.UUID
+
+/** What a node reports of itself at the time of a beat. */
+public data class NodeActivity(
+    public val busy: List<InstanceId> = emptyList(),
+    public val load: List<PoolLoad> = emptyList(),
+)
+
+/** Keeps [self] a node of the system until closed. */
+public class NodeMembership(
+    private val self: Node,
+    private val keeper: ViewKeeper,
+    private val runner: ChangeRunner,
+    private val beats: NodeBeats,
+    private val keeping: ViewKeeping,
+    private val monotonicMillis: () -> Long,
+    private val wallMillis: () -> Long,
+    private val activity: () -> NodeActivity = { NodeActivity() },
+) : AutoCloseable {
+    private val duty = Duty<Unit>("membership", RING_CAPACITY, TICK_MILLIS, {}, ::tick)
+    private val startedAtMillis = monotonicMillis()
+    private var nextBeatAtMillis = 0L
+    private var nextJoinAtMillis = 0L
+    private var toldVersion = ViewVersion.NONE
+    private var toldBusy = emptyList<InstanceId>()
+    private var beatCount = 0L
+
+    /** Starts the beats. */
+    public fun start() {
+        duty.start()
+        keeper.onView { duty.offer(Unit) }
+    }
+
+    /** Stops the beats and removes this node from the view, so that nobody waits for it. */
+    override fun close() {
+        duty.close()
+        change("leave", "node ${self.id} leaves") { listOf(Mutation.RemoveNode(self.id)) }
+        beats.remove(listOf(self.id))
+    }
+
+    private fun tick() {
+        val now = monotonicMillis()
+        if (self.id !in keeper.currentView().nodes && now >= nextJoinAtMillis) {
+            nextJoinAtMillis = now + JOIN_PAUSE_MILLIS
+            join(now)
+        }
+        val current = activity()
+        val version = keeper.currentView().version
+        val changed = version != toldVersion || current.busy != toldBusy
+        if (now >= nextBeatAtMillis || changed) beat(now, version, current)
+    }
+
+    private fun join(now: Long) {
+        val read = beats.readAll()
+        if (read !is Verdict.Ran) {
+            LOG.info("cannot join yet: {}", read)
+            return
+        }
+        val told = read.value.map { it.beat }
+        // A node that died before it acknowledged its own membership must not keep others out for ever.
+        val mayForce = now - startedAtMillis > FORCED_JOIN_MILLIS
+        val result =
+            change("join", "node ${self.id} joins") { view ->
+                val allowed = mayChangeMembership(view, told) || mayForce
+                if (allowed) listOf(Mutation.PutNode(self)) else emptyList()
+            }
+        if (result !is Verdict.Ran) LOG.info("cannot join yet: {}", result)
+    }
+
+    private fun change(
+        verb: String,
+        summary: String,
+        mutations: (FleetView) -> List<Mutation>,
+    ): Verdict<ChangeOutcome<Nothing>> {
+        val operation = OperationId("$verb-${self.id}-${UUID.randomUUID()}")
+        val header = ChangeHeader(operation, OperatorId(self.id.value), wallMillis())
+        return runner.run(header) { view -> ChangeDecision.Make(mutations(view), summary) }
+    }
+
+    private fun beat(now: Long, version: ViewVersion, current: NodeActivity) {
+        nextBeatAtMillis = now + keeping.beatMillis
+        val beat = NodeBeat(self.id, version, ++beatCount, current.busy, current.load)
+        if (beats.write(beat) is Verdict.Ran) {
+            toldVersion = version
+            toldBusy = current.busy
+        }
+    }
+
+    private companion object {
+        const val RING_CAPACITY = 64
+        const val TICK_MILLIS = 100L
+        const val JOIN_PAUSE_MILLIS = 200L
+        const val FORCED_JOIN_MILLIS = 60_000L
+        val LOG = LoggerFactory.getLogger(NodeMembership::class.java)
+    }
+}
--- /dev/null
+++ b/view/src/test/kotlin/org/gypsumturn/view/ViewLogTest.kt
@@ -0,0 +1,87 @@
+package org.gypsumturn.view
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.gypsumturn.model.AvailabilityBudget
+import org.gypsumturn.model.FleetView
+import org.gypsumturn.model.Mutation
+import org.gypsumturn.model.OperationId
+import org.gypsumturn.model.OperatorId
+import org.gypsumturn.model.Pool
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.PoolRole
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.ViewVersion
+import org.gypsumturn.model.valueOrNull
+import org.gypsumturn.platform.fake.FakeTableStore
+import org.gypsumturn.platform.fake.TableFault
+
+class ViewLogTest : AnnotationSpec() {
+    private val empty = LoggedView(FleetView(), Revision.ABSENT)
+
+    private fun proposal(operation: String, pool: String): Proposal {
+        val record = Pool(PoolId(pool), PoolRole.SERVING, AvailabilityBudget(1))
+        return Proposal(OperationId(operation), OperatorId("ana"), 1, "put $pool", listOf(Mutation.PutPool(record)))
+    }
+
+    private fun ViewLog.accept(base: LoggedView, proposal: Proposal) =
+        propose(base, proposal).valueOrNull().shouldBeInstanceOf<ProposalOutcome.Accepted>().next
+
+    @Test
+    fun `of two proposals against one view one is accepted and the other is behind`() {
+        val log = ViewLog(FakeTableStore(), 1_000)
+        log.accept(empty, proposal("op1", "a"))
+        log.propose(empty, proposal("op2", "b")).valueOrNull() shouldBe ProposalOutcome.Behind
+    }
+
+    @Test
+    fun `following and loading give the same view`() {
+        val log = ViewLog(FakeTableStore(), 1_000)
+        val first = log.accept(empty, proposal("op1", "a"))
+        val second = log.accept(first, proposal("op2", "b"))
+        val followed = log.follow(empty).valueOrNull()!!.logged.view
+        val loaded = log.load().valueOrNull()!!.logged.view
+        followed shouldBe second.view
+        loaded.copy(membershipVersion = followed.membershipVersion) shouldBe followed
+        // Records do not tell when the last node left, so a loaded view names the latest version that it can be.
+        loaded.membershipVersion shouldBe loaded.version
+    }
+
+    @Test
+    fun `a proposal whose answer was lost is found in the log and made once`() {
+        var faults = 1
+        val table =
+            FakeTableStore { isCommit -> if (isCommit && faults-- > 0) TableFault.LOSE_ANSWER else TableFault.NONE }
+        val log = ViewLog(table, 1_000)
+        log.accept(empty, proposal("op1", "a")).view.version shouldBe ViewVersion(1)
+        log.versionOf(OperationId("op1")).valueOrNull() shouldBe ViewVersion(1)
+    }
+
+    @Test
+    fun `a proposal that was lost before it took effect is tried again`() {
+        var faults = 2
+        val table =
+            FakeTableStore { isCommit -> if (isCommit && faults-- > 0) TableFault.LOSE_REQUEST else TableFault.NONE }
+        ViewLog(table, 1_000).accept(empty, proposal("op1", "a")).view.version shouldBe ViewVersion(1)
+    }
+
+    @Test
+    fun `a proposal lost to a later change by someone else is told as behind, not as unknown`() {
+        val table = FakeTableStore()
+        var lose = true
+        val faulty = FakeTableStore { isCommit -> if (isCommit && lose) TableFault.LOSE_REQUEST else TableFault.NONE }
+        ViewLog(table, 1_000).accept(empty, proposal("op0", "z"))
+        ViewLog(faulty, 1_000).propose(empty, proposal("op1", "a")).shouldBeInstanceOf<Verdict.MayHaveRun>()
+        lose = false
+        ViewLog(faulty, 1_000).accept(empty, proposal("op2", "b"))
+        ViewLog(faulty, 1_000).propose(empty, proposal("op1", "a")).valueOrNull() shouldBe ProposalOutcome.Behind
+    }
+
+    @Test
+    fun `a table that refuses leaves the proposal certainly not run`() {
+        val table = FakeTableStore { isCommit -> if (isCommit) TableFault.REFUSE else TableFault.NONE }
+        ViewLog(table, 1_000).propose(empty, proposal("op1", "a")).shouldBeInstanceOf<Verdict.NotRun>()
+    }
+}
