Decide fleet commands as pure functions

Cause: operators and the control processes need one place that decides what a command does to the fleet, whichever process it reaches.

Not measured yet; tests follow.

--- /dev/null
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/command/InstanceDecisions.kt
@@ -0,0 +1,149 @@
+// Commands on one instance. An instance is taken out of service in the change that grants its reservation, so the
+// waves, moves and operators' drains of a pool share one budget.
+
+package org.gypsumturn.fleet.command
+
+import org.gypsumturn.model.FleetView
+import org.gypsumturn.model.Instance
+import org.gypsumturn.model.InstanceState
+import org.gypsumturn.model.Mutation
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.Reservation
+import org.gypsumturn.model.ReservationPurpose
+import org.gypsumturn.model.WaveId
+import org.gypsumturn.model.WaveState
+
+internal fun decideAddInstance(view: FleetView, command: FleetCommand.AddInstance, nowMillis: Long): CommandDecision {
+    val instance = command.instance
+    view.instances[instance.id]?.let { return CommandDecision.Conflict("instance ${it.id}", it.revision) }
+    val problems = problemsOfNew(instance, "instance", view.pools.keys)
+    if (problems.isNotEmpty()) return CommandDecision.Invalid(problems)
+    return accepted(
+        "add instance ${instance.id} to ${instance.pool}",
+        Mutation.PutInstance(entering(instance, nowMillis)),
+    )
+}
+
+internal fun decideRemoveInstance(view: FleetView, command: FleetCommand.RemoveInstance): CommandDecision {
+    val what = "instance ${command.id}"
+    val instance = view.instances[command.id]
+    checkRevision(what, command.expected, instance?.revision)?.let { return it }
+    if (instance == null || !instance.isRemovable) {
+        return CommandDecision.WrongState("$what is ${instance?.state}; it must be drained by an operator or gone")
+    }
+    return accepted("remove $what", Mutation.RemoveInstance(command.id))
+}
+
+/** A drained instance that waits for its reboot or its move belongs to that operation and cannot be removed. */
+private val Instance.isRemovable: Boolean
+    get() = state == InstanceState.LOST || state == InstanceState.LEAVING ||
+        (state == InstanceState.DRAINED && reservation?.purpose == ReservationPurpose.OPERATOR_DRAIN)
+
+internal fun decideDrain(view: FleetView, command: FleetCommand.DrainInstance, nowMillis: Long): CommandDecision {
+    val instance = view.instances[command.id]
+    checkRevision("instance ${command.id}", command.expected, instance?.revision)?.let { return it }
+    val reservation = Reservation(ReservationPurpose.OPERATOR_DRAIN, drainVersion = view.version.next())
+    return takeOut(view, checkNotNull(instance), reservation, nowMillis)
+}
+
+internal fun decideReboot(view: FleetView, command: FleetCommand.RebootInstance, nowMillis: Long): CommandDecision {
+    val instance = view.instances[command.id]
+    checkRevision("instance ${command.id}", command.expected, instance?.revision)?.let { return it }
+    checkNotNull(instance)
+    command.wave?.let { wave -> refusalOfWave(view, wave, instance)?.let { return it } }
+    val reservation = Reservation(ReservationPurpose.REBOOT, command.wave, drainVersion = view.version.next())
+    return takeOut(view, instance, reservation, nowMillis)
+}
+
+/** Why [id] may not reboot [instance] now, or null. A wave reboots an instance at most once, alone or beside others. */
+private fun refusalOfWave(view: FleetView, id: WaveId, instance: Instance): CommandDecision? {
+    val wave = view.waves[id] ?: return CommandDecision.NotFound("wave $id")
+    val inWork = view.instances.values.count { it.reservation?.wave == id }
+    return when {
+        wave.state != WaveState.RUNNING -> CommandDecision.WrongState("wave $id is ${wave.state}")
+
+        instance.pool !in wave.pools -> CommandDecision.WrongState("wave $id does not cover pool ${instance.pool}")
+
+        instance.maintainedAtMillis >= wave.startedAtMillis ->
+            CommandDecision.WrongState("instance ${instance.id} was rebooted since wave $id started")
+
+        instance.id in wave.failed -> CommandDecision.WrongState("instance ${instance.id} failed in wave $id")
+
+        inWork >= wave.maxParallel ->
+            CommandDecision.WrongState("wave $id has $inWork of ${wave.maxParallel} instances in work")
+
+        else -> null
+    }
+}
+
+internal fun decideMove(view: FleetView, command: FleetCommand.MoveInstance, nowMillis: Long): CommandDecision {
+    val instance = view.instances[command.id]
+    checkRevision("instance ${command.id}", command.expected, instance?.revision)?.let { return it }
+    checkNotNull(instance)
+    val destination = command.destination
+    refusalOfDestination(view, instance, destination)?.let { return it }
+    val reservation = Reservation(
+        ReservationPurpose.MOVE,
+        destination = destination,
+        drainVersion = view.version.next(),
+    )
+    return takeOut(view, instance, reservation, nowMillis)
+}
+
+/** A move holds a place in the budgets of both pools, so that the arrival needs no second grant. */
+private fun refusalOfDestination(view: FleetView, instance: Instance, destination: PoolId): CommandDecision? {
+    val pool = view.pools[destination] ?: return CommandDecision.NotFound("pool $destination")
+    if (destination == instance.pool) return invalid("destination", "is the instance's own pool: $destination")
+    refusalOfSizes(view, instance.pool, destination)?.let { return it }
+    return refusalOf(usageOf(view, destination), pool.budget, instance.domain.dataCentre)
+        ?.let { CommandDecision.BudgetExhausted(destination, it) }
+}
+
+private fun refusalOfSizes(view: FleetView, source: PoolId, destination: PoolId): CommandDecision? {
+    val from = usageOf(view, source)
+    val remaining = from.members.count { it.inboundTo == null } - 1
+    val to = usageOf(view, destination)
+    val arriving = to.members.size + to.inbound.size + 1
+    val minInstances = view.pools[source]?.minInstances ?: 0
+    val maxInstances = view.pools[destination]?.maxInstances ?: Int.MAX_VALUE
+    return when {
+        remaining < minInstances -> CommandDecision.WrongState("pool $source would fall to $remaining instances")
+        arriving > maxInstances -> CommandDecision.WrongState("pool $destination would rise to $arriving instances")
+        else -> null
+    }
+}
+
+/** Grants [reservation] to an instance that serves, if one more absence fits the budget of its pool. */
+private fun takeOut(view: FleetView, instance: Instance, reservation: Reservation, nowMillis: Long): CommandDecision {
+    val what = "instance ${instance.id}"
+    if (!instance.isAvailable) {
+        return CommandDecision.WrongState("$what is ${instance.state}, reserved for ${instance.reservation?.purpose}")
+    }
+    val pool = view.pools[instance.pool] ?: return CommandDecision.NotFound("pool ${instance.pool}")
+    val detail = refusalOf(usageOf(view, pool.id), pool.budget, instance.domain.dataCentre)
+    if (detail != null) return CommandDecision.BudgetExhausted(pool.id, detail)
+    val draining = instance.copy(
+        state = InstanceState.DRAINING,
+        reservation = reservation,
+        stateSinceMillis = nowMillis,
+    )
+    return accepted("drain $what for ${reservation.purpose}", Mutation.PutInstance(draining))
+}
+
+internal fun decideReturn(view: FleetView, command: FleetCommand.ReturnInstance, nowMillis: Long): CommandDecision {
+    val what = "instance ${command.id}"
+    val instance = view.instances[command.id]
+    checkRevision(what, command.expected, instance?.revision)?.let { return it }
+    checkNotNull(instance)
+    if (instance.canReturn) {
+        val serving = instance.copy(
+            state = InstanceState.SERVING,
+            reservation = null,
+            stateSinceMillis = nowMillis,
+        )
+        return accepted("return $what into service", Mutation.PutInstance(serving))
+    }
+    val held = instance.state == InstanceState.LOST && instance.reservation != null
+    if (!held) return CommandDecision.WrongState("$what is ${instance.state}")
+    return accepted("release $what, which is lost", Mutation.PutInstance(instance.copy(reservation = null)))
+}
