Accept, own, place and run durable jobs

Jobs had a record and ports, but nothing accepted or ran them. Acceptance writes the job's row and a notice for the owner in one grouped commit and resolves lost answers by reading back. An owner claims its pools through an epoch in the owner row, writes each assignment before it dispatches it, renews leases, and records ends in grouped commits that require the pool's fence and the job's revision.

Placement is a pure module: state machine of a job, indexed room, learned sizes, fair shares, preemption for urgent work, and quarantine of jobs and workers.

--- /dev/null
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobCancellation.kt
@@ -0,0 +1,173 @@
+// Cancellation of jobs in groups. A cancellation only ends or marks rows: it wakes no scheduler and starts nothing.
+
+package org.gypsumturn.jobs
+
+import org.gypsumturn.model.Failure
+import org.gypsumturn.model.FailureKind
+import org.gypsumturn.model.JobId
+import org.gypsumturn.model.JobRecord
+import org.gypsumturn.model.JobState
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.isFinal
+import org.gypsumturn.model.map
+import org.gypsumturn.placement.JobEvent
+import org.gypsumturn.placement.Transition
+import org.gypsumturn.placement.after
+import org.gypsumturn.platform.CommitOutcome
+import org.gypsumturn.platform.Condition
+import org.gypsumturn.platform.Row
+import org.gypsumturn.platform.RowKey
+import org.gypsumturn.platform.TableStore
+import org.gypsumturn.platform.Transaction
+import org.gypsumturn.platform.Write
+
+/** Cancels jobs straight in the table, each write conditional on the row that it read. */
+internal class JobCancellation(private val table: TableStore) {
+    fun cancel(nowMillis: Long, selection: CancelSelection, timeoutMillis: Long): Verdict<CancelledJobs> {
+        val ids =
+            when (selection) {
+                is CancelSelection.Ids -> Verdict.Ran(selection.ids.distinct())
+                is CancelSelection.OfTeam -> idsOf(selection, timeoutMillis)
+            }
+        if (ids !is Verdict.Ran) return ids.map { CancelledJobs(0, 0, 0, emptyList()) }
+        var total = CancelledJobs(0, 0, 0, emptyList())
+        for (group in ids.value.chunked(MAX_JOBS_PER_COMMIT)) {
+            when (val answer = cancelGroup(nowMillis, selection.pool, group, timeoutMillis)) {
+                is Verdict.Ran -> total = total.plus(answer.value)
+                is Verdict.MayHaveRun -> return answer
+                is Verdict.NotRun -> return if (total.isEmpty) answer else Verdict.MayHaveRun(answer.failure)
+            }
+        }
+        return Verdict.Ran(total)
+    }
+
+    private fun idsOf(selection: CancelSelection.OfTeam, timeoutMillis: Long): Verdict<List<JobId>> {
+        val ids = mutableListOf<JobId>()
+        var after: RowKey? = null
+        while (true) {
+            val answer = table.scan(JobRows.openPrefix(selection.pool), after, PAGE_ROWS, timeoutMillis)
+            if (answer !is Verdict.Ran) return answer.map { emptyList() }
+            val records = answer.value.mapNotNull { it.value?.let(JobRows::decodeJob) }
+            ids += records.filter { it.spec.team == selection.team }.map { it.spec.id }
+            if (answer.value.size < PAGE_ROWS) return Verdict.Ran(ids)
+            after = answer.value.last().key
+        }
+    }
+
+    private fun cancelGroup(
+        nowMillis: Long,
+        pool: PoolId,
+        ids: List<JobId>,
+        timeoutMillis: Long,
+    ): Verdict<CancelledJobs> {
+        var left = ids
+        var total = CancelledJobs(0, 0, 0, emptyList())
+        var lost: Failure? = null
+        repeat(MAX_CANCEL_ROUNDS) {
+            val read = readGroup(pool, left, timeoutMillis)
+            if (read !is Verdict.Ran) return failed(read.map { total }, total, lost)
+            val plan = CancelPlan.of(pool, read.value, nowMillis)
+            total = total.plus(plan.settled(lost != null))
+            if (plan.changes.isEmpty()) return Verdict.Ran(total)
+            left = plan.changes.map { it.after.spec.id }
+            when (val answer = table.commit(plan.transaction(pool), timeoutMillis)) {
+                is Verdict.Ran ->
+                    if (answer.value is CommitOutcome.Committed) return Verdict.Ran(total.plus(plan.committed()))
+
+                is Verdict.NotRun -> return failed(answer, total, lost)
+
+                is Verdict.MayHaveRun -> lost = answer.failure
+            }
+        }
+        return Verdict.MayHaveRun(lost ?: Failure(FailureKind.CONFLICT, "the jobs kept changing; repeat the call"))
+    }
+
+    private fun failed(answer: Verdict<CancelledJobs>, total: CancelledJobs, lost: Failure?): Verdict<CancelledJobs> {
+        if (lost != null) return Verdict.MayHaveRun(lost)
+        return if (answer is Verdict.NotRun && !total.isEmpty) Verdict.MayHaveRun(answer.failure) else answer
+    }
+
+    private fun readGroup(pool: PoolId, ids: List<JobId>, timeoutMillis: Long): Verdict<List<FoundJob>> {
+        val keys = ids.flatMap { listOf(JobRows.open(pool, it), JobRows.done(pool, it)) }
+        return table.read(keys, timeoutMillis).map { rows ->
+            ids.zip(rows.chunked(2)).map { (id, pair) -> FoundJob(id, pair[0], pair[1]) }
+        }
+    }
+
+    private companion object {
+        const val MAX_JOBS_PER_COMMIT = 200
+        const val PAGE_ROWS = 500
+        const val MAX_CANCEL_ROUNDS = 4
+    }
+}
+
+/** The rows of one job as read. */
+internal data class FoundJob(val id: JobId, val open: Row, val done: Row)
+
+/** One job's change by a cancellation. */
+internal data class CancelChange(val revision: Revision, val after: JobRecord)
+
+/** What a group of cancellations found and will write. */
+internal data class CancelPlan(
+    val changes: List<CancelChange>,
+    val ended: List<JobRecord>,
+    val alreadyRequested: Int,
+    val unknown: List<JobId>,
+) {
+    /** What needs no write. After a lost answer, a job that is found cancelled counts as cancelled by this call. */
+    fun settled(afterLostAnswer: Boolean): CancelledJobs {
+        val own = if (afterLostAnswer) ended.count { it.state == JobState.CANCELLED } else 0
+        return CancelledJobs(own, alreadyRequested, ended.size - own, unknown)
+    }
+
+    fun committed(): CancelledJobs {
+        val ending = changes.count { it.after.state.isFinal }
+        return CancelledJobs(ending, changes.size - ending, 0, emptyList())
+    }
+
+    fun transaction(pool: PoolId): Transaction {
+        val conditions = changes.map { Condition(JobRows.open(pool, it.after.spec.id), it.revision) }
+        val writes = changes.flatMap { JobWrites.of(it.after) }
+        val (ended, marked) = changes.map { it.after }.partition { it.state.isFinal }
+        val notice = InboxNotice(pool, marked.map { it.spec.id }, changed = true, ended = ended.map { it.spec.id })
+        val key = JobRows.inbox(pool, "cancel", changes.first().after.spec.id)
+        return Transaction(conditions, writes + Write(key, JobRows.encode(notice)))
+    }
+
+    companion object {
+        fun of(pool: PoolId, found: List<FoundJob>, nowMillis: Long): CancelPlan {
+            val ended = found.mapNotNull { it.done.value?.let(JobRows::decodeJob) }
+            val unknown = found.filter { it.done.value == null && it.open.value == null }.map { it.id }
+            val open = found.filter { it.done.value == null && it.open.value != null }
+            val changes =
+                open.mapNotNull { job ->
+                    val record = JobRows.decodeJob(checkNotNull(job.open.value) { "no row of ${job.id} in $pool" })
+                    val next = record.after(JobEvent.CancelRequested, nowMillis)
+                    (next as? Transition.Changed)?.let { CancelChange(job.open.revision, it.record) }
+                }
+            return CancelPlan(changes, ended, open.size - changes.size, unknown)
+        }
+    }
+}
+
+/** The rows that a job's record takes. */
+internal object JobWrites {
+    /** A final record moves from the open rows to the ended ones. */
+    fun of(record: JobRecord): List<Write> {
+        val pool = record.spec.pool
+        val id = record.spec.id
+        if (!record.state.isFinal) return listOf(Write(JobRows.open(pool, id), JobRows.encode(record)))
+        return listOf(Write(JobRows.open(pool, id), null), Write(JobRows.done(pool, id), JobRows.encode(record)))
+    }
+}
+
+private val CancelledJobs.isEmpty: Boolean get() = cancelled == 0 && requested == 0
+
+private fun CancelledJobs.plus(other: CancelledJobs): CancelledJobs = CancelledJobs(
+    cancelled + other.cancelled,
+    requested + other.requested,
+    alreadyFinal + other.alreadyFinal,
+    unknown + other.unknown,
+)
--- /dev/null
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwnerSettings.kt
@@ -0,0 +1,44 @@
+// Settings of the owner's duty.
+
+package org.gypsumturn.jobs
+
+import org.gypsumturn.placement.PlacementSettings
+
+/**
+ * Settings of a [JobOwner].
+ *
+ * @property leaseMillis time without renewal after which a worker stops a task
+ * @property leaseMarginMillis added to the lease before a task counts as stopped; covers clocks and delays
+ * @property renewEveryMillis time between two renewals of one worker's leases
+ * @property busyRenewMillis the same while jobs of the pool wait for room
+ * @property recordRunningAfterMillis age of an attempt at which its row says that it runs
+ * @property inboxPollMillis time between two looks for new jobs
+ * @property maxRowsPerCommit largest number of jobs in one grouped commit
+ * @property maxCommitsPerStep largest number of grouped commits in one round
+ * @property maxPendingEnds ends that wait in memory for the table; further ends stay with their workers
+ * @property maxAwaitingStart jobs of one pool that may wait for the commit of their assignment
+ * @property tableRetryMillis first time between two tries while the table is down; it doubles up to
+ *   [maxTableRetryMillis]
+ * @property reclaimDelayMillis time before a pool that another process took is claimed again
+ * @property retentionMillis time for which an ended job is kept
+ */
+public data class JobOwnerSettings(
+    public val leaseMillis: Long = 30_000,
+    public val leaseMarginMillis: Long = 5_000,
+    public val renewEveryMillis: Long = 5_000,
+    public val busyRenewMillis: Long = 1_000,
+    public val recordRunningAfterMillis: Long = 60_000,
+    public val inboxPollMillis: Long = 500,
+    public val tableTimeoutMillis: Long = 1_000,
+    public val workerTimeoutMillis: Long = 500,
+    public val maxRowsPerCommit: Int = 100,
+    public val maxCommitsPerStep: Int = 4,
+    public val maxPendingEnds: Int = 20_000,
+    public val maxAwaitingStart: Int = 200,
+    public val tableRetryMillis: Long = 1_000,
+    public val maxTableRetryMillis: Long = 8_000,
+    public val reclaimDelayMillis: Long = 5_000,
+    public val maxClaimsPerStep: Int = 32,
+    public val retentionMillis: Long = 86_400_000,
+    public val placement: PlacementSettings = PlacementSettings(),
+)
--- /dev/null
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/TaskSupervisor.kt
@@ -0,0 +1,207 @@
+// Talks to the workers: starts tasks whose assignment is committed, renews leases, reads reports, stops cancelled
+// tasks, and ends attempts whose lease has lapsed.
+
+package org.gypsumturn.jobs
+
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.valueOrNull
+import org.gypsumturn.placement.JobEvent
+import org.gypsumturn.placement.RunningAction
+import org.gypsumturn.placement.isHeld
+import org.gypsumturn.platform.StartOutcome
+import org.gypsumturn.platform.TaskAction
+import org.gypsumturn.platform.TaskKey
+import org.gypsumturn.platform.TaskReport
+import org.gypsumturn.platform.TaskStart
+import org.gypsumturn.platform.TaskState
+import org.gypsumturn.platform.WorkerReport
+import org.gypsumturn.platform.WorkerTasks
+
+/** Runs independent calls and returns once all have ended; a program may run them on several threads. */
+public typealias ParallelCalls = (List<() -> Unit>) -> Unit
+
+/** Supervises the tasks of the owned pools. */
+internal class TaskSupervisor(
+    private val workers: WorkerTasks,
+    private val state: OwnerState,
+    private val inParallel: ParallelCalls,
+) {
+    private val settings = state.settings
+    private val toStart = ArrayDeque<HeldJob>()
+    private val ends = EndRecorder(state)
+
+    /** Lets the committed assignment of [job] be dispatched in this round. */
+    fun enqueueStart(job: HeldJob) {
+        toStart += job
+    }
+
+    /** Dispatches the committed assignments. */
+    fun startAll(nowMillis: Long) {
+        val jobs = toStart.filter { state.holds(it) && it.record.state.isHeld }
+        toStart.clear()
+        val answers = callAll(jobs) { job -> start(job) }
+        jobs.zip(answers).forEach { (job, answer) -> started(job, answer, nowMillis) }
+    }
+
+    /** Renews what is due, and takes in the reports. */
+    fun renewDue(nowMillis: Long) {
+        state.workers.values.removeIf { it.isIdle }
+        val due =
+            state.workers.values.filter {
+                it.nextRenewalMillis <= nowMillis || it.pool.scheduler.hasActions(it.id)
+            }
+        val answers = callAll(due) { link -> exchange(link, nowMillis) }
+        due.zip(answers).forEach { (link, answer) -> renewed(link, answer, nowMillis) }
+        state.workers.values.forEach { lapse(it, nowMillis) }
+    }
+
+    private fun <T, R> callAll(items: List<T>, call: (T) -> R): List<R> {
+        val answers = arrayOfNulls<Any?>(items.size)
+        val calls = items.mapIndexed { index, item -> { answers[index] = call(item) } }
+        if (calls.isNotEmpty()) inParallel(calls)
+        @Suppress("UNCHECKED_CAST")
+        return answers.toList() as List<R>
+    }
+
+    private fun start(job: HeldJob): Verdict<StartOutcome> {
+        val key = checkNotNull(job.task) { "job ${job.record.spec.id} is not assigned" }
+        val worker = checkNotNull(job.record.worker) { "job ${job.record.spec.id} has no worker" }
+        val limit = job.pool.scheduler.limitOf(key.job) ?: job.record.spec.declared
+        val task = TaskStart(key, limit, settings.leaseMillis, job.record.spec.payload, job.record.checkpoint)
+        return workers.start(worker, task, settings.workerTimeoutMillis)
+    }
+
+    private fun started(job: HeldJob, answer: Verdict<StartOutcome>, nowMillis: Long) {
+        state.watch(job, nowMillis)
+        job.leaseUntilMillis = nowMillis + settings.leaseMillis + settings.leaseMarginMillis
+        val refused = answer is Verdict.NotRun || (answer as? Verdict.Ran)?.value == StartOutcome.REFUSED
+        job.start = if (answer is Verdict.Ran) StartKnowledge.CONFIRMED else StartKnowledge.UNKNOWN
+        if (!refused) return
+        job.record.worker?.let { job.pool.scheduler.refused(it, nowMillis) }
+        ends.record(job, JobEvent.NotStarted, nowMillis)
+    }
+
+    private fun exchange(link: WorkerLink, nowMillis: Long): Verdict<WorkerReport> {
+        val isSilent = nowMillis - link.lastAnswerMillis >= settings.leaseMillis
+        val tasks = if (isSilent) emptyList() else link.tasks.values.filter { !it.isEnding }.mapNotNull { it.task }
+        val answer = workers.renew(link.id, tasks, settings.leaseMillis, settings.workerTimeoutMillis)
+        if (answer is Verdict.Ran) {
+            askActions(link)
+            if (link.toForget.isNotEmpty()) {
+                val keys = link.toForget.toList()
+                val forgotten = workers.forget(link.id, keys, settings.workerTimeoutMillis)
+                if (forgotten is Verdict.Ran) link.toForget -= keys.toSet()
+            }
+        }
+        if (!isSilent && answer is Verdict.MayHaveRun) link.tasks.values.forEach { extend(it, nowMillis) }
+        return answer
+    }
+
+    private fun askActions(link: WorkerLink) {
+        val stops = link.tasks.values.filter { it.record.cancelRequested && !it.isEnding }
+        stops.forEach { job -> job.task?.let { act(link.id, it, TaskAction.STOP) } }
+        val scheduled = link.pool.scheduler.takeActions(link.id)
+        scheduled.forEach { (id, action) -> link.tasks[id]?.task?.let { act(link.id, it, action.toTaskAction()) } }
+    }
+
+    private fun act(worker: InstanceId, task: TaskKey, action: TaskAction) {
+        workers.act(worker, task, action, settings.workerTimeoutMillis)
+    }
+
+    private fun extend(job: HeldJob, nowMillis: Long) {
+        if (!job.isEnding) job.leaseUntilMillis = nowMillis + settings.leaseMillis + settings.leaseMarginMillis
+    }
+
+    private fun renewed(link: WorkerLink, answer: Verdict<WorkerReport>, nowMillis: Long) {
+        val isBusy = link.pool.scheduler.waitingCount > 0 || link.tasks.values.any { it.record.cancelRequested }
+        link.nextRenewalMillis = nowMillis + if (isBusy) settings.busyRenewMillis else settings.renewEveryMillis
+        val report = answer.valueOrNull() ?: return
+        link.lastAnswerMillis = nowMillis
+        val reported = report.tasks.associateBy { it.key }
+        for (job in link.tasks.values.toList()) {
+            val task = job.task ?: continue
+            if (job.isEnding || job.record.worker != link.id) continue
+            val found = reported[task]
+            if (found != null) take(job, found, nowMillis) else missing(job, nowMillis)
+        }
+        reported.values.filter { isObsolete(link, it) }.forEach { link.toForget += it.key }
+    }
+
+    /**
+     * A worker that no longer knows a task which it had started has lost it. One whose start was never confirmed may
+     * still be on its way, so its lease is waited for.
+     */
+    private fun missing(job: HeldJob, nowMillis: Long) {
+        if (job.start == StartKnowledge.CONFIRMED) ends.record(job, JobEvent.Lapsed, nowMillis)
+    }
+
+    private fun take(job: HeldJob, report: TaskReport, nowMillis: Long) {
+        job.start = StartKnowledge.CONFIRMED
+        extend(job, nowMillis)
+        job.pool.scheduler.observe(job.record.spec.id, report.usage)
+        when (report.state) {
+            TaskState.RUNNING -> noteRunning(job, nowMillis)
+            TaskState.CHECKPOINTED -> ends.record(job, JobEvent.Checkpointed(report.output), nowMillis)
+            TaskState.FINISHED -> ends.finished(job, report, nowMillis)
+            TaskState.FAILED -> ends.failed(job, report, nowMillis)
+            TaskState.STOPPED -> ends.record(job, JobEvent.Stopped, nowMillis)
+            TaskState.LEASE_LAPSED -> ends.record(job, JobEvent.Lapsed, nowMillis)
+        }
+    }
+
+    /** Long jobs get a row that says so; short ones are spared the write. */
+    private fun noteRunning(job: HeldJob, nowMillis: Long) {
+        val age = nowMillis - job.record.assignedAtMillis
+        if (age >= settings.recordRunningAfterMillis) state.record(job, JobEvent.Started, nowMillis)
+    }
+
+    /** Whether the report is about an attempt of this owner's or an earlier epoch that no open job still needs. */
+    private fun isObsolete(link: WorkerLink, report: TaskReport): Boolean {
+        val pool = link.pool
+        if (!pool.isLoaded || report.key.epoch > pool.epoch || report.state == TaskState.RUNNING) return false
+        val job = pool.jobs[report.key.job] ?: return true
+        return report.key.attempt < job.record.attempt
+    }
+
+    private fun lapse(link: WorkerLink, nowMillis: Long) {
+        link.tasks.values
+            .filter { !it.isEnding && it.record.state.isHeld && it.leaseUntilMillis <= nowMillis }
+            .forEach { ends.record(it, JobEvent.Lapsed, nowMillis) }
+    }
+}
+
+/** Takes in the ends of attempts, in bounded memory: what finds no room stays with its worker and is reported again. */
+internal class EndRecorder(private val state: OwnerState) {
+    fun record(job: HeldJob, event: JobEvent, nowMillis: Long) {
+        if (state.dirtyCount >= state.settings.maxPendingEnds) return
+        state.record(job, event, nowMillis)
+        if (job.isEnding) job.pool.scheduler.release(job.record.spec.id, nowMillis)
+    }
+
+    fun finished(job: HeldJob, report: TaskReport, nowMillis: Long) {
+        if (state.dirtyCount >= state.settings.maxPendingEnds) return
+        job.record.worker?.let {
+            job.pool.scheduler.succeeded(job.record.spec, it, report.usage, report.ranMillis, nowMillis)
+        }
+        record(job, JobEvent.Finished(report.output), nowMillis)
+    }
+
+    fun failed(job: HeldJob, report: TaskReport, nowMillis: Long) {
+        if (state.dirtyCount >= state.settings.maxPendingEnds) return
+        val worker = job.record.worker ?: return
+        record(job, JobEvent.Failed(report.output), nowMillis)
+        val reason = job.pool.scheduler.failed(job.next, worker, report.output, nowMillis) ?: return
+        state.record(job, JobEvent.Quarantined(reason), nowMillis)
+    }
+}
+
+/** Whether the attempt has ended and the row does not say so yet. */
+internal val HeldJob.isEnding: Boolean get() = !next.state.isHeld || next.attempt != record.attempt
+
+private fun RunningAction.toTaskAction(): TaskAction = when (this) {
+    RunningAction.THROTTLE -> TaskAction.THROTTLE
+    RunningAction.UNTHROTTLE -> TaskAction.UNTHROTTLE
+    RunningAction.CHECKPOINT -> TaskAction.CHECKPOINT
+    RunningAction.STOP -> TaskAction.STOP
+}
--- /dev/null
+++ b/jobs/src/test/kotlin/org/gypsumturn/jobs/JobOwnerTest.kt
@@ -0,0 +1,121 @@
+package org.gypsumturn.jobs
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import org.gypsumturn.model.Capacity
+import org.gypsumturn.model.JobId
+import org.gypsumturn.model.JobState
+import org.gypsumturn.model.NodeId
+import org.gypsumturn.model.valueOrNull
+import org.gypsumturn.platform.fake.FakeTableStore
+import org.gypsumturn.platform.fake.FakeWorkerTasks
+import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.platform.fake.TaskScript
+import org.gypsumturn.platform.fake.WorkerFault
+
+class JobOwnerTest : AnnotationSpec() {
+    private class Fixture {
+        var now = 1_000_000L
+        var tableFault = TableFault.NONE
+        var workerFault = WorkerFault.NONE
+        var script = TaskScript(3_000, Capacity(500, 256), output = "done")
+        val table = FakeTableStore { tableFault }
+        val workers = FakeWorkerTasks({ now }, { workerFault }) { _, _ -> script }
+        val acceptance = JobAcceptance(table)
+        val view = fleet()
+
+        fun owner(self: NodeId = SELF) = JobOwner(table, workers, self)
+
+        fun JobOwner.run(millis: Long, live: Set<NodeId> = setOf(SELF)) {
+            val end = now + millis
+            while (now < end) {
+                step(now, view, live)
+                now += 250
+            }
+        }
+
+        fun state(id: String) = acceptance.get(POOL, JobId(id), TIMEOUT_MILLIS).valueOrNull()?.state
+    }
+
+    @Test
+    fun `a job runs once and its output is recorded`(): Unit = with(Fixture()) {
+        val owner = owner()
+        acceptance.accept(now, spec("a", idempotent = false), TIMEOUT_MILLIS)
+        owner.run(10_000)
+        owner.ownedPools() shouldBe listOf(POOL)
+        val record = acceptance.get(POOL, JobId("a"), TIMEOUT_MILLIS).valueOrNull()!!
+        record.state shouldBe JobState.FINISHED
+        record.output shouldBe "done"
+        workers.runs shouldHaveSize 1
+        owner.counts().openJobs shouldBe 0
+        table.scan("inbox/", null, 10, TIMEOUT_MILLIS).valueOrNull()!!.shouldBeEmpty()
+        Unit
+    }
+
+    @Test
+    fun `a waiting job that is cancelled never starts and a running one is stopped`(): Unit = with(Fixture()) {
+        script = TaskScript(60_000, Capacity(500, 256))
+        val owner = owner()
+        acceptance.accept(now, spec("running"), TIMEOUT_MILLIS)
+        owner.run(1_000)
+        acceptance.accept(now, spec("waiting"), TIMEOUT_MILLIS)
+        val ids = listOf(JobId("running"), JobId("waiting"))
+        val answer = acceptance.cancel(now, CancelSelection.Ids(POOL, ids), TIMEOUT_MILLIS)
+        answer.valueOrNull() shouldBe CancelledJobs(1, 1, 0, emptyList())
+        owner.run(10_000)
+        state("running") shouldBe JobState.CANCELLED
+        state("waiting") shouldBe JobState.CANCELLED
+        workers.runs.map { it.key.job } shouldBe listOf(JobId("running"))
+        Unit
+    }
+
+    @Test
+    fun `after a lost start an idempotent job runs again and another may have run`(): Unit = with(Fixture()) {
+        workerFault = WorkerFault.LOSE_REQUEST
+        val owner = owner()
+        acceptance.accept(now, spec("again"), TIMEOUT_MILLIS)
+        acceptance.accept(now, spec("once", idempotent = false), TIMEOUT_MILLIS)
+        owner.run(80_000)
+        state("once") shouldBe JobState.MAY_HAVE_RUN
+        workerFault = WorkerFault.NONE
+        owner.run(60_000)
+        state("again") shouldBe JobState.FINISHED
+        workers.runs.filter { it.key.job == JobId("once") }.shouldBeEmpty()
+        Unit
+    }
+
+    @Test
+    fun `running work outlives a table outage and its end is recorded afterwards`(): Unit = with(Fixture()) {
+        script = TaskScript(120_000, Capacity(500, 256), output = "long")
+        val owner = owner()
+        acceptance.accept(now, spec("long", idempotent = false), TIMEOUT_MILLIS)
+        owner.run(2_000)
+        tableFault = TableFault.REFUSE
+        owner.run(1_800_000)
+        state("long") shouldBe null
+        tableFault = TableFault.NONE
+        owner.run(20_000)
+        state("long") shouldBe JobState.FINISHED
+        workers.runs shouldHaveSize 1
+        Unit
+    }
+
+    @Test
+    fun `a new owner takes over running jobs and the former one can no longer write`(): Unit = with(Fixture()) {
+        val first = owner(SELF)
+        val second = owner(NodeId("control-2"))
+        script = TaskScript(20_000, Capacity(500, 256))
+        acceptance.accept(now, spec("a", idempotent = false), TIMEOUT_MILLIS)
+        first.run(2_000)
+        acceptance.accept(now, spec("b", idempotent = false), TIMEOUT_MILLIS)
+        second.run(30_000, setOf(NodeId("control-2")))
+        first.step(now, view, setOf(SELF))
+        first.run(2_000)
+        second.run(30_000, setOf(NodeId("control-2")))
+        listOf("a", "b").map { state(it) } shouldBe listOf(JobState.FINISHED, JobState.FINISHED)
+        workers.runs shouldHaveSize 2
+        Unit
+    }
+}
--- a/model/src/main/kotlin/org/gypsumturn/model/Job.kt
+++ b/model/src/main/kotlin/org/gypsumturn/model/Job.kt
@@ -37,7 +37,16 @@
             this == JobState.QUARANTINED ||
             this == JobState.MAY_HAVE_RUN
 
-/** What the table records of a job. Times are milliseconds since the epoch. */
+/**
+ * What the table records of a job. Times are milliseconds since the epoch.
+ *
+ * @property attempt number of the latest attempt; zero before the first
+ * @property epoch epoch of the owner that made the latest attempt
+ * @property failedOn workers on which an attempt failed by its own fault, as far as known
+ * @property cancelRequested whether an operator asked for the job's end while an attempt may have been running
+ * @property checkpoint what a later attempt needs to go on from where an earlier one stopped
+ * @property reason why the job is in its state, for operators
+ */
 @Serializable
 public data class JobRecord(
     public val spec: JobSpec,
@@ -50,6 +59,8 @@
     public val finishedAtMillis: Long = 0,
     public val failures: Int = 0,
     public val failedOn: List<InstanceId> = emptyList(),
+    public val cancelRequested: Boolean = false,
+    public val checkpoint: String? = null,
     public val reason: String = "",
     public val output: String = "",
 )
--- /dev/null
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/WorkerUsability.kt
@@ -0,0 +1,60 @@
+// Which workers may get new jobs: not those in quarantine or suspended, and only one job at a time for those that are
+// suspected or on probation.
+
+package org.gypsumturn.placement
+
+import org.gypsumturn.model.InstanceId
+import java.util.PriorityQueue
+
+/** Keeps [WorkerSlot.isUsable] in line with what is known of the workers. */
+internal class WorkerUsability(
+    private val slots: WorkerSlots,
+    private val judge: FailureJudge,
+    private val settings: PlacementSettings,
+) {
+    private val suspendedUntil = HashMap<InstanceId, Long>()
+    private val wakeUps = PriorityQueue<WakeUp>(compareBy { it.atMillis })
+
+    private class WakeUp(val atMillis: Long, val worker: InstanceId)
+
+    fun updateAll(nowMillis: Long) {
+        slots.all.forEach { update(it, nowMillis) }
+    }
+
+    fun update(slot: WorkerSlot, nowMillis: Long) {
+        val usable = isUsable(slot, nowMillis)
+        if (usable == slot.isUsable) return
+        slot.isUsable = usable
+        slots.refresh(slot)
+        val until = judge.quarantinedUntilMillis(slot.info.id)
+        if (!usable && until != null && until > nowMillis) wakeUps += WakeUp(until, slot.info.id)
+    }
+
+    fun suspend(slot: WorkerSlot, nowMillis: Long) {
+        val until = nowMillis + settings.suspensionMillis
+        suspendedUntil[slot.info.id] = until
+        wakeUps += WakeUp(until, slot.info.id)
+        update(slot, nowMillis)
+    }
+
+    /** Looks again at workers whose time is over. */
+    fun wake(nowMillis: Long) {
+        while (true) {
+            val next = wakeUps.peek() ?: return
+            if (next.atMillis > nowMillis) return
+            wakeUps.remove()
+            suspendedUntil.entries.removeIf { it.key == next.worker && it.value <= nowMillis }
+            slots[next.worker]?.let { update(it, nowMillis) }
+        }
+    }
+
+    private fun isUsable(slot: WorkerSlot, nowMillis: Long): Boolean {
+        val id = slot.info.id
+        if ((suspendedUntil[id] ?: Long.MIN_VALUE) > nowMillis) return false
+        return when (judge.trustIn(id, nowMillis)) {
+            WorkerTrust.QUARANTINED -> false
+            WorkerTrust.PROBATION, WorkerTrust.SUSPECTED -> slot.holdings.isEmpty()
+            WorkerTrust.TRUSTED -> true
+        }
+    }
+}
