--- a/placement/src/main/kotlin/org/gypsumturn/placement/PlacementRound.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/PlacementRound.kt
@@ -113,9 +113,15 @@
         return null
     }
 
-    /** A job keeps away from workers on which it failed, unless it has failed on nearly all. */
-    private fun accepts(job: WaitingJob, slot: WorkerSlot): Boolean =
-        slot.info.id !in job.avoid || job.avoid.size >= slots.all.size
+    /** A job keeps away from workers on which it failed, as long as there are others for it. */
+    private fun accepts(job: WaitingJob, slot: WorkerSlot): Boolean = slot.info.id !in job.avoid || !hasOthers(job)
+
+    private fun hasOthers(job: WaitingJob): Boolean {
+        val end = if (job.spec.priority == Priority.URGENT) slots.all.size else slots.urgentFrom
+        return slots.all.any {
+            it.position < end && it.isUsable && it.info.accepting && it.info.id !in job.avoid && fitsWhole(job, it)
+        }
+    }
 
     private fun reserveForPatient(nowMillis: Long) {
         val bound = maxOf(1, slots.all.size / WORKERS_PER_RESERVATION)
--- a/placement/src/main/kotlin/org/gypsumturn/placement/WorkerSlots.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/WorkerSlots.kt
@@ -67,7 +67,7 @@
         roomTree = CapacityTree(all.size)
         throttleTree = CapacityTree(all.size)
         evictTree = CapacityTree(all.size)
-        urgentFrom = all.size - kotlin.math.ceil(all.size * settings.urgentReserve).toInt()
+        urgentFrom = all.size - (all.size * settings.urgentReserve).toInt()
         all.forEach(::refresh)
     }
 
--- a/placement/src/main/kotlin/org/gypsumturn/placement/WorkerUsability.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/WorkerUsability.kt
@@ -13,6 +13,7 @@
     private val settings: PlacementSettings,
 ) {
     private val suspendedUntil = HashMap<InstanceId, Long>()
+    private val wakeUpOf = HashMap<InstanceId, Long>()
     private val wakeUps = PriorityQueue<WakeUp>(compareBy { it.atMillis })
 
     private class WakeUp(val atMillis: Long, val worker: InstanceId)
@@ -22,12 +23,15 @@
     }
 
     fun update(slot: WorkerSlot, nowMillis: Long) {
+        val until = judge.quarantinedUntilMillis(slot.info.id)
+        if (until != null && until > nowMillis && wakeUpOf[slot.info.id] != until) {
+            wakeUpOf[slot.info.id] = until
+            wakeUps += WakeUp(until, slot.info.id)
+        }
         val usable = isUsable(slot, nowMillis)
         if (usable == slot.isUsable) return
         slot.isUsable = usable
         slots.refresh(slot)
-        val until = judge.quarantinedUntilMillis(slot.info.id)
-        if (!usable && until != null && until > nowMillis) wakeUps += WakeUp(until, slot.info.id)
     }
 
     fun suspend(slot: WorkerSlot, nowMillis: Long) {
--- /dev/null
+++ b/placement/src/test/kotlin/org/gypsumturn/placement/JobLifecycleTest.kt
@@ -0,0 +1,66 @@
+package org.gypsumturn.placement
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import org.gypsumturn.model.Epoch
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.JobRecord
+import org.gypsumturn.model.JobState
+import org.gypsumturn.model.isFinal
+
+class JobLifecycleTest : AnnotationSpec() {
+    private val events =
+        listOf(
+            JobEvent.Assigned(InstanceId("worker-1"), Epoch(1)),
+            JobEvent.Started,
+            JobEvent.NotStarted,
+            JobEvent.Checkpointed("at 5"),
+            JobEvent.Finished("done"),
+            JobEvent.Failed("exit 1"),
+            JobEvent.Stopped,
+            JobEvent.Lapsed,
+            JobEvent.CancelRequested,
+            JobEvent.Quarantined("never runs"),
+        )
+
+    /** All records that [depth] events can lead to, with the events. */
+    private fun reachable(start: JobRecord, depth: Int): Set<JobRecord> {
+        var frontier = setOf(start)
+        val seen = mutableSetOf(start)
+        repeat(depth) {
+            frontier = frontier.flatMap { record -> events.mapNotNull { next(record, it) } }.toSet() - seen
+            seen += frontier
+        }
+        return seen
+    }
+
+    private fun next(record: JobRecord, event: JobEvent) = (record.after(event, 1) as? Transition.Changed)?.record
+
+    @Test
+    fun `no event changes a final state`() {
+        val records = reachable(JobRecord(jobSpec("a")), 4)
+        val ended = records.filter { it.state.isFinal }
+        ended.map { it.state }.toSet() shouldBe JobState.entries.filter { it.isFinal }.toSet() - JobState.MAY_HAVE_RUN
+        ended.forEach { record -> events.forEach { next(record, it) shouldBe null } }
+    }
+
+    @Test
+    fun `a job that is not idempotent waits again only if it did not start or can be resumed`() {
+        val waitsAgain = setOf(JobEvent.NotStarted::class, JobEvent.Checkpointed::class)
+        reachable(JobRecord(jobSpec("a", idempotent = false)), 5).filter { it.state.isHeld }.forEach { record ->
+            events.filter { next(record, it)?.state?.isWaiting == true }
+                .forEach { (it::class in waitsAgain) shouldBe true }
+        }
+    }
+
+    @Test
+    fun `a job whose cancellation was asked for is never assigned again`() {
+        reachable(JobRecord(jobSpec("a")), 5)
+            .filter { it.cancelRequested && !it.state.isFinal }
+            .forEach { record ->
+                events.forEach { next(record, it)?.state?.isWaiting shouldBe falseOrNull(record, it) }
+            }
+    }
+
+    private fun falseOrNull(record: JobRecord, event: JobEvent) = if (next(record, event) == null) null else false
+}
