Add the clients of the platform and the missing fakes

Cause: the programs need the ports over the wire, and tests need an object store and an instance list that fail as the platform's do.

Change: platform-grpc holds client adapters of all four ports with a deadline on each call, and the server side over any implementation of the ports. A failed write is not run only where no part of it was handed to a connection, or where the platform refused it with a status that the gRPC library itself never makes; RESOURCE_EXHAUSTED is left out, since the library also makes it for an answer that is too large. A channel on which a call missed its deadline is replaced. platform-fake gains FakeObjectStore and FakeInstanceList (lag, leaving, down, lost answers, slow, reboots).

Conclusion: a proxy that silences open connections costs one call its deadline; the next call passes on a second channel (PlatformClientTest).

--- /dev/null
+++ b/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/GrpcInstanceList.kt
@@ -0,0 +1,28 @@
+// The instance list port over gRPC.
+
+package org.gypsumturn.platform.grpc
+
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.map
+import org.gypsumturn.platform.InstanceList
+import org.gypsumturn.platform.InstanceListing
+import org.gypsumturn.schema.platform.InstancesGrpc
+import org.gypsumturn.schema.platform.ListRequest
+import org.gypsumturn.schema.platform.RebootRequest
+
+internal class GrpcInstanceList(private val channel: PlatformChannel) : InstanceList {
+    override fun list(timeoutMillis: Long): Verdict<InstanceListing> {
+        val request = ListRequest.getDefaultInstance()
+        return channel
+            .call(InstancesGrpc::newBlockingStub, Effect.READS, timeoutMillis) { it.list(request) }
+            .map { reply -> InstanceListing(reply.asOfMillis, reply.instancesList.map { it.toListed() }) }
+    }
+
+    override fun reboot(instance: InstanceId, timeoutMillis: Long): Verdict<Unit> {
+        val request = RebootRequest.newBuilder().setInstance(instance.value).build()
+        return channel
+            .call(InstancesGrpc::newBlockingStub, Effect.WRITES, timeoutMillis) { it.reboot(request) }
+            .map { }
+    }
+}
--- /dev/null
+++ b/platform-grpc/src/test/kotlin/org/gypsumturn/platform/grpc/PlatformClientTest.kt
@@ -0,0 +1,105 @@
+package org.gypsumturn.platform.grpc
+
+import io.grpc.Server
+import io.grpc.Status
+import io.grpc.netty.NettyServerBuilder
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.gypsumturn.model.Address
+import org.gypsumturn.model.FailureKind
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.valueOrNull
+import org.gypsumturn.platform.CommitOutcome
+import org.gypsumturn.platform.Condition
+import org.gypsumturn.platform.ObjectName
+import org.gypsumturn.platform.RowKey
+import org.gypsumturn.platform.Transaction
+import org.gypsumturn.platform.Write
+import org.gypsumturn.platform.fake.FakeObjectStore
+import org.gypsumturn.platform.fake.FakeTableStore
+import org.gypsumturn.platform.fake.TableFault
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+
+class PlatformClientTest : AnnotationSpec() {
+    private val loopback = InetAddress.getLoopbackAddress()
+    private val key = RowKey("a/1")
+    private val put = Transaction(listOf(Condition(key, Revision.ABSENT)), listOf(Write(key, "x")))
+
+    private fun serve(table: FakeTableStore, objects: FakeObjectStore = FakeObjectStore()): Server = NettyServerBuilder
+        .forAddress(InetSocketAddress(loopback, 0))
+        .addService(PlatformServices.table(table))
+        .addService(PlatformServices.objects(objects))
+        .build()
+        .start()
+
+    private fun <T> withClient(server: Server, use: (PlatformClient) -> T): T = try {
+        PlatformClient(Address(loopback.hostAddress, server.port)).use(use)
+    } finally {
+        server.shutdownNow()
+    }
+
+    @Test
+    fun `rows and objects pass through, absent ones included`() {
+        withClient(serve(FakeTableStore())) { client ->
+            client.table.commit(put, 5_000).valueOrNull().shouldBeInstanceOf<CommitOutcome.Committed>()
+            val conflict = client.table.commit(put, 5_000).valueOrNull()
+            conflict.shouldBeInstanceOf<CommitOutcome.Conflict>().changed.single().value shouldBe "x"
+            val rows = client.table.read(listOf(key, RowKey("a/2")), 5_000).valueOrNull()!!
+            rows.map { it.value } shouldBe listOf("x", null)
+            client.table.scan("a/", key, 10, 5_000).valueOrNull() shouldBe emptyList()
+            client.objects.put(ObjectName("o"), ByteArray(0), 5_000) shouldBe Verdict.Ran(Unit)
+            client.objects.get(ObjectName("o"), 5_000).valueOrNull()!!.size shouldBe 0
+            client.objects.get(ObjectName("p"), 5_000) shouldBe Verdict.Ran(null)
+        }
+    }
+
+    @Test
+    fun `a refusal is not run, and a lost answer may have run and can be read back`() {
+        var fault = TableFault.REFUSE
+        withClient(serve(FakeTableStore { fault })) { client ->
+            client.table.commit(put, 5_000).shouldBeInstanceOf<Verdict.NotRun>()
+            client.table.read(listOf(key), 5_000).shouldBeInstanceOf<Verdict.NotRun>()
+            fault = TableFault.LOSE_ANSWER
+            val lost = client.table.commit(put, 300).shouldBeInstanceOf<Verdict.MayHaveRun>()
+            lost.failure.kind shouldBe FailureKind.TIMEOUT
+            fault = TableFault.NONE
+            client.table.read(listOf(key), 5_000).valueOrNull()!!.single().value shouldBe "x"
+        }
+    }
+
+    @Test
+    fun `a commit that found no one to connect to was not run`() {
+        val free = ServerSocket(0, 1, loopback).use { it.localPort }
+        PlatformClient(Address(loopback.hostAddress, free)).use { client ->
+            client.table.commit(put, 5_000).shouldBeInstanceOf<Verdict.NotRun>()
+        }
+    }
+
+    @Test
+    fun `a connection that went silent is replaced, and the next call passes`() {
+        val server = serve(FakeTableStore())
+        SilentProxy(loopback, server.port).use { proxy ->
+            PlatformClient(Address(loopback.hostAddress, proxy.port)).use { client ->
+                client.table.read(listOf(key), 5_000).shouldBeInstanceOf<Verdict.Ran<*>>()
+                proxy.silenceOpenConnections()
+                client.table.commit(put, 300).shouldBeInstanceOf<Verdict.MayHaveRun>()
+                client.table.read(listOf(key), 5_000).shouldBeInstanceOf<Verdict.Ran<*>>()
+                client.openedChannels shouldBe 2
+            }
+        }
+        server.shutdownNow()
+    }
+
+    @Test
+    fun `only a status that the library never makes proves that a sent write did nothing`() {
+        val proofs =
+            Status.Code.values().filter { it != Status.Code.OK }.filter { code ->
+                verdictOf(code.toStatus(), Effect.WRITES, mayHaveLeft = true) is Verdict.NotRun
+            }
+        proofs shouldBe listOf(Status.Code.INVALID_ARGUMENT, Status.Code.FAILED_PRECONDITION)
+    }
+}
