Add the stand-in for the platform

Cause: the programs need something small to run against that fails as the platform, its targets and its workers do.

--- /dev/null
+++ b/standin/src/main/kotlin/org/gypsumturn/standin/fault/SlowTableStore.kt
@@ -0,0 +1,27 @@
+// A table whose calls wait before they take effect.
+
+package org.gypsumturn.standin.fault
+
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.platform.CommitOutcome
+import org.gypsumturn.platform.Row
+import org.gypsumturn.platform.RowKey
+import org.gypsumturn.platform.TableStore
+import org.gypsumturn.platform.Transaction
+
+internal class SlowTableStore(private val table: TableStore, private val delay: () -> Unit) : TableStore {
+    override fun read(keys: List<RowKey>, timeoutMillis: Long): Verdict<List<Row>> {
+        delay()
+        return table.read(keys, timeoutMillis)
+    }
+
+    override fun scan(prefix: String, after: RowKey?, limit: Int, timeoutMillis: Long): Verdict<List<Row>> {
+        delay()
+        return table.scan(prefix, after, limit, timeoutMillis)
+    }
+
+    override fun commit(transaction: Transaction, timeoutMillis: Long): Verdict<CommitOutcome> {
+        delay()
+        return table.commit(transaction, timeoutMillis)
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/gypsumturn/standin/worker/SimulatedTask.kt
@@ -0,0 +1,94 @@
+// One task on a simulated worker. Its progress is worked out whenever someone looks at it.
+
+package org.gypsumturn.standin.worker
+
+import org.gypsumturn.model.Capacity
+import org.gypsumturn.platform.TaskAction
+import org.gypsumturn.platform.TaskKey
+import org.gypsumturn.platform.TaskReport
+import org.gypsumturn.platform.TaskStart
+import org.gypsumturn.platform.TaskState
+import org.gypsumturn.standin.fault.InstanceFault
+import org.gypsumturn.standin.fault.SLOW_FACTOR
+
+private const val THROTTLE_FACTOR = 2
+
+internal class SimulatedTask(private val start: TaskStart, fault: InstanceFault, private val startedMillis: Long) {
+    private val payload = TaskPayload.parse(start.payload)
+    private val fails = payload.fails || fault == InstanceFault.FAIL_TASKS
+    private val endless = fault == InstanceFault.NEVER_RETURN
+    private val slowdown = if (fault == InstanceFault.SLOW) SLOW_FACTOR else 1
+    private var doneMillis = if (fault ==
+        InstanceFault.FAIL_TASKS
+    ) {
+        payload.runMillis
+    } else {
+        doneMillisOf(start.checkpoint)
+    }
+    private var lookedAtMillis = startedMillis
+    private var leaseUntilMillis = startedMillis + start.leaseMillis
+    private var throttled = false
+    private var endedMillis = startedMillis
+    private var output = ""
+
+    val key: TaskKey get() = start.key
+
+    var state = TaskState.RUNNING
+        private set
+
+    fun renew(leaseMillis: Long, nowMillis: Long) {
+        advance(nowMillis)
+        if (state == TaskState.RUNNING) leaseUntilMillis = nowMillis + leaseMillis
+    }
+
+    fun act(action: TaskAction, nowMillis: Long) {
+        advance(nowMillis)
+        if (state != TaskState.RUNNING) return
+        when (action) {
+            TaskAction.THROTTLE -> throttled = true
+            TaskAction.UNTHROTTLE -> throttled = false
+            TaskAction.STOP -> end(TaskState.STOPPED, nowMillis, "")
+            TaskAction.CHECKPOINT -> end(TaskState.CHECKPOINTED, nowMillis, checkpointText(doneMillis))
+        }
+    }
+
+    fun report(nowMillis: Long, usageLagMillis: Long): TaskReport {
+        advance(nowMillis)
+        val ranMillis = (if (state == TaskState.RUNNING) nowMillis else endedMillis) - startedMillis
+        val usage = if (nowMillis - startedMillis < usageLagMillis) Capacity.ZERO else currentUsage()
+        return TaskReport(key, state, usage, ranMillis, output)
+    }
+
+    private fun currentUsage(): Capacity = if (throttled) {
+        payload.usage.copy(
+            processorsMilli = payload.usage.processorsMilli / THROTTLE_FACTOR,
+        )
+    } else {
+        payload.usage
+    }
+
+    /** Brings the task to [nowMillis]: it ends when its work is done or its lease lapses, whichever comes first. */
+    fun advance(nowMillis: Long) {
+        if (state != TaskState.RUNNING) return
+        val factor = slowdown * (if (throttled) THROTTLE_FACTOR else 1)
+        val finishMillis =
+            if (endless) Long.MAX_VALUE else lookedAtMillis + (payload.runMillis - doneMillis).coerceAtLeast(0) * factor
+        val reached = minOf(nowMillis, finishMillis, leaseUntilMillis)
+        doneMillis += (reached - lookedAtMillis).coerceAtLeast(0) / factor
+        lookedAtMillis = nowMillis
+        when {
+            finishMillis <= minOf(nowMillis, leaseUntilMillis) -> finish(finishMillis)
+            leaseUntilMillis <= nowMillis -> end(TaskState.LEASE_LAPSED, leaseUntilMillis, checkpointText(doneMillis))
+        }
+    }
+
+    private fun finish(atMillis: Long) {
+        if (fails) end(TaskState.FAILED, atMillis, "failed") else end(TaskState.FINISHED, atMillis, "done ${key.job}")
+    }
+
+    private fun end(ended: TaskState, atMillis: Long, text: String) {
+        state = ended
+        endedMillis = atMillis
+        output = text
+    }
+}
