Add the command line of operators

Cause: every action of an operator is a call of the schema, and people need a short way to make it.

Change: gypsumturn has a subcommand for each call of the administration API. It asks the next server only after a not-run verdict or with the same operation id, reads the typed error of the trailer, prints tables or JSON, and ends with the exit code of the verdict; a rejection that follows an attempt which may have run counts as may have run. The tracker that tells whether a call can have been sent becomes public in platform-grpc, so that the logic stands once.

--- /dev/null
+++ b/cli/src/main/kotlin/org/gypsumturn/cli/command/CallCommand.kt
@@ -0,0 +1,139 @@
+// What all calls have in common on the command line: the servers, the form of the output, and for changes the operation
+// id and the expected revision.
+
+package org.gypsumturn.cli.command
+
+import com.google.protobuf.Message
+import kotlinx.cli.ArgType
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import org.gypsumturn.cli.CliSettings
+import org.gypsumturn.cli.client.AdminClient
+import org.gypsumturn.cli.client.CallKind
+import org.gypsumturn.cli.client.CallResult
+import org.gypsumturn.cli.client.ClientOptions
+import org.gypsumturn.cli.output.Output
+import org.gypsumturn.cli.output.OutputFormat
+import org.gypsumturn.runtime.log.LogFormat
+import org.gypsumturn.runtime.program.CommandLineEnd
+import org.gypsumturn.runtime.program.ExitCode
+import org.gypsumturn.runtime.settings.HostAndPort
+import org.gypsumturn.runtime.settings.Settings
+import org.gypsumturn.runtime.settings.parseAddresses
+import org.gypsumturn.schema.admin.AdminGrpc.AdminBlockingStub
+import org.gypsumturn.schema.admin.Mutating
+import java.util.UUID
+
+/** What a call needs of its surroundings. */
+internal class CallContext(val client: AdminClient, val output: Output, val settings: Settings)
+
+private object ServersType : ArgType<List<HostAndPort>>(true) {
+    override val description: kotlin.String = "{ ip:port[,ip:port...] }"
+
+    override fun convert(value: kotlin.String, name: kotlin.String): List<HostAndPort> = parseAddresses(value)
+        ?: throw CommandLineEnd("--$name: bad value \"$value\"; allowed: IP numbers with ports", ExitCode.USAGE)
+}
+
+/** A subcommand that makes exactly one call. */
+internal abstract class CallCommand(name: String, description: String) : Subcommand(name, description) {
+    val config by option(ArgType.String, "config", "c", "settings file (INI) with defaults for the options")
+    val logFormat by option(
+        ArgType.Choice<LogFormat>({ LogFormat.valueOf(it.uppercase()) }, { it.name.lowercase() }),
+        "log-format",
+        description = "form of the log",
+    ).default(LogFormat.TEXT)
+    private val servers by option(ServersType, "server", description = "addresses of control processes, in order")
+    private val outputFormat by option(
+        ArgType.Choice<OutputFormat>({ OutputFormat.valueOf(it.uppercase()) }, { it.name.lowercase() }),
+        "output",
+        description = "form of the output",
+    )
+    private val token by option(ArgType.String, "token", description = "token that proves who calls")
+    private val timeoutMillis by option(ArgType.Int, "timeout-millis", description = "time for each server's answer")
+
+    /** Whether the command line named this call. */
+    var chosen = false
+        private set
+
+    override fun execute() {
+        chosen = true
+    }
+
+    /** The options of the client, those of the command line before those of [settings]. */
+    fun clientOptions(settings: Settings): ClientOptions {
+        val asked = servers ?: settings[CliSettings.servers]
+        if (asked.isEmpty()) throw CommandLineEnd("no server: name one with --server ip:port", ExitCode.USAGE)
+        val timeout = timeoutMillis?.toLong() ?: settings[CliSettings.timeoutMillis]
+        if (timeout <= 0) throw CommandLineEnd("--timeout-millis: must be at least 1", ExitCode.USAGE)
+        return ClientOptions(asked, token ?: settings[CliSettings.token], timeout)
+    }
+
+    fun outputFormat(settings: Settings): OutputFormat =
+        outputFormat ?: OutputFormat.valueOf(settings[CliSettings.output].uppercase())
+
+    /** Makes the call, prints what it gave, and returns the exit code. */
+    abstract fun run(context: CallContext): Int
+}
+
+/** A call that changes nothing. */
+internal class ReadCommand(name: String, description: String, private val send: (AdminBlockingStub) -> Message) :
+    CallCommand(name, description) {
+    override fun run(context: CallContext): Int = context.output.end(context.client.call(CallKind.READ, send), null)
+}
+
+/** A call that changes something. Its operation id makes repeats harmless. */
+internal abstract class MutatingCommand(name: String, description: String) : CallCommand(name, description) {
+    private val operator by option(ArgType.String, "operator", description = "name under which the change is recorded")
+    private val operationId by option(
+        ArgType.String,
+        "operation-id",
+        description = "identifies the change; a repeat with the same id has no further effect (default: a new one)",
+    )
+    private val expectedRevision by option(
+        ArgType.String,
+        "expected-revision",
+        description = "revision that the record must have; 0: any",
+    ).default("0")
+
+    override fun run(context: CallContext): Int {
+        val header = header(context.settings)
+        val result: CallResult<Message> = context.client.call(CallKind.MUTATION) { send(it, header) }
+        return context.output.end(result, header.operationId)
+    }
+
+    /** Makes the call with [header]. */
+    abstract fun send(stub: AdminBlockingStub, header: Mutating): Message
+
+    private fun header(settings: Settings): Mutating {
+        val revision = expectedRevision.toLongOrNull()?.takeIf { it >= 0 }
+            ?: throw CommandLineEnd("--expected-revision: must be a whole number, at least 0", ExitCode.USAGE)
+        return Mutating
+            .newBuilder()
+            .setOperationId(operationId ?: UUID.randomUUID().toString())
+            .setOperator(operator ?: settings[CliSettings.operator])
+            .setExpectedRevision(revision)
+            .build()
+    }
+}
+
+/** A change of the record whose id is the only argument. */
+internal class IdCommand(
+    name: String,
+    description: String,
+    private val sendWithId: (AdminBlockingStub, Mutating, String) -> Message,
+) : MutatingCommand(name, description) {
+    private val id by argument(ArgType.String, "id", "name of the record")
+
+    override fun send(stub: AdminBlockingStub, header: Mutating): Message = sendWithId(stub, header, id)
+}
+
+/** A word that stands before the names of several calls. */
+internal class CommandGroup(name: String, description: String, val calls: List<CallCommand>) :
+    Subcommand(name, description) {
+    var chosen = false
+        private set
+
+    override fun execute() {
+        chosen = true
+    }
+}
--- a/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/PlatformChannel.kt
+++ b/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/PlatformChannel.kt
@@ -3,14 +3,7 @@
 
 package org.gypsumturn.platform.grpc
 
-import io.grpc.CallOptions
-import io.grpc.Channel
-import io.grpc.ClientCall
-import io.grpc.ClientInterceptor
-import io.grpc.ClientStreamTracer
 import io.grpc.ManagedChannel
-import io.grpc.Metadata
-import io.grpc.MethodDescriptor
 import io.grpc.Status
 import io.grpc.StatusRuntimeException
 import io.grpc.netty.NettyChannelBuilder
@@ -51,16 +44,16 @@
         send: (S) -> R,
     ): Verdict<R> {
         val used = channel
-        val departure = Departure()
+        val tracker = SendTracker()
         val stub =
             stubOn(used)
                 .withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS)
-                .withInterceptors(departure.interceptor())
+                .withInterceptors(tracker.interceptor())
         return try {
             Verdict.Ran(send(stub))
         } catch (e: StatusRuntimeException) {
             if (e.status.code == Status.Code.DEADLINE_EXCEEDED) replace(used)
-            verdictOf(e.status, effect, departure.mayHaveLeft)
+            verdictOf(e.status, effect, tracker.mayHaveSent)
         }
     }
 
@@ -94,40 +87,15 @@
     }
 }
 
-/** Notes whether any part of a call was handed to a connection. */
-internal class Departure {
-    @Volatile
-    var mayHaveLeft = false
-        private set
-
-    private val factory =
-        object : ClientStreamTracer.Factory() {
-            override fun newClientStreamTracer(info: ClientStreamTracer.StreamInfo, headers: Metadata) =
-                object : ClientStreamTracer() {
-                    override fun outboundHeaders() {
-                        mayHaveLeft = true
-                    }
-                }
-        }
-
-    fun interceptor(): ClientInterceptor = object : ClientInterceptor {
-        override fun <Q, A> interceptCall(
-            method: MethodDescriptor<Q, A>,
-            options: CallOptions,
-            next: Channel,
-        ): ClientCall<Q, A> = next.newCall(method, options.withStreamTracerFactory(factory))
-    }
-}
-
 /**
  * The verdict on a call that ended with [status]. The gRPC library itself never makes FAILED_PRECONDITION or
  * INVALID_ARGUMENT, so with these two the platform says that it did nothing; RESOURCE_EXHAUSTED also stands for an
  * answer that was too large, so it proves nothing.
  */
-internal fun verdictOf(status: Status, effect: Effect, mayHaveLeft: Boolean): Verdict<Nothing> {
+internal fun verdictOf(status: Status, effect: Effect, mayHaveSent: Boolean): Verdict<Nothing> {
     val failure = Failure(failureKindOf(status.code), "the platform: ${status.code} ${status.description.orEmpty()}")
     val refused = status.code == Status.Code.FAILED_PRECONDITION || status.code == Status.Code.INVALID_ARGUMENT
-    val certainlyNotRun = effect == Effect.READS || refused || !mayHaveLeft
+    val certainlyNotRun = effect == Effect.READS || refused || !mayHaveSent
     return if (certainlyNotRun) Verdict.NotRun(failure) else Verdict.MayHaveRun(failure)
 }
 
--- a/platform-grpc/src/test/kotlin/org/gypsumturn/platform/grpc/PlatformClientTest.kt
+++ b/platform-grpc/src/test/kotlin/org/gypsumturn/platform/grpc/PlatformClientTest.kt
@@ -98,7 +98,7 @@
     fun `only a status that the library never makes proves that a sent write did nothing`() {
         val proofs =
             Status.Code.values().filter { it != Status.Code.OK }.filter { code ->
-                verdictOf(code.toStatus(), Effect.WRITES, mayHaveLeft = true) is Verdict.NotRun
+                verdictOf(code.toStatus(), Effect.WRITES, mayHaveSent = true) is Verdict.NotRun
             }
         proofs shouldBe listOf(Status.Code.INVALID_ARGUMENT, Status.Code.FAILED_PRECONDITION)
     }
--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/settings/Setting.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/settings/Setting.kt
@@ -92,14 +92,16 @@
     ::parseAddresses,
 )
 
-private fun parseAddress(text: String): HostAndPort? {
+/** The address that [text] stands for, or null. */
+public fun parseAddress(text: String): HostAndPort? {
     val host = text.substringBeforeLast(':', "")
     val port = text.substringAfterLast(':').toIntOrNull() ?: return null
     if (!host.matches(IP_NUMBER) || port !in 0..MAX_PORT) return null
     return HostAndPort(host, port)
 }
 
-private fun parseAddresses(text: String): List<HostAndPort>? {
+/** The addresses, separated by commas, that [text] stands for; null if one of them is wrong. */
+public fun parseAddresses(text: String): List<HostAndPort>? {
     val parts = text.split(',').map { it.trim() }.filter { it.isNotEmpty() }
     val parsed = parts.mapNotNull(::parseAddress)
     return parsed.takeIf { it.size == parts.size }
