Add the control program

Cause: operators need calls for every action, and drains, reboots, moves, waves and losses have to be carried on without them. Change: the administration API with typed errors, tokens for reading and changing, and TLS; upkeep of the fleet by one live control process, each command conditional on what it saw; reboots recorded with the boot count before they are asked for; the jobs' owner as a duty; event streams.

--- /dev/null
+++ b/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
@@ -0,0 +1,198 @@
+// Wires one control process: its view, its part of the fleet's upkeep and of the jobs, and the administration API.
+
+package org.gypsumturn.control
+
+import io.grpc.ServerInterceptors
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import org.gypsumturn.control.admin.AccessInterceptor
+import org.gypsumturn.control.admin.AccessTokens
+import org.gypsumturn.control.admin.AdminContext
+import org.gypsumturn.control.admin.AdminPort
+import org.gypsumturn.control.admin.AdminService
+import org.gypsumturn.control.admin.EventStreams
+import org.gypsumturn.control.admin.JobCalls
+import org.gypsumturn.control.fleet.FleetCommands
+import org.gypsumturn.control.fleet.FleetUpkeep
+import org.gypsumturn.control.fleet.Now
+import org.gypsumturn.control.fleet.Rebooter
+import org.gypsumturn.control.fleet.UpkeepSettings
+import org.gypsumturn.control.job.JobDuty
+import org.gypsumturn.jobs.JobAcceptance
+import org.gypsumturn.jobs.JobOwner
+import org.gypsumturn.jobs.JobOwnerSettings
+import org.gypsumturn.model.Address
+import org.gypsumturn.model.DataCentreId
+import org.gypsumturn.model.Node
+import org.gypsumturn.model.NodeId
+import org.gypsumturn.model.NodeRole
+import org.gypsumturn.model.RegionId
+import org.gypsumturn.peer.ChangeRunner
+import org.gypsumturn.peer.GrpcPort
+import org.gypsumturn.peer.NodeActivity
+import org.gypsumturn.peer.NodeMembership
+import org.gypsumturn.peer.PeerClients
+import org.gypsumturn.peer.PeerService
+import org.gypsumturn.peer.ViewKeeper
+import org.gypsumturn.peer.ViewSettings
+import org.gypsumturn.platform.grpc.PlatformClient
+import org.gypsumturn.runtime.duty.Duty
+import org.gypsumturn.runtime.metrics.Metrics
+import org.gypsumturn.runtime.settings.CommonSettings
+import org.gypsumturn.runtime.settings.HostAndPort
+import org.gypsumturn.runtime.settings.Settings
+import org.gypsumturn.view.NodeBeats
+import org.gypsumturn.view.ViewLog
+import org.slf4j.LoggerFactory
+import java.util.UUID
+
+/** One control process. */
+internal class ControlNode(private val settings: Settings) : AutoCloseable {
+    private val keeping = ViewSettings.keeping(settings)
+    private val node = nodeOf(settings)
+    private val platform = PlatformClient(settings[ViewSettings.platformAddress].toAddress())
+    private val log = ViewLog(platform.table, keeping.storeTimeoutMillis)
+    private val beats = NodeBeats(platform.table, keeping.storeTimeoutMillis)
+    private val peers = PeerClients(keeping.peerTimeoutMillis)
+    private val keeper =
+        ViewKeeper(node, log, peers, settings[ViewSettings.seeds].map { it.toAddress() }, keeping, ::monotonicMillis)
+    private val runner = ChangeRunner(keeper, log, ::monotonicMillis)
+    private val commands = FleetCommands(runner)
+    private val upkeep = upkeepOf()
+    private val upkeepDuty =
+        Duty<Unit>("fleet", 1, settings[ControlSettings.stepMillis], {}, { if (isReady()) upkeep.step(now()) })
+    private val jobDuty =
+        JobDuty(
+            jobOwner(),
+            settings[ControlSettings.jobStepMillis],
+            keeper::currentView,
+            ::isReady,
+            { upkeep.liveControls(now()) },
+            System::currentTimeMillis,
+        )
+    private val membership =
+        NodeMembership(
+            node,
+            keeper,
+            runner,
+            beats,
+            keeping,
+            ::monotonicMillis,
+            System::currentTimeMillis,
+        ) { NodeActivity(version = versionInForce(), busy = jobDuty.lastRound().busyOutOfService) }
+    private val events = EventStreams(log) { keeper.currentView().version }
+    private val metrics = Metrics()
+    private val opened = mutableListOf<AutoCloseable>()
+
+    /** Starts all duties and opens all ports. */
+    fun start() {
+        opened += metrics.serve(settings[CommonSettings.metricsAddress])
+        registerMetrics()
+        opened += GrpcPort.open(settings[ViewSettings.peerAddress], listOf(PeerService(keeper::answer)))
+        keeper.start()
+        membership.start()
+        upkeepDuty.start()
+        jobDuty.start()
+        events.start()
+        val service = AdminService(adminContext(), commands, jobCalls(), events)
+        val tokens = AccessTokens(settings[ControlSettings.readToken], settings[ControlSettings.changeToken])
+        opened += AdminPort.open(settings, ServerInterceptors.intercept(service, AccessInterceptor(tokens)))
+        LOG.info("control {} serves operators at {}", node.id, settings[ControlSettings.adminAddress])
+    }
+
+    override fun close() {
+        jobDuty.close()
+        upkeepDuty.close()
+        events.close()
+        membership.close()
+        opened.reversed().forEach { it.close() }
+        keeper.close()
+        peers.close()
+        platform.close()
+    }
+
+    private fun isReady(): Boolean = keeper.readiness().ready
+
+    // Until the job duty has worked with a version, this process has not stopped using what the version takes away.
+    private fun versionInForce() = minOf(keeper.currentView().version, jobDuty.lastRound().version)
+
+    private fun upkeepOf(): FleetUpkeep {
+        val times =
+            UpkeepSettings(
+                lapseMillis = keeping.lapseMillis,
+                warmMillis = settings[ControlSettings.warmMillis],
+                lostMillis = settings[ControlSettings.lostMillis],
+                maintenancePeriodMillis = settings[ControlSettings.maintenancePeriodMillis],
+                platformTimeoutMillis = keeping.storeTimeoutMillis,
+            )
+        val rebooter = Rebooter(platform.table, platform.instances, keeping.storeTimeoutMillis)
+        return FleetUpkeep(node.id, keeper::currentView, commands, beats, platform.instances, rebooter, times)
+    }
+
+    private fun jobOwner(): JobOwner {
+        val owner =
+            JobOwnerSettings(
+                leaseMillis = settings[ControlSettings.jobLeaseMillis],
+                leaseMarginMillis = settings[ControlSettings.jobLeaseMarginMillis],
+                tableTimeoutMillis = keeping.storeTimeoutMillis,
+            )
+        return JobOwner(platform.table, platform.tasks, node.id, owner)
+    }
+
+    private fun jobCalls() = JobCalls(JobAcceptance(platform.table), keeping.storeTimeoutMillis)
+
+    private fun adminContext() = AdminContext(
+        self = node.id,
+        keeper = keeper,
+        now = ::now,
+        observations = upkeep::observations,
+        ownedPools = { jobDuty.lastRound().ownedPools },
+        lapseMillis = keeping.lapseMillis,
+    )
+
+    private fun registerMetrics() {
+        gauge("gypsumturn_view_version", "version of the view in force") {
+            keeper.currentView().version.value.toDouble()
+        }
+        gauge("gypsumturn_ready", "whether the view's lease holds") { if (isReady()) 1.0 else 0.0 }
+        gauge("gypsumturn_owned_pools", "pools whose jobs this process runs") {
+            jobDuty.lastRound().ownedPools.size.toDouble()
+        }
+        gauge("gypsumturn_table_reachable", "whether the platform's table answers") {
+            if (keeper.tableSight().reachable) 1.0 else 0.0
+        }
+    }
+
+    private fun gauge(name: String, help: String, value: () -> Double) {
+        GaugeWithCallback
+            .builder()
+            .name(name)
+            .help(help)
+            .callback { it.call(value()) }
+            .register(metrics.registry)
+    }
+
+    private fun now() = Now(monotonicMillis(), System.currentTimeMillis())
+
+    private companion object {
+        val LOG = LoggerFactory.getLogger(ControlNode::class.java)
+    }
+}
+
+private const val NANOS_PER_MILLI = 1_000_000L
+
+private fun monotonicMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
+
+private fun HostAndPort.toAddress(): Address = Address(host, port)
+
+private fun nodeOf(settings: Settings): Node {
+    val start = UUID.randomUUID().toString().take(START_ID_LENGTH)
+    return Node(
+        id = NodeId("${settings[CommonSettings.nodeName]}-$start"),
+        role = NodeRole.CONTROL,
+        region = RegionId(settings[CommonSettings.region]),
+        dataCentre = DataCentreId(settings[CommonSettings.dataCentre]),
+        peerAddress = settings[ViewSettings.peerAddress].toAddress(),
+    )
+}
+
+private const val START_ID_LENGTH = 8
--- /dev/null
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetCommands.kt
@@ -0,0 +1,24 @@
+// Carries out fleet commands: each is decided against the newest view and recorded as one change.
+
+package org.gypsumturn.control.fleet
+
+import org.gypsumturn.fleet.command.CommandDecision
+import org.gypsumturn.fleet.command.FleetCommand
+import org.gypsumturn.fleet.command.decideCommand
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.peer.ChangeDecision
+import org.gypsumturn.peer.ChangeHeader
+import org.gypsumturn.peer.ChangeOutcome
+import org.gypsumturn.peer.ChangeRunner
+
+/** Carries out fleet commands through [runner]. */
+internal class FleetCommands(private val runner: ChangeRunner) {
+    /** Decides and records [command]; a refusal is the decision that refused it. */
+    fun run(header: ChangeHeader, command: FleetCommand): Verdict<ChangeOutcome<CommandDecision>> =
+        runner.run(header) { view ->
+            when (val decision = decideCommand(view, command, header.nowMillis)) {
+                is CommandDecision.Accepted -> ChangeDecision.Make(decision.mutations, decision.summary)
+                else -> ChangeDecision.Refuse(decision)
+            }
+        }
+}
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwner.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwner.kt
@@ -67,6 +67,13 @@
     public fun quarantinedWorkers(): List<InstanceId> =
         state.pools.values.flatMap { it.scheduler.quarantinedWorkers() }.sorted()
 
+    /** Workers that hold a task of an owned pool, as far as this process knows. */
+    public fun busyWorkers(): Set<InstanceId> = state.pools.values
+        .flatMap { pool -> pool.jobs.values }
+        .filter { it.next.state.isHeld }
+        .mapNotNull { it.next.worker }
+        .toSet()
+
     /** What is held at present. */
     public fun counts(): JobOwnerCounts = JobOwnerCounts(
         state.pools.size,
--- a/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
+++ b/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
@@ -19,8 +19,14 @@
 import org.slf4j.LoggerFactory
 import java.util.UUID
 
-/** What a node reports of itself at the time of a beat. */
+/**
+ * What a node reports of itself at the time of a beat.
+ *
+ * @property version version that every duty of the node has in force, or null if only the view's keeper has to
+ * @property busy instances out of service on which the node still has requests or jobs under way
+ */
 public data class NodeActivity(
+    public val version: ViewVersion? = null,
     public val busy: List<InstanceId> = emptyList(),
     public val load: List<PoolLoad> = emptyList(),
 )
@@ -64,7 +70,7 @@
             join(now)
         }
         val current = activity()
-        val version = keeper.currentView().version
+        val version = current.version ?: keeper.currentView().version
         val changed = version != toldVersion || current.busy != toldBusy
         if (now >= nextBeatAtMillis || changed) beat(now, version, current)
     }
