--- a/cli/src/main/kotlin/org/gypsumturn/cli/Main.kt
+++ b/cli/src/main/kotlin/org/gypsumturn/cli/Main.kt
@@ -53,6 +53,7 @@
 private fun parseAndRun(args: List<String>, out: (String) -> Unit, err: (String) -> Unit): Int {
     val parser = ArgParser(NAME, strictSubcommandOptionsOrder = true)
     parser.throwOnEnd()
+    parser.option(ArgType.Boolean, "version", description = "print the version")
     val groups = listOf(
         poolCommands(),
         serviceCommands(),
