Add the load tool

Cause: the promises to callers have to be proved against running entries.

Change: gypsumturn-bench load sends idempotent and keyed requests and durable jobs to a list of entries, for a bounded time and count, at a fixed rate. It asks another entry only where the verdict allows, and in the end compares what callers were told with the stand-in's record of executions. The exit code is 0 only if nothing was lost, doubled, crossed or falsely called not run.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -1,7 +1,9 @@
-// Entry point of the experiment tool: `gypsumturn-bench NAME…` runs the named experiments, or all of them.
+// Entry point of the experiment tool: `gypsumturn-bench NAME…` runs the named experiments, or all of them;
+// `gypsumturn-bench load …` sends load to running entries.
 
 package org.gypsumturn.bench
 
+import org.gypsumturn.bench.load.runLoad
 import kotlin.system.exitProcess
 
 /** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
@@ -11,13 +13,16 @@
 public val EXPERIMENTS: Map<String, Experiment> =
     mapOf()
 
+private const val LOAD = "load"
 private const val EXIT_OK = 0
 private const val EXIT_BOUND_BROKEN = 1
 private const val EXIT_USAGE = 2
 
-/** Runs the experiments named in [args]. */
+/** Runs the experiments named in [args], or the load tool if the first of them is `load`. */
 public fun main(args: Array<String>) {
-    exitProcess(runExperiments(args.toList(), ::println))
+    val code =
+        if (args.firstOrNull() == LOAD) runLoad(args.drop(1), ::println) else runExperiments(args.toList(), ::println)
+    exitProcess(code)
 }
 
 internal fun runExperiments(args: List<String>, print: (String) -> Unit): Int {
--- /dev/null
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadCommand.kt
@@ -0,0 +1,66 @@
+// `gypsumturn-bench load`: sends mixed requests and jobs to entries for a bounded time and count, and proves from the
+// stand-in's record of executions what became of them.
+
+package org.gypsumturn.bench.load
+
+import io.grpc.netty.NettyChannelBuilder
+import org.gypsumturn.runtime.program.CommandLineEnd
+import org.gypsumturn.runtime.program.ExitCode
+import org.gypsumturn.runtime.settings.HostAndPort
+import org.gypsumturn.schema.platform.ExecutionsRequest
+import org.gypsumturn.schema.platform.FaultsGrpc
+import java.net.InetSocketAddress
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+private const val SETTLE_MILLIS = 1_000L
+private const val READ_SECONDS = 10L
+private const val MAX_ANSWER_BYTES = 256 * 1_048_576
+
+/** Runs the load tool with [args]; the exit code is 0 only if nothing was lost, doubled, crossed or falsely not run. */
+internal fun runLoad(args: List<String>, print: (String) -> Unit): Int = try {
+    val options = LoadOptions.parse(args)
+    val result = measureLoad(options, System.currentTimeMillis().toString(radix = 36))
+    print(result.format(options.format))
+    if (result.holds) ExitCode.OK else ExitCode.FAILED
+} catch (e: CommandLineEnd) {
+    print(e.text)
+    e.exitCode
+}
+
+/** Sends the load of [options] and judges it. [run] keeps the ids of different runs apart. */
+internal fun measureLoad(options: LoadOptions, run: String): LoadResult {
+    val plan = planLoad(options, run)
+    val caller = Caller(options.entries, EntryHttp(options.timeoutMillis), options.retryWindowMillis)
+    val jobs = CompletableFuture.supplyAsync { JobRun(options, caller).run(plan.jobs) }
+    val sent = sendRequests(options, plan.requests, caller)
+    val submitted = jobs.join()
+    Thread.sleep(SETTLE_MILLIS)
+    val executions = readExecutions(options.standin)
+    val counts = listOf(
+        countRequests(CallKind.IDEMPOTENT, sent, executions),
+        countRequests(CallKind.KEYED, sent, executions),
+        countJobs(submitted, executions),
+    )
+    return LoadResult(counts.filter { it.sent > 0 }, executions.interrupted.size, remarksOn(sent, submitted))
+}
+
+private fun readExecutions(standin: HostAndPort): Executions {
+    val channel =
+        NettyChannelBuilder
+            .forAddress(InetSocketAddress(standin.host, standin.port))
+            .usePlaintext()
+            .maxInboundMessageSize(MAX_ANSWER_BYTES)
+            .build()
+    try {
+        val stub = FaultsGrpc.newBlockingStub(channel).withDeadlineAfter(READ_SECONDS, TimeUnit.SECONDS)
+        val reply = stub.getExecutions(ExecutionsRequest.getDefaultInstance())
+        return Executions(
+            reply.requestsList.associate { it.key to it.times },
+            reply.jobsList.associate { it.key to it.times },
+            reply.interruptedByRebootList,
+        )
+    } finally {
+        channel.shutdownNow()
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadResult.kt
@@ -0,0 +1,83 @@
+// The result of a run, as a table for people or as JSON for programs.
+
+package org.gypsumturn.bench.load
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+
+/** Result of a run. [interrupted] counts the executions that a reboot cut; [remarks] explain what went wrong. */
+@Serializable
+public data class LoadResult(
+    public val counts: List<LoadCounts>,
+    public val interrupted: Int,
+    public val remarks: List<String>,
+) {
+    /** Whether every promise to callers was kept. */
+    public val holds: Boolean get() = counts.all { it.holds }
+
+    /** The result as text. */
+    public fun format(format: ResultFormat): String =
+        if (format == ResultFormat.JSON) Json { prettyPrint = true }.encodeToString(this) else table()
+
+    private fun table(): String {
+        val lines = listOf(HEADINGS) + counts.map(::row)
+        val widths = HEADINGS.indices.map { column -> lines.maxOf { it[column].length } }
+        val grid = lines.map { line ->
+            line.mapIndexed { column, text ->
+                if (column ==
+                    0
+                ) {
+                    text.padEnd(widths[0])
+                } else {
+                    text.padStart(widths[column])
+                }
+            }
+                .joinToString("  ")
+        }
+        val verdict = if (holds) "nothing lost, doubled or crossed" else "BROKEN: see lost, doubled, crossed, false"
+        val rest = listOf("cut by a reboot: $interrupted", verdict) + remarks
+        return (grid + rest).joinToString("\n")
+    }
+
+    private fun row(counts: LoadCounts): List<String> = with(counts) {
+        val numbers = listOf(sent, answered, notRun, mayHaveRun, lost, doubled, crossed, falselyNotRun)
+        listOf(kind) + numbers.map { "$it" } + listOf("$p50Millis ms", "$p99Millis ms")
+    }
+
+    private companion object {
+        val HEADINGS = listOf(
+            "calls",
+            "sent",
+            "answered",
+            "not run",
+            "may have run",
+            "lost",
+            "doubled",
+            "crossed",
+            "false not run",
+            "p50",
+            "p99",
+        )
+    }
+}
+
+private const val MAX_REMARKS = 20
+private const val MAX_REASON_LENGTH = 160
+
+/** Says how the calls that did not get an answer ended, the most frequent reasons first. */
+internal fun remarksOn(sent: List<SentRequest>, jobs: List<SubmittedJob>): List<String> {
+    val calls = sent.map { it.call } + jobs.map { it.submission }
+    val reasons = calls.filter { it.end != CallEnd.ANSWERED }.groupingBy { "${it.end}: ${reasonOf(it)}" }.eachCount()
+    val unfinished = jobs.filter { it.submission.end == CallEnd.ANSWERED && it.doneMillis == null }
+    return reasons.entries.sortedByDescending { it.value }.take(MAX_REMARKS).map { "${it.value} x ${it.key}" } +
+        unfinished.take(MAX_REMARKS).map { "job ${it.spec.id} has not ended: ${it.record?.state} ${it.record?.reason}" }
+}
+
+private fun reasonOf(call: FinishedCall): String = when (val last = call.history.last()) {
+    is Reply.Ran -> ""
+    is Reply.NotRun -> last.reason
+    is Reply.MayHaveRun -> last.reason
+    is Reply.NoConnection -> last.reason
+    is Reply.Broken -> last.reason
+}.take(MAX_REASON_LENGTH)
