--- a/entry/src/test/kotlin/org/gypsumturn/entry/Fixture.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/Fixture.kt
@@ -3,6 +3,7 @@
 package org.gypsumturn.entry
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.prometheus.metrics.model.snapshots.CounterSnapshot
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
 import org.gypsumturn.entry.http.CallerLimits
@@ -139,5 +140,23 @@
 
     fun caller() = RawCaller(node.port)
 
+    /** Number of requests that ended with [verdict]. */
+    fun metric(verdict: String): Double = registry.scrape { it == "gypsumturn_entry_requests" }
+        .flatMap { it.dataPoints }
+        .filter { it.labels.get("verdict") == verdict }
+        .sumOf { (it as CounterSnapshot.CounterDataPointSnapshot).value }
+
     override fun close() = node.stop()
 }
+
+/** Runs [test] with a target that follows [script] and an entry in front of it and of the ports [others]. */
+internal fun serving(
+    script: (SeenRequest, TargetSide) -> Unit = { seen, side -> side.answer(seen.body) },
+    timeoutMillis: Long = 5_000,
+    slots: Int = 8,
+    others: List<Int> = emptyList(),
+    test: (FakeTarget, EntryFixture) -> Unit,
+) = FakeTarget(script).use { target ->
+    val view = SetView(viewOf(listOf(target.port) + others, timeoutMillis, slots = slots))
+    EntryFixture(view).use { test(target, it) }
+}
--- a/entry/src/test/kotlin/org/gypsumturn/entry/WholePathTest.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/WholePathTest.kt
@@ -8,73 +8,65 @@
 class WholePathTest : AnnotationSpec() {
     @Test
     fun `a request gets the whole answer of a target, marked as run`() {
-        FakeTarget { seen, side ->
+        serving({ seen, side ->
             side.answer("<${seen.body}>", 201, "X-Own: yes\r\nX-Verdict: not-run\r\n")
-        }.use { target ->
-            EntryFixture(target).use { entry ->
-                val answer = entry.caller().use { it.call("/services/quotes/kit/7?size=2", "castle") }
-                answer.status shouldBe 201
-                answer.verdict shouldBe "ran"
-                answer.headers["x-own"] shouldBe "yes"
-                answer.body shouldBe "<castle>"
-                target.seen.single().line shouldBe "POST /kit/7?size=2 HTTP/1.1"
-            }
+        }) { target, entry ->
+            val answer = entry.caller().use { it.call("/services/quotes/kit/7?size=2", "castle") }
+            answer.status shouldBe 201
+            answer.verdict shouldBe "ran"
+            answer.headers["x-own"] shouldBe "yes"
+            answer.body shouldBe "<castle>"
+            target.seen.single().line shouldBe "POST /kit/7?size=2 HTTP/1.1"
         }
     }
 
     @Test
     fun `the trace context goes on to the target`() {
         val parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
-        FakeTarget().use { target ->
-            EntryFixture(target).use { entry ->
-                entry.caller().use { it.call("/services/quotes/", headers = listOf("traceparent: $parent")) }
-                target.seen.single().headers.getValue("traceparent") shouldStartWith
-                    "00-0af7651916cd43dd8448eb211c80319c"
-            }
+        serving { target, entry ->
+            entry.caller().use { it.call("/services/quotes/", headers = listOf("traceparent: $parent")) }
+            target.seen.single().headers.getValue("traceparent") shouldStartWith
+                "00-0af7651916cd43dd8448eb211c80319c"
         }
     }
 
     @Test
     fun `requests that cannot be served are refused as not run`() {
-        FakeTarget().use { target ->
-            EntryFixture(target).use { entry ->
-                entry.caller().use { caller ->
-                    caller.call("/services/unknown/x").status shouldBe 404
-                    caller.call("/nothing").status shouldBe 404
-                    caller.call("/services/quotes/", headers = listOf("X-Deadline-Millis: 5s")).status shouldBe 400
-                    caller.call("/services/quotes/", headers = listOf("Idempotency-Key: a/b")).status shouldBe 400
-                    val large = caller.call("/services/quotes/", "x".repeat(2_001))
-                    large.status shouldBe 413
-                    large.verdict shouldBe "not-run"
-                    caller.isClosedByEntry() shouldBe true
-                }
-                entry.caller().use { caller ->
-                    caller.write("POST /services/quotes/ HTTP/1.1\r\nContent-Length: x\r\n\r\n")
-                    val answer = caller.read()
-                    answer.status shouldBe 400
-                    answer.verdict shouldBe "not-run"
-                }
-                target.seen.size shouldBe 0
+        serving { target, entry ->
+            entry.caller().use { caller ->
+                caller.call("/services/unknown/x").status shouldBe 404
+                caller.call("/nothing").status shouldBe 404
+                caller.call("/services/quotes/", headers = listOf("X-Deadline-Millis: 5s")).status shouldBe 400
+                caller.call("/services/quotes/", headers = listOf("Idempotency-Key: a/b")).status shouldBe 400
+                val large = caller.call("/services/quotes/", "x".repeat(2_001))
+                large.status shouldBe 413
+                large.verdict shouldBe "not-run"
+                caller.isClosedByEntry() shouldBe true
             }
+            entry.caller().use { caller ->
+                caller.write("POST /services/quotes/ HTTP/1.1\r\nContent-Length: x\r\n\r\n")
+                val answer = caller.read()
+                answer.status shouldBe 400
+                answer.verdict shouldBe "not-run"
+            }
+            target.seen.size shouldBe 0
         }
     }
 
     @Test
     fun `health tells whether new work is taken, and an isolated entry takes none`() {
-        FakeTarget().use { target ->
-            EntryFixture(target).use { entry ->
-                entry.caller().use { caller ->
-                    caller.call("/health/ready", method = "GET").status shouldBe 200
-                    entry.view.readiness = org.gypsumturn.view.Readiness(false, "the view's lease lapsed")
-                    val ready = caller.call("/health/ready", method = "GET")
-                    ready.status shouldBe 503
-                    ready.body shouldContain "lease lapsed"
-                    caller.call("/health/live", method = "GET").status shouldBe 200
-                    val answer = caller.call("/services/quotes/")
-                    answer.status shouldBe 503
-                    answer.verdict shouldBe "not-run"
-                    target.seen.size shouldBe 0
-                }
+        serving { target, entry ->
+            entry.caller().use { caller ->
+                caller.call("/health/ready", method = "GET").status shouldBe 200
+                entry.view.readiness = org.gypsumturn.view.Readiness(false, "the view's lease lapsed")
+                val ready = caller.call("/health/ready", method = "GET")
+                ready.status shouldBe 503
+                ready.body shouldContain "lease lapsed"
+                caller.call("/health/live", method = "GET").status shouldBe 200
+                val answer = caller.call("/services/quotes/")
+                answer.status shouldBe 503
+                answer.verdict shouldBe "not-run"
+                target.seen.size shouldBe 0
             }
         }
     }
