Add the experiment on jobs; judge workers by a sequential test

The experiment drives the real owner and scheduler at today's deployments and at the target size. Its first runs found faults, mended here: - a healthy worker was quarantined by two accidents next to a failing class; the judge now weighs each failure by how seldom the class fails elsewhere, ignores ends of attempts that began before the failures, and condemns by trials alone; - an owner kept the caller's set of live processes and so missed its change; - a job killed for want of memory came back with the size that killed it.

--- /dev/null
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/OwnerWorld.kt
@@ -0,0 +1,130 @@
+// Owners of a whole fleet on one table, in virtual time, with delays for each call and counts of what the table does.
+
+package org.gypsumturn.bench.jobs
+
+import org.gypsumturn.jobs.JobAcceptance
+import org.gypsumturn.jobs.JobOwner
+import org.gypsumturn.jobs.JobOwnerSettings
+import org.gypsumturn.model.Capacity
+import org.gypsumturn.model.FleetView
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.JobClassId
+import org.gypsumturn.model.JobId
+import org.gypsumturn.model.JobSpec
+import org.gypsumturn.model.NodeId
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.Priority
+import org.gypsumturn.model.TeamId
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.platform.CommitOutcome
+import org.gypsumturn.platform.Row
+import org.gypsumturn.platform.RowKey
+import org.gypsumturn.platform.TableStore
+import org.gypsumturn.platform.TaskStart
+import org.gypsumturn.platform.Transaction
+import org.gypsumturn.platform.fake.FakeTableStore
+import org.gypsumturn.platform.fake.FakeWorkerTasks
+import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.platform.fake.TaskScript
+
+/** Calls and rows that a table has served. */
+internal data class TableCounts(val commits: Long, val reads: Long, val rowsWritten: Long, val rowsRead: Long) {
+    operator fun minus(other: TableCounts): TableCounts = TableCounts(
+        commits - other.commits,
+        reads - other.reads,
+        rowsWritten - other.rowsWritten,
+        rowsRead - other.rowsRead,
+    )
+}
+
+/** A table that counts its calls and lets [onCall] pass time. */
+internal class CountingTable(private val table: FakeTableStore, private val onCall: () -> Unit) : TableStore {
+    private var commits = 0L
+    private var reads = 0L
+
+    fun counts(): TableCounts = table.usage().let { TableCounts(commits, reads, it.writtenRows, it.readRows) }
+
+    override fun read(keys: List<RowKey>, timeoutMillis: Long): Verdict<List<Row>> {
+        reads++
+        onCall()
+        return table.read(keys, timeoutMillis)
+    }
+
+    override fun scan(prefix: String, after: RowKey?, limit: Int, timeoutMillis: Long): Verdict<List<Row>> {
+        reads++
+        onCall()
+        return table.scan(prefix, after, limit, timeoutMillis)
+    }
+
+    override fun commit(transaction: Transaction, timeoutMillis: Long): Verdict<CommitOutcome> {
+        commits++
+        onCall()
+        return table.commit(transaction, timeoutMillis)
+    }
+}
+
+/**
+ * A fleet with its owners. Owners step every [STEP_MILLIS], spread over that time; within a step each call to the table
+ * takes [TABLE_MILLIS].
+ */
+internal class OwnerWorld(
+    val size: FleetSize,
+    nodes: Int,
+    private val script: (InstanceId, TaskStart) -> TaskScript,
+    settings: JobOwnerSettings = JobOwnerSettings(),
+) {
+    var nowMillis: Long = 1_000_000_000L
+    var isTableDown: Boolean = false
+    private var callMillis = 0L
+    private val fake = FakeTableStore { if (isTableDown) TableFault.REFUSE else TableFault.NONE }
+    val table = CountingTable(fake) { callMillis += TABLE_MILLIS }
+    val workers = FakeWorkerTasks({ nowMillis + callMillis }, script = { worker, task -> script(worker, task) })
+    val acceptance = JobAcceptance(table)
+    val view: FleetView = viewOf(size)
+    val owners: LinkedHashMap<NodeId, JobOwner> = LinkedHashMap()
+
+    init {
+        for (number in 0 until nodes) {
+            val id = NodeId("node-$number")
+            owners[id] = JobOwner(table, workers, id, settings)
+        }
+    }
+
+    /** Lets [millis] pass; [eachStep] is called before the owners' rounds. */
+    fun run(millis: Long, eachStep: () -> Unit = {}) {
+        val end = nowMillis + millis
+        while (nowMillis < end) {
+            eachStep()
+            owners.values.forEach { owner ->
+                callMillis = 0
+                owner.step(nowMillis, view, owners.keys)
+            }
+            callMillis = 0
+            nowMillis += STEP_MILLIS
+        }
+    }
+
+    fun accept(specs: List<JobSpec>): List<Verdict<*>> = acceptance.acceptAll(nowMillis, specs, TIMEOUT_MILLIS)
+
+    fun spec(
+        id: String,
+        pool: PoolId,
+        priority: Priority = Priority.NORMAL,
+        declared: Capacity = Capacity(1_000, 1_024),
+    ): JobSpec = JobSpec(
+        JobId(id),
+        pool,
+        TeamId("team-${id.length % size.teams}"),
+        JobClassId("class-$priority"),
+        priority,
+        declared,
+        declaredMillis = 30_000,
+        idempotent = true,
+    )
+
+    companion object {
+        const val STEP_MILLIS = 250L
+        const val TABLE_MILLIS = 10L
+        const val TIMEOUT_MILLIS = 1_000L
+    }
+}
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/HeldJob.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/HeldJob.kt
@@ -3,6 +3,7 @@
 
 package org.gypsumturn.jobs
 
+import org.gypsumturn.model.Capacity
 import org.gypsumturn.model.JobRecord
 import org.gypsumturn.model.Revision
 import org.gypsumturn.placement.JobEvent
@@ -33,6 +34,9 @@
     var leaseUntilMillis: Long = 0
     var start: StartKnowledge = StartKnowledge.UNKNOWN
 
+    /** What the attempts were seen to use. */
+    var used: Capacity = Capacity.ZERO
+
     private val events = ArrayDeque<TimedEvent>()
     private var writtenEvents = 0
     private var written: JobRecord? = null
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/OwnedPool.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/OwnedPool.kt
@@ -53,7 +53,7 @@
     /** Lets [job] wait for a worker. */
     fun enqueue(job: HeldJob) {
         val record = job.record
-        scheduler.enqueue(WaitingJob(record.spec, record.acceptedAtMillis, record.failedOn.toSet()))
+        scheduler.enqueue(WaitingJob(record.spec, record.acceptedAtMillis, record.failedOn.toSet(), job.used))
     }
 
     /** Forgets a job that has ended. */
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/PoolOwnership.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/PoolOwnership.kt
@@ -55,7 +55,7 @@
     private fun wantedPools(view: FleetView, live: Set<NodeId>): Set<PoolId> {
         if (live != ownersFor) {
             ownBuckets = (0 until OWNER_BUCKETS).filter { ownerOf(it, live) == self }.toSet()
-            ownersFor = live
+            ownersFor = live.toSet()
         }
         return view.pools.values.filter { it.runsJobs && bucketOf(it.id) in ownBuckets }.mapTo(HashSet()) { it.id }
     }
--- a/placement/src/main/kotlin/org/gypsumturn/placement/FailureJudge.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/FailureJudge.kt
@@ -1,26 +1,26 @@
-// Tells jobs that can never run from workers that fail everything. A failure is evidence against the job as far as
-// the worker does well with other classes, and against the worker as far as the class does well on other workers.
+// Tells jobs that can never run from workers that fail everything. A failure weighs against a worker by how seldom the
+// job's class fails elsewhere, after A. Wald, "Sequential Tests of Statistical Hypotheses" (1945): the worker is
+// quarantined once its row of failures would be a rare accident on a healthy one.
 
 package org.gypsumturn.placement
 
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.JobClassId
+import org.gypsumturn.model.JobId
 import org.gypsumturn.model.JobRecord
 import org.gypsumturn.model.JobSpec
+import kotlin.math.ln
 
 /** Trust in a worker. */
 public enum class WorkerTrust {
     /** Gets jobs as it has room. */
     TRUSTED,
 
-    /** Gets nothing until its time is over. */
-    QUARANTINED,
-
-    /** Its quarantine is over. Gets one job at a time; a success makes it trusted again. */
-    PROBATION,
+    /** Gets one new job at a time, as a trial, until one ends well. */
+    ON_TRIAL,
 
-    /** Failed its last jobs. Gets one job at a time until one succeeds. */
-    SUSPECTED,
+    /** Gets nothing until its time is over; then it is on trial. */
+    QUARANTINED,
 }
 
 /** Judges the failures in one pool. */
@@ -28,44 +28,47 @@
     private val workers = HashMap<InstanceId, WorkerHistory>()
     private val classes = HashMap<JobClassId, ClassHistory>()
 
-    /** Takes in a success. */
-    public fun succeeded(spec: JobSpec, worker: InstanceId) {
-        val history = workers.getOrPut(worker) { WorkerHistory() }
-        history.recover()
+    /** Takes in that an attempt of [job] begins on [worker]. */
+    public fun began(job: JobId, worker: InstanceId, nowMillis: Long) {
+        if (trustIn(worker, nowMillis) == WorkerTrust.ON_TRIAL) workers.getValue(worker).trial = job
+    }
+
+    /** Takes in that the attempt of [job] on [worker] ended in another way than by success or failure. */
+    public fun abandoned(job: JobId, worker: InstanceId) {
+        val history = workers[worker] ?: return
+        if (history.trial == job) history.trial = null
+    }
+
+    /** Takes in the success of an attempt that began at [beganAtMillis]. */
+    public fun succeeded(spec: JobSpec, worker: InstanceId, beganAtMillis: Long) {
         classes.getOrPut(spec.jobClass) { ClassHistory() }.succeeded(worker)
+        workers.getOrPut(worker) { WorkerHistory() }.succeeded(spec.id, beganAtMillis)
     }
 
-    /** Takes in a failure; true if the worker is quarantined by it. */
-    public fun failed(spec: JobSpec, worker: InstanceId, nowMillis: Long): Boolean {
+    /** Takes in the failure of an attempt that began at [beganAtMillis]; true if the worker is quarantined by it. */
+    public fun failed(spec: JobSpec, worker: InstanceId, beganAtMillis: Long, nowMillis: Long): Boolean {
         val history = workers.getOrPut(worker) { WorkerHistory() }
         val jobClass = classes.getOrPut(spec.jobClass) { ClassHistory() }
+        val evidence = ln(1 / jobClass.failureShareElsewhere(worker))
         jobClass.failed(worker)
-        history.failuresInRow++
-        val blame = jobClass.successShareElsewhere(worker)
-        history.blameByClass.merge(spec.jobClass, blame, ::maxOf)
-        history.blame += blame
-        if (history.quarantinedUntilMillis != null) {
-            history.quarantine(nowMillis)
-            return true
-        }
-        if (!history.isCondemned) return false
+        val isCondemned = history.failed(spec, beganAtMillis, evidence)
+        if (!isCondemned) return false
         history.quarantine(nowMillis)
+        classes.values.forEach { it.forget(worker) }
         return true
     }
 
     /** Trust in [worker] at [nowMillis]. */
-    public fun trustIn(worker: InstanceId, nowMillis: Long): WorkerTrust {
-        val history = workers[worker] ?: return WorkerTrust.TRUSTED
-        val until = history.quarantinedUntilMillis
-        return when {
-            until == null && history.failuresInRow < SUSPICIOUS_FAILURES -> WorkerTrust.TRUSTED
-            until == null -> WorkerTrust.SUSPECTED
-            nowMillis < until -> WorkerTrust.QUARANTINED
-            else -> WorkerTrust.PROBATION
-        }
-    }
-
-    /** Workers that are quarantined or on probation; they count as lost. */
+    public fun trustIn(worker: InstanceId, nowMillis: Long): WorkerTrust = when {
+        (workers[worker]?.quarantinedUntilMillis ?: Long.MIN_VALUE) > nowMillis -> WorkerTrust.QUARANTINED
+        workers[worker]?.isOnTrial == true -> WorkerTrust.ON_TRIAL
+        else -> WorkerTrust.TRUSTED
+    }
+
+    /** Whether a trial on [worker] is under way. */
+    public fun isTrying(worker: InstanceId): Boolean = workers[worker]?.trial != null
+
+    /** Workers that were quarantined and have not ended a job well since; they count as lost. */
     public fun distrusted(): Set<InstanceId> = workers.filterValues { it.quarantinedUntilMillis != null }.keys
 
     /** When the quarantine of [worker] ends or ended, or null if it is not distrusted. */
@@ -73,97 +76,135 @@
 
     /** Why the job of [record], with its failures, can never run, or null while that is not shown. */
     public fun jobVerdict(record: JobRecord, detail: String): String? {
-        val healthy = record.failedOn.distinct().filter { isHealthyFor(record.spec.jobClass, it) }
-        if (healthy.size < WORKERS_TO_CONDEMN_A_JOB) {
-            if (record.failures < FAILURES_TO_CONDEMN_A_JOB) return null
-            return "failed ${record.failures} times on ${record.failedOn.take(MAX_NAMED).joinToString()}; " +
-                "last error: ${detail.take(MAX_DETAIL_CHARS)}"
-        }
-        return "failed on ${healthy.size} workers that run other jobs well " +
-            "(${healthy.take(MAX_NAMED).joinToString()}); last error: ${detail.take(MAX_DETAIL_CHARS)}"
-    }
-
-    /** A worker that only failed of late is no witness against a job, unless only this class was tried on it. */
-    private fun isHealthyFor(jobClass: JobClassId, worker: InstanceId): Boolean {
+        val jobClass = record.spec.jobClass
+        val witnesses = record.failedOn.distinct().filter { isWitness(jobClass, it) }
+        val needed = if ((classes[jobClass]?.successShare ?: 0.0) > 0.5) WITNESSES_IN_GOOD_CLASS else WITNESSES
+        if (witnesses.size < needed && record.failures < MAX_FAILURES) return null
+        val named = record.failedOn.take(MAX_NAMED).joinToString()
+        val where =
+            if (witnesses.size < needed) "on $named" else "on ${witnesses.size} workers that run other jobs ($named)"
+        return "failed ${record.failures} times $where; last error: ${detail.take(MAX_DETAIL_CHARS)}"
+    }
+
+    /** A worker on which other classes only fail says nothing about a job. */
+    private fun isWitness(jobClass: JobClassId, worker: InstanceId): Boolean {
         val history = workers[worker] ?: return true
-        if (history.quarantinedUntilMillis != null) return false
-        return history.blameByClass.keys.all { it == jobClass } || history.failuresInRow < SUSPICIOUS_FAILURES
-    }
-
-    private class WorkerHistory {
-        var failuresInRow = 0
-        var blame = 0.0
-        var quarantinedUntilMillis: Long? = null
-        val blameByClass = HashMap<JobClassId, Double>()
-        private var quarantines = 0
-
-        val isCondemned: Boolean
-            get() = failuresInRow >= FAILURES_TO_CONDEMN_A_WORKER && blame >= BLAME_TO_CONDEMN_A_WORKER
-
-        fun recover() {
-            failuresInRow = 0
-            blame = 0.0
-            blameByClass.clear()
-            quarantinedUntilMillis = null
-            quarantines = 0
-        }
-
-        fun quarantine(nowMillis: Long) {
-            val time = FIRST_QUARANTINE_MILLIS shl quarantines.coerceAtMost(MAX_DOUBLINGS)
-            quarantines++
-            quarantinedUntilMillis = nowMillis + time
-        }
-    }
-
-    /** Recent ends of one class by worker; old ones fade. */
-    private class ClassHistory {
-        private val good = HashMap<InstanceId, Double>()
-        private val bad = HashMap<InstanceId, Double>()
-        private var goodSum = 0.0
-        private var badSum = 0.0
-
-        fun succeeded(worker: InstanceId) {
-            good.merge(worker, 1.0, Double::plus)
-            goodSum++
-            fade()
-        }
-
-        fun failed(worker: InstanceId) {
-            bad.merge(worker, 1.0, Double::plus)
-            badSum++
-            fade()
-        }
-
-        /** Share of successes on workers other than [worker]; nothing known counts as a low share. */
-        fun successShareElsewhere(worker: InstanceId): Double {
-            val goodElsewhere = goodSum - (good[worker] ?: 0.0)
-            val badElsewhere = badSum - (bad[worker] ?: 0.0)
-            return goodElsewhere / (goodElsewhere + badElsewhere + PRIOR_ENDS)
-        }
-
-        private fun fade() {
-            if (goodSum + badSum < MAX_ENDS) return
-            good.replaceAll { _, value -> value / 2 }
-            bad.replaceAll { _, value -> value / 2 }
-            good.values.removeIf { it < FADED }
-            bad.values.removeIf { it < FADED }
-            goodSum = good.values.sum()
-            badSum = bad.values.sum()
-        }
+        return history.quarantinedUntilMillis == null && history.failedClasses.all { it == jobClass }
     }
 
     private companion object {
-        const val WORKERS_TO_CONDEMN_A_JOB = 3
-        const val FAILURES_TO_CONDEMN_A_JOB = 8
-        const val FAILURES_TO_CONDEMN_A_WORKER = 3
-        const val SUSPICIOUS_FAILURES = 2
-        const val BLAME_TO_CONDEMN_A_WORKER = 1.8
+        const val WITNESSES = 3
+        const val WITNESSES_IN_GOOD_CLASS = 5
+        const val MAX_FAILURES = 12
+        const val MAX_NAMED = 5
+        const val MAX_DETAIL_CHARS = 200
+    }
+}
+
+/** Failures of one worker since the start of the latest attempt that ended well. */
+private class WorkerHistory {
+    var quarantinedUntilMillis: Long? = null
+    var trial: JobId? = null
+    val failedClasses = HashSet<JobClassId>()
+    private var lastGoodBeginMillis = Long.MIN_VALUE
+    private var evidence = 0.0
+    private var trialEvidence = 0.0
+    private var quarantines = 0
+
+    /** Whether the failures make the worker doubtful. */
+    val isOnTrial: Boolean get() = quarantinedUntilMillis != null || evidence >= DOUBT
+
+    /** A worker that went bad still ends well what it began before, so only later attempts speak for it. */
+    fun succeeded(job: JobId, beganAtMillis: Long) {
+        val wasTrial = trial == job
+        if (wasTrial) trial = null
+        lastGoodBeginMillis = maxOf(lastGoodBeginMillis, beganAtMillis)
+        if (isOnTrial && !wasTrial) return
+        evidence = 0.0
+        trialEvidence = 0.0
+        failedClasses.clear()
+        quarantinedUntilMillis = null
+        quarantines = 0
+    }
+
+    /** True if the worker is to be quarantined. */
+    fun failed(spec: JobSpec, beganAtMillis: Long, weight: Double): Boolean {
+        val wasTrial = trial == spec.id
+        if (wasTrial) trial = null
+        if (beganAtMillis < lastGoodBeginMillis) return false
+        failedClasses += spec.jobClass
+        evidence += weight
+        if (!wasTrial) return false
+        trialEvidence += weight
+        return trialEvidence >= if (quarantinedUntilMillis == null) CERTAINTY else DOUBT
+    }
+
+    fun quarantine(nowMillis: Long) {
+        quarantinedUntilMillis = nowMillis + (FIRST_QUARANTINE_MILLIS shl quarantines.coerceAtMost(MAX_DOUBLINGS))
+        quarantines++
+        trialEvidence = 0.0
+    }
+
+    private companion object {
+        /** Evidence at which a row of failures is one in four hundred on a healthy worker. */
+        val DOUBT = ln(400.0)
+
+        /** Evidence at which the failures of trials alone are one in a million on a healthy worker. */
+        val CERTAINTY = ln(1e6)
         const val FIRST_QUARANTINE_MILLIS = 300_000L
         const val MAX_DOUBLINGS = 6
-        const val PRIOR_ENDS = 1.0
+    }
+}
+
+/** Recent ends of one class by worker; old ones fade. */
+private class ClassHistory {
+    private val good = HashMap<InstanceId, Double>()
+    private val bad = HashMap<InstanceId, Double>()
+    private var goodSum = 0.0
+    private var badSum = 0.0
+
+    /** Share of attempts that ended well. */
+    val successShare: Double get() = goodSum / (goodSum + badSum + 1)
+
+    fun succeeded(worker: InstanceId) {
+        good.merge(worker, 1.0, Double::plus)
+        goodSum++
+        fade()
+    }
+
+    fun failed(worker: InstanceId) {
+        bad.merge(worker, 1.0, Double::plus)
+        badSum++
+        fade()
+    }
+
+    /** Leaves the failures on [worker] out of account. */
+    fun forget(worker: InstanceId) {
+        badSum -= bad.remove(worker) ?: 0.0
+    }
+
+    /** Share of failures on workers other than [worker], from one half where nothing is known. */
+    fun failureShareElsewhere(worker: InstanceId): Double {
+        val goodElsewhere = goodSum - (good[worker] ?: 0.0)
+        val badElsewhere = badSum - (bad[worker] ?: 0.0)
+        return ((badElsewhere + 1) / (goodElsewhere + badElsewhere + 2)).coerceAtLeast(MIN_FAILURE_SHARE)
+    }
+
+    private fun fade() {
+        if (goodSum + badSum < MAX_ENDS) return
+        good.replaceAll { _, value -> value / 2 }
+        bad.replaceAll { _, value -> value / 2 }
+        good.values.removeIf { it < FADED }
+        bad.values.removeIf { it < FADED }
+        goodSum = good.values.sum()
+        badSum = bad.values.sum()
+    }
+
+    private companion object {
         const val MAX_ENDS = 400.0
         const val FADED = 0.2
-        const val MAX_NAMED = 5
-        const val MAX_DETAIL_CHARS = 200
+
+        /** No class is taken to fail less often than this. */
+        const val MIN_FAILURE_SHARE = 0.03
     }
 }
--- a/placement/src/main/kotlin/org/gypsumturn/placement/PlacementRound.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/PlacementRound.kt
@@ -74,7 +74,7 @@
     ): WaitingJob? {
         for (job in queues.heads(priority, team, LOOKAHEAD)) {
             if (!due(job)) return null
-            val need = sizes.estimate(job.spec)
+            val need = needOf(job)
             val slot = slotFor(job, need, nowMillis) ?: continue
             reservations.drop(job.spec.id)
             chosen(job, slot, need)
@@ -130,7 +130,7 @@
             heads()
                 .filter { it.spec.priority != Priority.URGENT && reservations.slotOf(it.spec.id) == null }
                 .filter { nowMillis - it.sinceMillis >= settings.patienceMillis }
-                .filter { ledger.allows(it.spec.team, sizes.estimate(it.spec)) }
+                .filter { ledger.allows(it.spec.team, needOf(it)) }
                 .sortedBy { it.sinceMillis }
         for (job in patient.take(bound - reservations.count)) {
             slots.all
@@ -143,8 +143,9 @@
 
     private fun heads(): List<WaitingJob> = Priority.entries.flatMap { queues.oldest(it) }
 
-    private fun fitsWhole(job: WaitingJob, slot: WorkerSlot): Boolean =
-        sizes.estimate(job.spec).fitsIn(slot.info.capacity)
+    private fun fitsWhole(job: WaitingJob, slot: WorkerSlot): Boolean = needOf(job).fitsIn(slot.info.capacity)
+
+    private fun needOf(job: WaitingJob): Capacity = larger(sizes.estimate(job.spec), job.used)
 
     private fun describe(capacity: Capacity): String =
         "${capacity.processorsMilli} millicores, ${capacity.memoryMib} MiB and ${capacity.accelerators} accelerators"
--- a/placement/src/main/kotlin/org/gypsumturn/placement/PoolScheduler.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/PoolScheduler.kt
@@ -9,11 +9,17 @@
 import org.gypsumturn.model.JobRecord
 import org.gypsumturn.model.JobSpec
 
-/** A job that waits since [sinceMillis] and should keep away from the workers in [avoid]. */
+/**
+ * A job that waits since [sinceMillis].
+ *
+ * @property avoid workers on which the job failed
+ * @property used what earlier attempts were seen to use; no less is set aside
+ */
 public data class WaitingJob(
     public val spec: JobSpec,
     public val sinceMillis: Long,
     public val avoid: Set<InstanceId> = emptySet(),
+    public val used: Capacity = Capacity.ZERO,
 )
 
 /** A decision: [job] starts on [worker] with [limit] set aside. */
@@ -78,6 +84,7 @@
         val holding = holdings.remove(id) ?: return
         slots.give(holding)
         ledger.subtract(holding.spec.team, holding.limit)
+        judge.abandoned(id, holding.worker)
         val slot = slots[holding.worker] ?: return
         usability.update(slot, nowMillis)
         preemption.unthrottle(slot)
@@ -104,17 +111,17 @@
         ledger.add(holding.spec.team, grown)
     }
 
-    /** Takes in the good end of a job. */
+    /** Takes in the good end of a job, before its release. */
     public fun succeeded(spec: JobSpec, worker: InstanceId, usage: Capacity, ranMillis: Long, nowMillis: Long) {
         val peak = larger(holdings[spec.id]?.peak ?: Capacity.ZERO, usage)
         sizes.learn(spec, peak, ranMillis)
-        judge.succeeded(spec, worker)
+        judge.succeeded(spec, worker, holdings[spec.id]?.sinceMillis ?: nowMillis)
         slots[worker]?.let { usability.update(it, nowMillis) }
     }
 
-    /** Takes in the failure of a job; returns why it can never run, if [record] now shows that. */
+    /** Takes in the failure of a job, before its release; returns why it can never run, if [record] now shows that. */
     public fun failed(record: JobRecord, worker: InstanceId, detail: String, nowMillis: Long): String? {
-        judge.failed(record.spec, worker, nowMillis)
+        judge.failed(record.spec, worker, holdings[record.spec.id]?.sinceMillis ?: nowMillis, nowMillis)
         slots[worker]?.let { usability.update(it, nowMillis) }
         return judge.jobVerdict(record, detail)
     }
@@ -141,6 +148,7 @@
             val holding = Holding(job.spec, slot.info.id, limit, nowMillis)
             if (!preemption.mayTake(job.spec.id)) holding.isPreemptible = false
             hold(holding)
+            judge.began(job.spec.id, slot.info.id, nowMillis)
             usability.update(slot, nowMillis)
         }
     }
@@ -153,10 +161,11 @@
         slots.take(holding)
         ledger.add(holding.spec.team, holding.limit)
     }
-
-    private fun larger(a: Capacity, b: Capacity): Capacity = Capacity(
-        maxOf(a.processorsMilli, b.processorsMilli),
-        maxOf(a.memoryMib, b.memoryMib),
-        maxOf(a.accelerators, b.accelerators),
-    )
 }
+
+/** The greater of both capacities in each part. */
+internal fun larger(a: Capacity, b: Capacity): Capacity = Capacity(
+    maxOf(a.processorsMilli, b.processorsMilli),
+    maxOf(a.memoryMib, b.memoryMib),
+    maxOf(a.accelerators, b.accelerators),
+)
--- a/placement/src/main/kotlin/org/gypsumturn/placement/WorkerUsability.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/WorkerUsability.kt
@@ -1,5 +1,5 @@
-// Which workers may get new jobs: not those in quarantine or suspended, and only one job at a time for those that are
-// suspected or on probation.
+// Which workers may get new jobs: not those in quarantine or suspended, and only one new job at a time for
+// those that are on trial.
 
 package org.gypsumturn.placement
 
@@ -57,7 +57,7 @@
         if ((suspendedUntil[id] ?: Long.MIN_VALUE) > nowMillis) return false
         return when (judge.trustIn(id, nowMillis)) {
             WorkerTrust.QUARANTINED -> false
-            WorkerTrust.PROBATION, WorkerTrust.SUSPECTED -> slot.holdings.isEmpty()
+            WorkerTrust.ON_TRIAL -> !judge.isTrying(id)
             WorkerTrust.TRUSTED -> true
         }
     }
