--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -2,6 +2,7 @@
 
 package org.gypsumturn.bench
 
+import org.gypsumturn.bench.fleet.fleetExperiment
 import kotlin.system.exitProcess
 
 /** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
@@ -9,7 +10,9 @@
 
 /** The experiments by name. */
 public val EXPERIMENTS: Map<String, Experiment> =
-    mapOf()
+    mapOf(
+        "fleet" to ::fleetExperiment,
+    )
 
 private const val EXIT_OK = 0
 private const val EXIT_BOUND_BROKEN = 1
--- /dev/null
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/CapacityRun.kt
@@ -0,0 +1,155 @@
+// Runs a site through a demand trace in virtual time, with the real decisions on moves and the real budgets, and adds up
+// what the policy costs.
+
+package org.gypsumturn.bench.fleet
+
+import org.apache.commons.rng.simple.RandomSource
+import org.gypsumturn.fleet.capacity.CapacitySettings
+import org.gypsumturn.fleet.capacity.CapacityState
+import org.gypsumturn.fleet.capacity.CapacityWeights
+import org.gypsumturn.fleet.capacity.MovePolicy
+import org.gypsumturn.fleet.capacity.PoolDemand
+import org.gypsumturn.fleet.capacity.decideMoves
+import org.gypsumturn.fleet.command.FleetCommand
+import org.gypsumturn.fleet.wave.planUpkeep
+import org.gypsumturn.model.FleetView
+import org.gypsumturn.model.Instance
+import org.gypsumturn.model.InstanceState
+import org.gypsumturn.model.ReservationPurpose
+
+private const val DECISION_TICKS = 2
+private const val DRAIN_MILLIS = 15 * SECOND_MILLIS
+private const val WARM_MILLIS = 40 * SECOND_MILLIS
+private const val REPAIR_MILLIS = 10 * MINUTE_MILLIS
+private const val LATE_MILLIS = 10 * SECOND_MILLIS
+private const val BACK_OFFICE_LATE_MILLIS = HOUR_MILLIS
+private const val MOVER_CRASHES_PER_TICK = 1.0 / 4_320
+private const val MOVER_DOWN_MILLIS = 60 * SECOND_MILLIS
+private const val LOSSES_PER_INSTANCE_AND_TICK = 92.0 / 6_200 / (DAY_MILLIS / TICK_MILLIS)
+private const val START_MILLIS = 1_000 * DAY_MILLIS
+
+/** What a policy has cost. Idle time counts in all pools but the spare ones, and while an instance moves. */
+internal data class CapacityCost(val idleInstanceHours: Double, val moves: Double, val lateInstanceHours: Double) {
+    fun total(weights: CapacityWeights): Double = idleInstanceHours * weights.bufferPerInstanceHour +
+        moves * weights.perMove +
+        lateInstanceHours * weights.latePerInstanceHour
+
+    operator fun plus(other: CapacityCost): CapacityCost = CapacityCost(
+        idleInstanceHours + other.idleInstanceHours,
+        moves + other.moves,
+        lateInstanceHours + other.lateInstanceHours,
+    )
+}
+
+internal class CapacityRun(
+    private val site: Site,
+    private val trace: DemandTrace,
+    private val settings: CapacitySettings,
+    private val policy: MovePolicy,
+    seed: Long,
+    private val audit: BudgetAudit,
+) {
+    private val random = RandomSource.XO_SHI_RO_256_PP.create(seed)
+    private val pools = site.poolSizes.indices.map { poolId(it) }
+    private val spare = site.poolSizes.indices.map { it % site.groupSize == site.groupSize - 1 }
+    private val queues = spare.map {
+        if (it) PoolQueue(BACK_OFFICE_LATE_MILLIS, dropsLate = false) else PoolQueue(LATE_MILLIS, dropsLate = true)
+    }
+    private var view: FleetView = site.view(START_MILLIS)
+    private var state = CapacityState()
+    private var moverDownUntil = 0L
+    private var idleMillis = 0.0
+    private var moves = 0
+
+    fun run(): CapacityCost {
+        var now = START_MILLIS
+        for (tick in 0 until trace.ticks) {
+            now = START_MILLIS + tick * TICK_MILLIS
+            fail(now)
+            progress(now)
+            serve(tick, now)
+            if (tick % DECISION_TICKS == 0) decide(tick, now)
+        }
+        queues.forEach { it.close(now) }
+        val late = queues.sumOf { it.lateMillis }
+        return CapacityCost(idleMillis / HOUR_MILLIS, moves.toDouble(), late / HOUR_MILLIS)
+    }
+
+    private fun submit(command: FleetCommand, now: Long, instance: Instance) {
+        val after = view.accept(command, now)
+        audit.check(view, after, listOf(instance.id))
+        view = after
+    }
+
+    private fun advance(instance: Instance, state: InstanceState, now: Long) {
+        submit(FleetCommand.AdvanceInstance(instance.id, state, instance.revision), now, instance)
+    }
+
+    private fun fail(now: Long) {
+        val losses = site.instances * LOSSES_PER_INSTANCE_AND_TICK
+        if (random.nextDouble() < losses) {
+            val victim = view.instances.values.elementAt(random.nextInt(view.instances.size))
+            advance(victim, InstanceState.LOST, now)
+        }
+        if (random.nextDouble() < MOVER_CRASHES_PER_TICK) {
+            moverDownUntil = now + MOVER_DOWN_MILLIS
+            state = CapacityState()
+        }
+    }
+
+    private fun progress(now: Long) {
+        view.instances.values.filter { it.state != InstanceState.SERVING }.forEach { instance ->
+            val since = now - instance.stateSinceMillis
+            when (instance.state) {
+                InstanceState.DRAINING -> if (since >= DRAIN_MILLIS) advance(instance, InstanceState.DRAINED, now)
+                InstanceState.WARMING -> if (since >= WARM_MILLIS) advance(instance, InstanceState.SERVING, now)
+                InstanceState.LOST -> if (since >= REPAIR_MILLIS) advance(instance, InstanceState.WARMING, now)
+                else -> Unit
+            }
+        }
+    }
+
+    private fun serve(tick: Int, now: Long) {
+        val serving = IntArray(pools.size)
+        var moving = 0
+        val indexOf = pools.withIndex().associate { it.value to it.index }
+        view.instances.values.forEach { instance ->
+            if (instance.state == InstanceState.SERVING) serving[indexOf.getValue(instance.pool)]++
+            if (instance.reservation?.purpose == ReservationPurpose.MOVE) moving++
+        }
+        idleMillis += moving * TICK_MILLIS
+        pools.indices.forEach { index ->
+            val capacity = serving[index] * TICK_MILLIS.toDouble()
+            val done = queues[index].tick(now, trace.loads[index][tick] * TICK_MILLIS, capacity)
+            if (!spare[index]) idleMillis += capacity - done
+        }
+    }
+
+    private fun decide(tick: Int, now: Long) {
+        if (now < moverDownUntil) return
+        planUpkeep(view, now).forEach { command ->
+            touchedBy(command)?.let { submit(command, now, it) }
+        }
+        val demand = pools.mapIndexed { index, pool ->
+            PoolDemand(
+                pool,
+                trace.loads[index][tick] * SLOTS,
+                (queues[index].queuedMillis * SLOTS).toLong(),
+                if (spare[index]) BACK_OFFICE_LATE_MILLIS else LATE_MILLIS,
+            )
+        }
+        val decision = decideMoves(now, view, demand, state, settings, policy)
+        state = decision.state
+        decision.moves.forEach { move ->
+            val before = view
+            submit(move, now, view.instances.getValue(move.id))
+            if (view !== before) moves++
+        }
+    }
+
+    private fun touchedBy(command: FleetCommand): Instance? = when (command) {
+        is FleetCommand.AdvanceInstance -> view.instances[command.id]
+        is FleetCommand.ReturnInstance -> view.instances[command.id]
+        else -> null
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/OfflineBound.kt
@@ -0,0 +1,44 @@
+// What a planner would pay that knows the whole demand, moves instances at once and finds a spare one whenever it wants.
+
+package org.gypsumturn.bench.fleet
+
+import org.gypsumturn.fleet.capacity.CapacityWeights
+
+private const val TICKS_PER_STEP = 12
+private const val STEP_HOURS = TICKS_PER_STEP * TICK_MILLIS / 3_600_000.0
+
+/**
+ * A bound from below on the cost of any policy for [trace], by dynamic programming over the size of each pool alone.
+ *
+ * Each pool but the spare pays for its idle instances, for the load above its size, and half a move for each change of
+ * its size by one, since a move changes two pools. Back-office work costs nothing.
+ */
+internal fun offlineBound(site: Site, trace: DemandTrace, weights: CapacityWeights): Double = site.poolSizes.indices
+    .filter { it % site.groupSize != site.groupSize - 1 }
+    .sumOf { poolBound(trace.loads[it], site.poolSizes[it], weights) }
+
+private fun poolBound(loads: DoubleArray, size: Int, weights: CapacityWeights): Double {
+    val steps = loads.size / TICKS_PER_STEP
+    val largest = maxOf(size, loads.max().toInt() + 1)
+    var costs = DoubleArray(largest + 1) { kotlin.math.abs(it - size) * weights.perMove / 2 }
+    for (step in 0 until steps) {
+        val load = (0 until TICKS_PER_STEP).sumOf { loads[step * TICKS_PER_STEP + it] } / TICKS_PER_STEP
+        costs = afterMoves(costs, weights.perMove / 2)
+        costs.indices.forEach { costs[it] += stepCost(it, load, weights) }
+    }
+    return costs.min()
+}
+
+/** The cheapest way to each size: costs may differ by at most one change between neighbours. */
+private fun afterMoves(costs: DoubleArray, change: Double): DoubleArray {
+    val cheapest = costs.copyOf()
+    for (size in 1..cheapest.lastIndex) cheapest[size] = minOf(cheapest[size], cheapest[size - 1] + change)
+    for (size in cheapest.lastIndex - 1 downTo 0) cheapest[size] = minOf(cheapest[size], cheapest[size + 1] + change)
+    return cheapest
+}
+
+private fun stepCost(size: Int, load: Double, weights: CapacityWeights): Double {
+    val idle = maxOf(0.0, size - load) * weights.bufferPerInstanceHour
+    val late = maxOf(0.0, load - size) * weights.latePerInstanceHour
+    return (idle + late) * STEP_HOURS
+}
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/wave/WaveRoom.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/wave/WaveRoom.kt
@@ -6,6 +6,7 @@
 import org.gypsumturn.fleet.command.PoolUsage
 import org.gypsumturn.fleet.command.refusalOf
 import org.gypsumturn.fleet.command.usageByPool
+import org.gypsumturn.fleet.command.usageOf
 import org.gypsumturn.model.AvailabilityBudget
 import org.gypsumturn.model.DataCentreId
 import org.gypsumturn.model.FleetView
@@ -45,9 +46,18 @@
         return minOf(wave.maxParallel, ramp)
     }
 
+    /** A wave over one pool needs no usage of the others. */
+    private fun usageIn(pool: PoolId): PoolUsage = if (wave.pools.size ==
+        1
+    ) {
+        usageOf(view, pool)
+    } else {
+        usages.getValue(pool)
+    }
+
     private fun roomOf(pool: PoolId): PoolRoom? {
-        val usage = usages[pool] ?: return null
         val budget = view.pools[pool]?.budget ?: return null
+        val usage = usageIn(pool)
         val waits = nowMillis - wave.startedAtMillis < settings.forecastPatienceMillis
         val needed = if (waits) forecast(pool, nowMillis, nowMillis + wave.rebootTimeoutMillis) else 0
         return PoolRoom(usage, budget, usage.serving - needed)
