--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -5,6 +5,7 @@
 
 import org.gypsumturn.bench.load.runLoad
 import org.gypsumturn.bench.jobs.runJobsExperiment
+import org.gypsumturn.bench.fleet.fleetExperiment
 import kotlin.system.exitProcess
 
 /** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
@@ -14,6 +15,7 @@
 public val EXPERIMENTS: Map<String, Experiment> =
     mapOf(
         "jobs" to ::runJobsExperiment,
+        "fleet" to ::fleetExperiment,
     )
 
 private const val LOAD = "load"
