--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/command/RecordChecks.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/command/RecordChecks.kt
@@ -84,7 +84,9 @@
     require(instance.connections >= 0, "connections", "is negative: ${instance.connections}")
     require(Capacity.ZERO.fitsIn(instance.capacity), "capacity", "is negative: ${instance.capacity}")
     require(instance.address.host.isNotBlank(), "address.host", "is empty")
-    require(instance.address.port in 1..MAX_PORT, "address.port", "is out of range: ${instance.address.port}")
+    // An instance without slots serves no requests and needs no port.
+    val lowestPort = if (instance.slots > 0) 1 else 0
+    require(instance.address.port in lowestPort..MAX_PORT, "address.port", "is out of range: ${instance.address.port}")
 }
 
 internal fun problemsOf(wave: Wave, path: String, pools: Set<PoolId>): List<FieldProblem> = check(path) {
