Add the program gypsumturn-entry with its settings and slot reports

Cause: the entry had no program around it, did not join the view, and heard nothing of its peers. Change: settings with bounds and units; the view, membership and gRPC port of module peer; slot reports to all entries of the view, at most one call to a peer at a time, each reply taken as a report. Conclusion: an entry can be started from a settings file and becomes a node of the system.

--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryNode.kt
@@ -19,6 +19,7 @@
 import org.gypsumturn.jobs.JobAcceptance
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.NodeRole
+import org.gypsumturn.peer.NodeActivity
 import org.gypsumturn.platform.InstanceList
 import org.gypsumturn.platform.TableStore
 import org.gypsumturn.request.SlotReport
@@ -96,6 +97,9 @@
     /** Requests of which something is open. */
     val openRequests: Int get() = dispatch.open
 
+    /** What is under way, for this node's beat. */
+    val activity: NodeActivity get() = dispatch.activity
+
     /** Starts serving. */
     fun start() {
         publishGauges()
--- /dev/null
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryProgram.kt
@@ -0,0 +1,100 @@
+// Puts an entry together with the platform, its view and its peers.
+
+package org.gypsumturn.entry
+
+import org.gypsumturn.entry.peer.SlotSharing
+import org.gypsumturn.model.Address
+import org.gypsumturn.model.DataCentreId
+import org.gypsumturn.model.Node
+import org.gypsumturn.model.NodeId
+import org.gypsumturn.model.NodeRole
+import org.gypsumturn.model.RegionId
+import org.gypsumturn.peer.ChangeRunner
+import org.gypsumturn.peer.GrpcPort
+import org.gypsumturn.peer.NodeMembership
+import org.gypsumturn.peer.PeerClients
+import org.gypsumturn.peer.PeerService
+import org.gypsumturn.peer.ViewKeeper
+import org.gypsumturn.peer.ViewSettings
+import org.gypsumturn.platform.grpc.PlatformClient
+import org.gypsumturn.request.SlotReport
+import org.gypsumturn.runtime.metrics.Metrics
+import org.gypsumturn.runtime.settings.CommonSettings
+import org.gypsumturn.runtime.settings.HostAndPort
+import org.gypsumturn.runtime.settings.Settings
+import org.gypsumturn.runtime.trace.Tracing
+import org.gypsumturn.view.NodeBeats
+import org.gypsumturn.view.ViewLog
+import java.util.UUID
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/** A running entry with everything that it needs. */
+internal class EntryProgram(settings: Settings, tracing: Tracing, metrics: Metrics) {
+    private val monotonicMillis: () -> Long = { TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) }
+    private val keeping = ViewSettings.keeping(settings)
+    private val platform = PlatformClient(settings[ViewSettings.platformAddress].toAddress())
+    private val clients = PeerClients(keeping.peerTimeoutMillis)
+    private val seeds = settings[ViewSettings.seeds].map { it.toAddress() }
+    private val self = Node(
+        NodeId("${settings[CommonSettings.nodeName]}-${UUID.randomUUID().toString().take(ID_LENGTH)}"),
+        NodeRole.ENTRY,
+        RegionId(settings[CommonSettings.region]),
+        DataCentreId(settings[CommonSettings.dataCentre]),
+        settings[ViewSettings.peerAddress].toAddress(),
+    )
+    private val log = ViewLog(platform.table, keeping.storeTimeoutMillis)
+    private val keeper = ViewKeeper(self, log, clients, seeds, keeping, monotonicMillis)
+    private val sharing: SlotSharing = SlotSharing(self.id, keeper::currentView, clients::shareSlots, ::peerReported)
+    private val node: EntryNode = EntryNode(
+        EntrySettings.configOf(settings),
+        EntrySurroundings(
+            self.id,
+            keeper,
+            platform.table,
+            platform.instances,
+            tracing,
+            EntryMetrics(metrics.registry),
+            sharing::tell,
+            Random.nextLong(),
+        ),
+    )
+    private val peerPort =
+        GrpcPort.open(settings[ViewSettings.peerAddress], listOf(PeerService(keeper::answer, sharing::answer)))
+    private val membership = NodeMembership(
+        self,
+        keeper,
+        ChangeRunner(keeper, log, monotonicMillis),
+        NodeBeats(platform.table, keeping.storeTimeoutMillis),
+        keeping,
+        monotonicMillis,
+        System::currentTimeMillis,
+        { node.activity },
+    )
+
+    /** Starts to follow the view and to serve. */
+    fun start() {
+        keeper.onView { view -> clients.retain(view.nodes.values.map { it.peerAddress }.toSet() + seeds) }
+        node.start()
+        keeper.start()
+        membership.start()
+    }
+
+    /** Finishes everything in flight, leaves the view and ends. */
+    fun shutDown() {
+        node.shutDown()
+        membership.close()
+        peerPort.close()
+        keeper.close()
+        clients.close()
+        platform.close()
+    }
+
+    private fun peerReported(report: SlotReport) = node.peerReported(report)
+
+    private fun HostAndPort.toAddress() = Address(host, port)
+
+    private companion object {
+        const val ID_LENGTH = 8
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/Main.kt
@@ -0,0 +1,25 @@
+// Entry point of the program that takes callers' requests and jobs.
+
+package org.gypsumturn.entry
+
+import org.gypsumturn.runtime.metrics.Metrics
+import org.gypsumturn.runtime.program.runProgram
+import org.gypsumturn.runtime.program.serveUntilShutdown
+import org.gypsumturn.runtime.settings.CommonSettings
+import org.gypsumturn.runtime.trace.Tracing
+
+/** Serves until the process is asked to end. */
+public fun main(args: Array<String>) {
+    runProgram("gypsumturn-entry", EntrySettings.schema, args) { settings ->
+        val tracing = Tracing.of(settings)
+        val metrics = Metrics()
+        val metricsServer = metrics.serve(settings[CommonSettings.metricsAddress])
+        val program = EntryProgram(settings, tracing, metrics)
+        program.start()
+        serveUntilShutdown {
+            program.shutDown()
+            metricsServer.close()
+            tracing.close()
+        }
+    }
+}
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/Dispatch.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/Dispatch.kt
@@ -22,6 +22,8 @@
 import org.gypsumturn.model.Instance
 import org.gypsumturn.model.NodeRole
 import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.ViewVersion
+import org.gypsumturn.peer.NodeActivity
 import org.gypsumturn.request.DispatchSettings
 import org.gypsumturn.request.ExchangeId
 import org.gypsumturn.request.ExchangeResult
@@ -48,9 +50,17 @@
     private val dispatcher = RequestDispatcher(settings, ports.self, seed)
     private val calls = HashMap<RequestId, ServiceCall>()
     private val callsByTeam = TeamCounts()
+    private val counts = ActivityCounts()
     private var view: FleetView? = null
     private var readiness: Readiness? = null
     private var lastTickMillis = Long.MIN_VALUE / 2
+    private var lastFollowMillis = Long.MIN_VALUE
+
+    /** What is under way, together with the version that all of it follows. */
+    @Volatile
+    var activity = NodeActivity(version = ViewVersion.NONE)
+        private set
+
     private val ownInputs = ArrayDeque<DispatchInput>()
     private val heldReplies = ArrayDeque<HeldReply>()
 
@@ -85,6 +95,7 @@
         if (now - lastTickMillis >= TICK_MILLIS) {
             lastTickMillis = now
             tell(RequestEvent.Tick)
+            view?.let { activity = counts.snapshot(it) }
         }
         handleOwnInputs()
     }
@@ -96,8 +107,11 @@
             view = newView
             tell(RequestEvent.ViewChanged(newView))
         }
+        val now = ports.nowMillis()
+        if (now == lastFollowMillis) return
+        lastFollowMillis = now
         val newReadiness = ports.readiness()
-        if (newReadiness != readiness) {
+        if (newReadiness.ready != readiness?.ready) {
             readiness = newReadiness
             tell(RequestEvent.ReadinessChanged(newReadiness.ready, newReadiness.reason))
         }
@@ -110,6 +124,7 @@
     private fun arrived(call: ServiceCall) {
         calls[call.id] = call
         callsByTeam.add(call.request.team)
+        counts.requests(call.service.pool, 1)
         call.trace.queued()
         tell(RequestEvent.Arrived(call.arrived()))
     }
@@ -141,7 +156,7 @@
     private fun exchangeEnded(input: DispatchInput.ExchangeEnded) {
         val call = calls[input.request]
         if (call != null) {
-            call.openExchanges--
+            call.exchangeInstances.remove(input.exchange)?.let { counts.exchanges(call.service.pool, it, -1) }
             input.end.answer?.let { call.answers[input.exchange] = it }
         }
         ports.metrics.exchanged(nameOf(input.end.result))
@@ -199,7 +214,8 @@
 
     private fun send(call: ServiceCall, effect: RequestEffect.Send) {
         val instance = view?.instances?.get(effect.target)
-        call.openExchanges++
+        call.exchangeInstances[effect.exchange] = effect.target
+        counts.exchanges(call.service.pool, effect.target, 1)
         call.attempts++
         if (call.attempts > 1) ports.metrics.retries.inc()
         if (instance == null) {
@@ -273,6 +289,7 @@
     private fun forgetIfFinished(call: ServiceCall) {
         if (!call.finished || calls.remove(call.id) == null) return
         callsByTeam.remove(call.request.team)
+        counts.requests(call.service.pool, -1)
         onFinished()
     }
 
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/DispatchDuty.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/DispatchDuty.kt
@@ -4,6 +4,7 @@
 package org.gypsumturn.entry.dispatch
 
 import org.gypsumturn.entry.EntryMetrics
+import org.gypsumturn.peer.NodeActivity
 import org.gypsumturn.request.DispatchSettings
 import org.gypsumturn.runtime.duty.Duty
 import java.util.concurrent.atomic.AtomicInteger
@@ -34,6 +35,9 @@
     /** Requests of which something is open. */
     val open: Int get() = opened.get()
 
+    /** What is under way. */
+    val activity: NodeActivity get() = dispatch.activity
+
     /** Inputs that wait. */
     val pending: Int get() = duty.pending
 
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/ServiceCall.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/ServiceCall.kt
@@ -6,6 +6,7 @@
 import org.gypsumturn.entry.http.HttpAnswer
 import org.gypsumturn.entry.http.ServiceRequest
 import org.gypsumturn.entry.ledger.IntentRow
+import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.Service
 import org.gypsumturn.request.ArrivedRequest
 import org.gypsumturn.request.ExchangeId
@@ -30,8 +31,8 @@
     /** Whole answers of exchanges that have ended. */
     val answers = HashMap<ExchangeId, HttpAnswer>()
 
-    /** Exchanges that have not ended. */
-    var openExchanges = 0
+    /** Targets of the exchanges that have not ended. */
+    val exchangeInstances = HashMap<ExchangeId, InstanceId>()
 
     /** Exchanges so far. */
     var attempts = 0
@@ -55,7 +56,7 @@
     var closed = false
 
     /** Whether nothing more will happen to this request. */
-    val finished: Boolean get() = closed && openExchanges == 0 && !intentOpen && !outcomeOpen
+    val finished: Boolean get() = closed && exchangeInstances.isEmpty() && !intentOpen && !outcomeOpen
 
     /** What the dispatcher is told of the request. */
     fun arrived(): ArrivedRequest = ArrivedRequest(
