Let a beat name the version that the node's work follows

Cause: a beat read the newest version after the list of busy instances was taken. A node whose dispatch still followed the version before could acknowledge a drain, and then send to the drained instance. Change: the node's activity may carry the version that was in force for all of its work; the beat then tells that one.

--- a/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
+++ b/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
@@ -19,10 +19,15 @@
 import org.slf4j.LoggerFactory
 import java.util.UUID
 
-/** What a node reports of itself at the time of a beat. */
+/**
+ * What a node reports of itself at the time of a beat.
+ *
+ * @property version version that was in force for all of the node's work when [busy] was taken; null for the newest
+ */
 public data class NodeActivity(
     public val busy: List<InstanceId> = emptyList(),
     public val load: List<PoolLoad> = emptyList(),
+    public val version: ViewVersion? = null,
 )
 
 /** Keeps [self] a node of the system until closed. */
@@ -64,7 +69,7 @@
             join(now)
         }
         val current = activity()
-        val version = keeper.currentView().version
+        val version = current.version ?: keeper.currentView().version
         val changed = version != toldVersion || current.busy != toldBusy
         if (now >= nextBeatAtMillis || changed) beat(now, version, current)
     }
