--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -1,11 +1,12 @@
 // Entry point of the experiment tool: `gypsumturn-bench NAME…` runs the named experiments, or all of them;
-// `gypsumturn-bench load …` sends load to running entries.
+// `gypsumturn-bench load …` sends load to running entries; `gypsumturn-bench audit …` replays the log of changes.
 
 package org.gypsumturn.bench
 
-import org.gypsumturn.bench.load.runLoad
-import org.gypsumturn.bench.jobs.runJobsExperiment
+import org.gypsumturn.bench.audit.runAudit
 import org.gypsumturn.bench.fleet.fleetExperiment
+import org.gypsumturn.bench.jobs.runJobsExperiment
+import org.gypsumturn.bench.load.runLoad
 import kotlin.system.exitProcess
 
 /** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
@@ -19,14 +20,18 @@
     )
 
 private const val LOAD = "load"
+private const val AUDIT = "audit"
 private const val EXIT_OK = 0
 private const val EXIT_BOUND_BROKEN = 1
 private const val EXIT_USAGE = 2
 
-/** Runs the experiments named in [args], or the load tool if the first of them is `load`. */
+/** Runs the experiments named in [args], or the load tool or the audit where they are named first. */
 public fun main(args: Array<String>) {
-    val code =
-        if (args.firstOrNull() == LOAD) runLoad(args.drop(1), ::println) else runExperiments(args.toList(), ::println)
+    val code = when (args.firstOrNull()) {
+        LOAD -> runLoad(args.drop(1), ::println)
+        AUDIT -> runAudit(args.drop(1), ::println)
+        else -> runExperiments(args.toList(), ::println)
+    }
     exitProcess(code)
 }
 
