Count what reaches the stand-in's targets

Cause: the time until a leaving target gets nothing new could not be read, and a stand-in whose port was taken stayed alive without serving.

Change: metrics for requests by target and outcome, and for the time from a target's leaving to its last new request. A failed start ends the process with code 1.

--- a/standin/src/main/kotlin/org/gypsumturn/standin/Main.kt
+++ b/standin/src/main/kotlin/org/gypsumturn/standin/Main.kt
@@ -3,11 +3,14 @@
 package org.gypsumturn.standin
 
 import org.gypsumturn.runtime.metrics.Metrics
+import org.gypsumturn.runtime.program.ExitCode
 import org.gypsumturn.runtime.program.runProgram
 import org.gypsumturn.runtime.program.serveUntilShutdown
 import org.gypsumturn.runtime.settings.CommonSettings
 import org.gypsumturn.runtime.trace.Tracing
 import org.slf4j.LoggerFactory
+import java.io.IOException
+import kotlin.system.exitProcess
 
 /** Serves until the process is asked to end. */
 public fun main(args: Array<String>) {
@@ -16,8 +19,7 @@
         val metrics = Metrics()
         val metricsServer = metrics.serve(settings[CommonSettings.metricsAddress])
         val standin = Standin(StandinSettings.optionsOf(settings), tracing, metrics.registry)
-        standin.start()
-        LoggerFactory.getLogger("org.gypsumturn.standin").info("stand-in serves at port {}", standin.port)
+        startOrExit(standin)
         serveUntilShutdown {
             standin.close()
             metricsServer.close()
@@ -25,3 +27,15 @@
         }
     }
 }
+
+// A port that is taken ends the process; its other threads would keep it alive.
+private fun startOrExit(standin: Standin) {
+    val log = LoggerFactory.getLogger("org.gypsumturn.standin")
+    try {
+        standin.start()
+        log.info("stand-in serves at port {}", standin.port)
+    } catch (e: IOException) {
+        log.error("cannot start: {}", e.message)
+        exitProcess(ExitCode.FAILED)
+    }
+}
--- a/standin/src/main/kotlin/org/gypsumturn/standin/Standin.kt
+++ b/standin/src/main/kotlin/org/gypsumturn/standin/Standin.kt
@@ -28,6 +28,7 @@
 import org.gypsumturn.standin.target.Target
 import org.gypsumturn.standin.target.TargetHandler
 import org.gypsumturn.standin.target.TargetLimits
+import org.gypsumturn.standin.target.TargetPorts
 import org.gypsumturn.standin.worker.SimulatedWorkers
 import java.net.InetSocketAddress
 import java.util.concurrent.Executors
@@ -47,6 +48,7 @@
     private val random = RandomSource.XO_SHI_RO_256_PP.create(options.seed)
     private val faults = Faults(RandomSource.XO_SHI_RO_256_PP.create(options.seed + 1))
     private val executions = ExecutionLog()
+    private val targetMetrics = TargetMetrics(registry, clock)
     private val group = MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory())
     private val callThreads = Executors.newCachedThreadPool()
     private val plannedExecutors = planInstances(options.executors, "executors", options.region, options.dataCentres)
@@ -89,7 +91,7 @@
     }
 
     override fun close() {
-        server.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
+        if (::server.isInitialized) server.shutdownNow().awaitTermination(1, TimeUnit.SECONDS)
         targets.values.forEach { it.close() }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
         callThreads.shutdownNow()
@@ -124,18 +126,29 @@
         if (fault == InstanceFault.SILENT) target?.silenceOpenConnections()
         if (fault == InstanceFault.LEAVING || fault == InstanceFault.NONE) {
             instances.setLeaving(instance, fault == InstanceFault.LEAVING)
+            targetMetrics.setLeaving(instance, fault == InstanceFault.LEAVING)
         }
         return true
     }
 
-    private fun target(id: InstanceId, index: Int) = Target(
+    private fun target(id: InstanceId, index: Int): Target {
+        val ports = TargetPorts(
+            fault = { faults.of(id) },
+            drawWorkMillis = ::drawWorkMillis,
+            startSpan = { startSpan(id, it) },
+            count = { accepted -> targetMetrics.request(id, accepted) },
+        )
+        return newTarget(id, index, ports)
+    }
+
+    private fun newTarget(id: InstanceId, index: Int, ports: TargetPorts) = Target(
         id,
         options.address.host,
         if (options.firstPort == 0) 0 else options.firstPort + index,
         TargetLimits(options.slots, options.connections),
         group,
         executions,
-    ) { target -> TargetHandler(target, { faults.of(id) }, ::drawWorkMillis) { startSpan(id, it) } }
+    ) { target -> TargetHandler(target, ports) }
 
     // Service times are drawn from the exponential distribution, by inversion.
     private fun drawWorkMillis(): Long {
--- a/standin/src/main/kotlin/org/gypsumturn/standin/target/TargetHandler.kt
+++ b/standin/src/main/kotlin/org/gypsumturn/standin/target/TargetHandler.kt
@@ -33,18 +33,23 @@
 private class Exchange(val run: Run, val payload: ByteArray, val keepAlive: Boolean, val span: Span)
 
 /**
- * Handles one connection, one exchange at a time; a request that comes before the last answer closes it.
+ * What a target needs of its surroundings.
  *
- * @param fault the fault in force at the target
- * @param drawWorkMillis service time of a request that names none
- * @param startSpan starts the span of an execution, as a child of the caller's
+ * @property fault the fault in force
+ * @property drawWorkMillis service time of a request that names none
+ * @property startSpan starts the span of an execution, as a child of the caller's
+ * @property count counts a request, and whether it was accepted
  */
-internal class TargetHandler(
-    private val target: Target,
-    private val fault: () -> InstanceFault,
-    private val drawWorkMillis: () -> Long,
-    private val startSpan: (HttpHeaders) -> Span,
-) : SimpleChannelInboundHandler<FullHttpRequest>() {
+internal class TargetPorts(
+    val fault: () -> InstanceFault,
+    val drawWorkMillis: () -> Long,
+    val startSpan: (HttpHeaders) -> Span,
+    val count: (accepted: Boolean) -> Unit,
+)
+
+/** Handles one connection, one exchange at a time; a request that comes before the last answer closes it. */
+internal class TargetHandler(private val target: Target, private val ports: TargetPorts) :
+    SimpleChannelInboundHandler<FullHttpRequest>() {
     private var busy = false
 
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
@@ -53,6 +58,7 @@
             return
         }
         val run = target.begin(keyOf(request.headers()))
+        ports.count(run != null)
         if (run == null) refuseOverloaded(context, HttpUtil.isKeepAlive(request)) else execute(context, request, run)
     }
 
@@ -63,12 +69,12 @@
     private fun execute(context: ChannelHandlerContext, request: FullHttpRequest, run: Run) {
         busy = true
         val payload = payloadOf(request, run)
-        val exchange = Exchange(run, payload, HttpUtil.isKeepAlive(request), startSpan(request.headers()))
-        val current = fault()
+        val exchange = Exchange(run, payload, HttpUtil.isKeepAlive(request), ports.startSpan(request.headers()))
+        val current = ports.fault()
         if (current == InstanceFault.NEVER_RETURN) return
         val asked = request.headers().get(TargetHeaders.WORK_MILLIS)?.toLongOrNull()
         val factor = if (current == InstanceFault.SLOW) SLOW_FACTOR else 1
-        val workMillis = (asked ?: drawWorkMillis()).coerceAtLeast(0) * factor
+        val workMillis = (asked ?: ports.drawWorkMillis()).coerceAtLeast(0) * factor
         context.executor().schedule({ finish(context, exchange) }, workMillis, TimeUnit.MILLISECONDS)
     }
 
@@ -77,7 +83,7 @@
         exchange.span.end()
         busy = false
         if (!whole) return
-        when (fault()) {
+        when (ports.fault()) {
             InstanceFault.CUT -> cutAnswer(context, exchange)
             InstanceFault.ERROR -> answer(context, HttpResponseStatus.INTERNAL_SERVER_ERROR, exchange)
             else -> answer(context, HttpResponseStatus.OK, exchange)
