--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -7,6 +7,7 @@
 import org.gypsumturn.bench.fleet.fleetExperiment
 import org.gypsumturn.bench.jobs.runJobsExperiment
 import org.gypsumturn.bench.load.runLoad
+import org.gypsumturn.bench.requests.requestsExperiment
 import kotlin.system.exitProcess
 
 /** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
@@ -15,6 +16,7 @@
 /** The experiments by name. */
 public val EXPERIMENTS: Map<String, Experiment> =
     mapOf(
+        "requests" to ::requestsExperiment,
         "jobs" to ::runJobsExperiment,
         "fleet" to ::fleetExperiment,
     )
