Decide moves by learned holds and measure the fleet decisions

Cause: buffer cost, moves and late work pull in different directions, and each user weighs them differently.

Policies are functions; the default holds an idle instance for the time that would have cost least over the idle times seen before. `bench fleet` compares the policies, waves, maintenance, random schedules and the cost of a decision.

Found by the tests: a spare pool that had just lent took idle instances of other pools back in the same decision (4 moves where 2 were due); a pool whose instances fell due hours apart was rebooted one by one instead of by a wave. Both are mended and have a test.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/fleet/BudgetAudit.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/BudgetAudit.kt
@@ -1,5 +1,5 @@
-// Checks every change for budget breaches and double memberships. It counts on its own, without the code that decides, so
-// a mistake there cannot hide here.
+// Checks every change for budget breaches and double memberships. It counts on its own, without the code that
+// decides, so a mistake there cannot hide here.
 
 package org.gypsumturn.bench.fleet
 
--- a/bench/src/main/kotlin/org/gypsumturn/bench/fleet/CapacityRun.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/CapacityRun.kt
@@ -1,5 +1,5 @@
-// Runs a site through a demand trace in virtual time, with the real decisions on moves and the real budgets, and adds up
-// what the policy costs.
+// Runs a site through a demand trace in virtual time, with the real decisions on moves and the real budgets, and
+// adds up what the policy costs.
 
 package org.gypsumturn.bench.fleet
 
--- /dev/null
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/DecisionCost.kt
@@ -0,0 +1,84 @@
+// Time and allocated bytes of each kind of decision, as slopes over the size of the fleet.
+
+package org.gypsumturn.bench.fleet
+
+import com.sun.management.ThreadMXBean
+import org.gypsumturn.bench.Report
+import org.gypsumturn.fleet.capacity.CapacitySettings
+import org.gypsumturn.fleet.capacity.CapacityState
+import org.gypsumturn.fleet.capacity.PoolDemand
+import org.gypsumturn.fleet.capacity.decideMoves
+import org.gypsumturn.fleet.command.FleetCommand
+import org.gypsumturn.fleet.command.decideCommand
+import org.gypsumturn.fleet.wave.dueForMaintenance
+import org.gypsumturn.fleet.wave.planUpkeep
+import org.gypsumturn.fleet.wave.planWave
+import org.gypsumturn.model.FleetView
+import org.gypsumturn.model.Wave
+import org.gypsumturn.model.WaveId
+import java.lang.management.ManagementFactory
+
+private const val WARM_UP_CALLS = 300
+private const val TIMED_CALLS = 300
+
+private data class Cost(val micros: Double, val bytes: Double)
+
+internal fun decisionCost(report: Report, quick: Boolean) {
+    val sizes = if (quick) listOf(310, 620) else listOf(775, 1_550, 3_100, 6_200)
+    report.remark("instances ${sizes.joinToString()}; 28 to a pool; $TIMED_CALLS calls each after $WARM_UP_CALLS")
+    val costs = sizes.map { size -> size to measure(size) }
+    costs.first().second.keys.forEach { name ->
+        costs.forEach { (size, byName) ->
+            report.figure("$name at $size instances", byName.getValue(name).micros, "us a call")
+        }
+        val points = costs.map { (size, byName) -> size.toDouble() to byName.getValue(name) }
+        report.figure("$name: slope of time", slope(points.map { it.first to it.second.micros }) * 1_000, "ns/instance")
+        report.figure("$name: slope of bytes", slope(points.map { it.first to it.second.bytes }), "bytes/instance")
+    }
+}
+
+private fun measure(size: Int): Map<String, Cost> {
+    val site = targetSite(size, maxOf(1, size / 28))
+    val now = 100 * DAY_MILLIS
+    val started = site.view(now).accept(FleetCommand.StartWave(Wave(WaveId("w"), listOf(poolId(0)))), now + 1)
+    val wave = started.waves.getValue(WaveId("w"))
+    val instance = started.instances.values.first()
+    val drain = FleetCommand.DrainInstance(instance.id, null)
+    return linkedMapOf(
+        "drain" to cost { decideCommand(started, drain, now) },
+        "plan a wave of one pool" to cost { planWave(started, wave, now + 2) },
+        "upkeep" to cost { planUpkeep(started, now + 2) },
+        "due for maintenance" to cost { dueForMaintenance(started, now + 2, 35 * DAY_MILLIS) },
+        "moves" to movesCost(site, started, now),
+    )
+}
+
+private fun movesCost(site: Site, view: FleetView, now: Long): Cost {
+    val settings = CapacitySettings(site.weights)
+    val demand = site.poolSizes.mapIndexed { index, size -> PoolDemand(poolId(index), size * SLOTS * 0.5, 0) }
+    var state = CapacityState()
+    var at = now
+    return cost {
+        at += 10 * SECOND_MILLIS
+        state = decideMoves(at, view, demand, state, settings).state
+    }
+}
+
+private fun cost(call: () -> Any?): Cost {
+    repeat(WARM_UP_CALLS) { call() }
+    val threads = ManagementFactory.getThreadMXBean() as ThreadMXBean
+    val bytesBefore = threads.currentThreadAllocatedBytes
+    val nanosBefore = threads.currentThreadCpuTime
+    repeat(TIMED_CALLS) { call() }
+    val nanos = threads.currentThreadCpuTime - nanosBefore
+    val bytes = threads.currentThreadAllocatedBytes - bytesBefore
+    return Cost(nanos / 1_000.0 / TIMED_CALLS, bytes.toDouble() / TIMED_CALLS)
+}
+
+/** Slope of the least-squares line through [points]. */
+private fun slope(points: List<Pair<Double, Double>>): Double {
+    val meanX = points.sumOf { it.first } / points.size
+    val meanY = points.sumOf { it.second } / points.size
+    return points.sumOf { (it.first - meanX) * (it.second - meanY) } /
+        points.sumOf { (it.first - meanX) * (it.first - meanX) }
+}
--- a/bench/src/main/kotlin/org/gypsumturn/bench/fleet/DemandTrace.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/DemandTrace.kt
@@ -1,5 +1,5 @@
-// Demand of a site's pools over time. Within a group of pools each one peaks in turn: about a fifth of the time at five
-// times its mean, which is more than the pool holds, and in between at a twentieth of it.
+// Demand of a site's pools over time. Within a group of pools each one peaks in turn: about a fifth of the time at
+// five times its mean, which is more than the pool holds, and in between at a twentieth of it.
 
 package org.gypsumturn.bench.fleet
 
--- a/bench/src/main/kotlin/org/gypsumturn/bench/fleet/FleetExperiment.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/FleetExperiment.kt
@@ -8,4 +8,7 @@
 public fun fleetExperiment(report: Report, quick: Boolean) {
     randomSchedules(report, quick)
     capacityExperiment(report, quick)
+    waveExperiment(report, quick)
+    maintenanceExperiment(report, quick)
+    decisionCost(report, quick)
 }
--- a/bench/src/main/kotlin/org/gypsumturn/bench/fleet/OfflineBound.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/OfflineBound.kt
@@ -1,4 +1,5 @@
-// What a planner would pay that knows the whole demand, moves instances at once and finds a spare one whenever it wants.
+// What a planner would pay that knows the whole demand, moves instances at once and finds a spare one whenever it
+// wants.
 
 package org.gypsumturn.bench.fleet
 
@@ -10,8 +11,8 @@
 /**
  * A bound from below on the cost of any policy for [trace], by dynamic programming over the size of each pool alone.
  *
- * Each pool but the spare pays for its idle instances, for the load above its size, and half a move for each change of
- * its size by one, since a move changes two pools. Back-office work costs nothing.
+ * Each pool but the spare pays for its idle instances, for the load above its size, and half a move for each change
+ * of its size by one, since a move changes two pools. Back-office work costs nothing.
  */
 internal fun offlineBound(site: Site, trace: DemandTrace, weights: CapacityWeights): Double = site.poolSizes.indices
     .filter { it % site.groupSize != site.groupSize - 1 }
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/CapacitySettings.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/CapacitySettings.kt
@@ -1,4 +1,5 @@
-// What capacity decisions weigh: the costs of idle instances, of moves and of late work, and how fast the pools react.
+// What capacity decisions weigh: the costs of idle instances, of moves and of late work, and how fast the pools
+// react.
 
 package org.gypsumturn.fleet.capacity
 
@@ -28,6 +29,7 @@
  * @property expectedGapMillis time between two peaks that is assumed until some were seen
  * @property entryFraction part of a move's cost that must have been lost to lateness before instances are borrowed
  * @property rolloutFactor times that part that must be lost before instances enter a pool in the middle of a roll-out
+ * @property latePart part of the time until borrowed instances serve in which demand is already above the rest
  * @property minHoldMillis shortest time for which a pool keeps an instance that it does not need
  */
 public data class CapacitySettings(
@@ -40,7 +42,8 @@
     public val expectedGapMillis: Long = 3_600_000,
     public val entryFraction: Double = 0.25,
     public val rolloutFactor: Double = 8.0,
-    public val minHoldMillis: Long = 120_000,
+    public val latePart: Double = 0.7,
+    public val minHoldMillis: Long = 60_000,
 )
 
 /**
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/CapacityState.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/CapacityState.kt
@@ -1,5 +1,5 @@
-// What capacity decisions remember of each pool. The state is explicit; a process that takes over starts with an empty
-// one and holds every instance until it has seen it idle for long enough.
+// What capacity decisions remember of each pool. The state is explicit; a process that takes over starts with an
+// empty one and holds every instance until it has seen it idle for long enough.
 
 package org.gypsumturn.fleet.capacity
 
@@ -117,8 +117,8 @@
 /**
  * Load in instances by the time a borrowed one would serve.
  *
- * Averages with time constants f and s lag a load that rises by r a second by r·f and r·s, so their difference gives r. A
- * rise is not followed beyond past peaks. Where work may wait, the load is what clears the backlog in time.
+ * Averages with time constants f and s lag a load that rises by r a second by r·f and r·s, so their difference gives
+ * r. A rise is not followed beyond past peaks. Where work may wait, the load is what clears the backlog in time.
  */
 private fun PoolCapacityState.expectedLoad(load: PoolLoad, settings: CapacitySettings): Double {
     if (load.patienceMillis >= settings.patientMillis) {
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/DecideMoves.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/DecideMoves.kt
@@ -27,10 +27,10 @@
 /**
  * Decides the moves at [nowMillis].
  *
- * Pools without an entry in [demand] take no part. A pool that is short takes what other pools hold idle, then what the
- * spare pools have above their minimum; what a pool no longer wants goes to a spare pool. Every move fits the budgets of
- * both pools in [view]. Pools in [rollingOut], and pools in the middle of a wave, receive nothing unless their shortage
- * has cost [CapacitySettings.rolloutFactor] times as much as it takes elsewhere.
+ * Pools without an entry in [demand] take no part. A pool that is short takes what other pools hold idle, then what
+ * the spare pools have above their minimum; what a pool no longer wants goes to a spare pool. Every move fits the
+ * budgets of both pools in [view]. Pools in [rollingOut], and pools in the middle of a wave, receive nothing unless
+ * their shortage has cost [CapacitySettings.rolloutFactor] times as much as it takes elsewhere.
  */
 public fun decideMoves(
     nowMillis: Long,
@@ -100,7 +100,7 @@
         wants.filter { !it.load.isSpare && mayReceive(it) }
             .sortedByDescending { it.state.shortageCost }
             .forEach { fill(it, wants.filter { donor -> donor.load.isSpare || isIdle(donor) }) }
-        wants.filter { it.load.isSpare && it.load.pool !in unsettled }
+        wants.filter { it.load.isSpare && isShort(it) && it.load.pool !in unsettled }
             .sortedByDescending { it.state.need - count(it) }
             .forEach { fill(it, wants.filter { donor -> !donor.load.isSpare && isIdle(donor) }) }
         wants.filter { !it.load.isSpare }.forEach { giveBack(it) }
@@ -109,6 +109,9 @@
 
     private fun count(want: PoolWant): Int = counts.getValue(want.load.pool)
 
+    /** A spare pool that has just lent is not short for that reason. */
+    private fun isShort(want: PoolWant): Boolean = want.wish.instances > want.load.instances
+
     private fun isIdle(want: PoolWant): Boolean = count(want) > want.wish.floor
 
     private fun mayReceive(want: PoolWant): Boolean {
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/MovePolicy.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/MovePolicy.kt
@@ -37,17 +37,17 @@
 }
 
 /**
- * Borrows once the late work of a shortage has cost a part of a move, and gives an instance back once it has idled for
- * as much as giving it back and borrowing again costs: at most twice the cost of the best choice in hindsight, as in the
- * ski rental problem.
+ * Borrows once the late work of a shortage has cost a part of a move, and gives an instance back once it has idled
+ * for as much as giving it back and borrowing again costs: at most twice the cost of the best choice in hindsight,
+ * as in the ski rental problem.
  */
 public val BREAK_EVEN_POLICY: MovePolicy = { load, state, settings ->
     wishOf(load, state, settings) { number -> breakEvenHours(returnCost(load, state, number, settings), settings) }
 }
 
 /**
- * As [BREAK_EVEN_POLICY], but holds an idle instance for the time that would have cost least over the latest idle times
- * of the same rank and [CapacitySettings.expectedGapMillis].
+ * As [BREAK_EVEN_POLICY], but holds an idle instance for the time that would have cost least over the latest idle
+ * times of the same rank and [CapacitySettings.expectedGapMillis].
  */
 public val LEARNED_HOLD_POLICY: MovePolicy = { load, state, settings ->
     wishOf(load, state, settings) { number ->
@@ -57,9 +57,10 @@
 }
 
 /**
- * Cost of giving instance [number] of a pool away and borrowing one when demand returns: two moves, the time in which it
- * is of use to nobody, and late work. A peak of P needs D = P - number + 1 instances back, of which only w are on their
- * way at once, each for a time t. The late work of all is t·D²/2w, so this one adds t·D/w.
+ * Cost of giving instance [number] of a pool away and borrowing one when demand returns: two moves, the time in
+ * which it is of use to nobody, and late work. A peak of P needs D = P - number + 1 instances back, of which only w
+ * are on their way at once, each for a time t. The late work of all is t·D²/2w, so this one adds t·D/w, less what
+ * callers can wait and what the rise of the demand itself takes.
  */
 internal fun returnCost(load: PoolLoad, state: PoolCapacityState, number: Int, settings: CapacitySettings): Double {
     val leadHours = settings.leadMillis / MILLIS_PER_HOUR
@@ -67,7 +68,8 @@
     val missing = state.peakLoad - number + 1
     val waves = maxOf(1.0, missing / maxOf(1, load.moveWidth))
     val transit = 2 * leadHours * weights.bufferPerInstanceHour
-    return 2 * weights.perMove + transit + leadHours * waves * weights.latePerInstanceHour
+    val waitHours = leadHours * waves * settings.latePart - load.patienceMillis / MILLIS_PER_HOUR
+    return 2 * weights.perMove + transit + maxOf(0.0, waitHours) * weights.latePerInstanceHour
 }
 
 private fun breakEvenHours(returnCost: Double, settings: CapacitySettings): Double =
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/command/DecideCommand.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/command/DecideCommand.kt
@@ -10,8 +10,8 @@
 /**
  * Decides [command] against [view] at [nowMillis].
  *
- * A decision is [CommandDecision.Accepted] with the mutations of one change, or a typed refusal. The function is pure;
- * the caller records the change on condition that [view] is still the latest.
+ * A decision is [CommandDecision.Accepted] with the mutations of one change, or a typed refusal. The function is
+ * pure; the caller records the change on condition that [view] is still the latest.
  */
 public fun decideCommand(view: FleetView, command: FleetCommand, nowMillis: Long): CommandDecision = when (command) {
     is FleetCommand.ApplyConfiguration -> decideConfiguration(view, command, nowMillis)
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/command/InstanceTransitions.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/command/InstanceTransitions.kt
@@ -43,8 +43,8 @@
     accepted("instance ${instance.id} is ${instance.state} in ${instance.pool}", Mutation.PutInstance(instance))
 
 /**
- * A loss is recorded from every state and never refused. It ends a move or a reboot; a wave's reboot that it interrupts
- * counts as failed in the same change, so the failure survives the process that noticed it.
+ * A loss is recorded from every state and never refused. It ends a move or a reboot; a wave's reboot that it
+ * interrupts counts as failed in the same change, so the failure survives the process that noticed it.
  */
 private fun decideLoss(view: FleetView, instance: Instance, state: InstanceState, nowMillis: Long): CommandDecision {
     if (instance.state == InstanceState.LOST) return wrongTransition(instance, state)
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/command/PoolUsage.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/command/PoolUsage.kt
@@ -79,8 +79,9 @@
 
 /**
  * The instances whose reservations are to be given back, by a return into service, because losses have pushed the
- * absences of [pool] above its budget: those that drain or have drained for a reboot or a move out of or into the pool,
- * the latest first, and no more than the excess. An operator's drain is kept: the instance may be disconnected.
+ * absences of [pool] above its budget: those that drain or have drained for a reboot or a move out of or into the
+ * pool, the latest first, and no more than the excess. An operator's drain is kept: the instance may be
+ * disconnected.
  */
 public fun reservationsToRelease(view: FleetView, pool: PoolId, nowMillis: Long): List<InstanceId> {
     val budget = view.pools[pool]?.budget ?: return emptyList()
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/wave/Maintenance.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/wave/Maintenance.kt
@@ -36,7 +36,7 @@
 
 /**
  * The commands that keep every instance maintained within [periodMillis] at [nowMillis]: a wave for a pool most of
- * whose instances are due, and a single reboot for a straggler that was away when its pool's wave ran.
+ * whose instances are due now or soon, and a single reboot for a straggler that was away when its pool's wave ran.
  */
 public fun dueForMaintenance(
     view: FleetView,
@@ -49,8 +49,12 @@
     val retries = retriedWaves(view, nowMillis, settings)
     val covered = view.waves.values.filter { it.isUnfinished && it.id !in retries }.flatMap { it.pools }.toSet()
     val sizes = view.instances.values.groupingBy { it.pool }.eachCount()
+    val near = view.instances.values
+        .filter { it.maintainedAtMillis <= dueBefore + settings.leadMillis }
+        .groupingBy { it.pool }
+        .eachCount()
     val byPool = due.groupBy { it.pool }.filterKeys { it !in covered }
-    val (whole, stragglers) = byPool.entries.partition { it.value.size * 2 > (sizes[it.key] ?: 0) }
+    val (whole, stragglers) = byPool.entries.partition { (near[it.key] ?: 0) * 2 > (sizes[it.key] ?: 0) }
     val free = settings.maxConcurrentWaves - runningWaves(view)
     val waves = whole.sortedBy { entry -> entry.value.minOf { it.maintainedAtMillis } }
         .take(maxOf(0, free))
