Bound the wait of batch jobs without inverting priorities

Batch jobs that waited too long went before all normal ones, and a worker was kept free for any job that had waited. Now they get one start for every four normal ones, and only a job that later ones have passed over gets a worker kept free. Test: batch jobs start within a bounded time while normal ones always wait.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobsExperiment.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobsExperiment.kt
@@ -44,10 +44,11 @@
     report.remark("random schedules, seeds 1 to $schedules; exploration of all schedules of $length actions")
     val executor = Executors.newFixedThreadPool(SCHEDULE_THREADS)
     val outcomes =
-        executor
-            .invokeAll((1L..schedules).map { seed -> Callable { runSchedule(seed) } })
-            .map { it.get() }
-    executor.shutdown()
+        try {
+            executor.invokeAll((1L..schedules).map { seed -> Callable { runSchedule(seed) } }).map { it.get() }
+        } finally {
+            executor.shutdown()
+        }
     val faults = outcomes.flatMap { outcome -> outcome.faults.map { "seed ${outcome.seed}: $it" } }
     faults.take(5).forEach { report.remark(it.take(300)) }
     report.figure("random schedules", outcomes.size.toDouble(), "")
--- a/placement/src/main/kotlin/org/gypsumturn/placement/PlacementRound.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/PlacementRound.kt
@@ -1,5 +1,6 @@
-// One round of decisions: which waiting jobs start where. Urgent jobs go first, then jobs that have waited too long,
-// then normal and batch ones; within each the team that holds least for its share.
+// One round of decisions: which waiting jobs start where. Urgent jobs go first, then normal and batch ones; batch jobs
+// that have waited too long get a part of the starts before normal ones. Within each the team that holds least for its
+// share is next.
 
 package org.gypsumturn.placement
 
@@ -26,21 +27,36 @@
     private val unfit = ArrayList<Capacity>()
     private val placements = ArrayList<Placement>()
 
+    /** Since when others that came later have started in place of a job that found no room. */
+    private val passedOverSince = HashMap<JobId, Long>()
+
+    private var latestPlacedMillis = Long.MIN_VALUE
+
+    /** Starts that batch jobs which have waited too long may have before normal ones. */
+    private var batchCredit = 1.0
+
     fun run(nowMillis: Long, max: Int, chosen: Chosen): List<Placement> {
         placements.clear()
         unfit.clear()
+        latestPlacedMillis = Long.MIN_VALUE
         if (queues.size == 0 || slots.all.isEmpty()) return emptyList()
         pass(Priority.URGENT, nowMillis, max, chosen) { true }
         unfit.clear()
-        pass(Priority.BATCH, nowMillis, max, chosen) { nowMillis - it.sinceMillis >= settings.batchPatienceMillis }
-        pass(Priority.NORMAL, nowMillis, max, chosen) { true }
+        val aged = { job: WaitingJob -> nowMillis - job.sinceMillis >= settings.batchPatienceMillis }
+        val credited = minOf(max, placements.size + batchCredit.toInt())
+        batchCredit -= pass(Priority.BATCH, nowMillis, credited, chosen, aged)
+        val normal = pass(Priority.NORMAL, nowMillis, max, chosen) { true }
+        batchCredit = (batchCredit + normal * settings.batchShare).coerceAtMost(MAX_BATCH_CREDIT)
         pass(Priority.BATCH, nowMillis, max, chosen) { true }
+        notePassedOver(nowMillis)
         reserveForPatient(nowMillis)
         return placements.toList()
     }
 
-    fun unreserve(job: JobId) {
+    /** Gives up what was remembered of a job that no longer waits. */
+    fun forget(job: JobId) {
         reservations.drop(job)
+        passedOverSince.remove(job)
     }
 
     fun restoreReservations() {
@@ -54,15 +70,24 @@
             .map { Unplaceable(it.spec.id, "needs ${describe(it.spec.declared)}; no worker of the pool has that much") }
     }
 
-    private fun pass(priority: Priority, nowMillis: Long, max: Int, chosen: Chosen, due: (WaitingJob) -> Boolean) {
-        if (queues.isEmpty(priority)) return
+    /** Places jobs of [priority] that are [due] until there are [max] placements; returns how many it placed. */
+    private fun pass(
+        priority: Priority,
+        nowMillis: Long,
+        max: Int,
+        chosen: Chosen,
+        due: (WaitingJob) -> Boolean,
+    ): Int {
+        if (queues.isEmpty(priority)) return 0
+        val before = placements.size
         val order = PriorityQueue<TeamTurn>(compareBy({ it.weight }, { it.team }))
         queues.teams(priority).forEach { order += TeamTurn(it, ledger.weight(it)) }
         while (placements.size < max) {
-            val turn = order.poll() ?: return
+            val turn = order.poll() ?: break
             val job = firstPlaced(turn.team, priority, nowMillis, chosen, due) ?: continue
             order += TeamTurn(job.spec.team, ledger.weight(job.spec.team))
         }
+        return placements.size - before
     }
 
     private fun firstPlaced(
@@ -76,7 +101,8 @@
             if (!due(job)) return null
             val need = needOf(job)
             val slot = slotFor(job, need, nowMillis) ?: continue
-            reservations.drop(job.spec.id)
+            forget(job.spec.id)
+            latestPlacedMillis = maxOf(latestPlacedMillis, job.sinceMillis)
             chosen(job, slot, need)
             placements += Placement(job.spec, slot.info.id, need)
             return job
@@ -123,13 +149,18 @@
         }
     }
 
+    private fun notePassedOver(nowMillis: Long) {
+        heads().filter { it.sinceMillis < latestPlacedMillis }
+            .forEach { passedOverSince.putIfAbsent(it.spec.id, nowMillis) }
+    }
+
     private fun reserveForPatient(nowMillis: Long) {
         val bound = maxOf(1, slots.all.size / WORKERS_PER_RESERVATION)
         if (reservations.count >= bound) return
         val patient =
             heads()
                 .filter { it.spec.priority != Priority.URGENT && reservations.slotOf(it.spec.id) == null }
-                .filter { nowMillis - it.sinceMillis >= settings.patienceMillis }
+                .filter { nowMillis - (passedOverSince[it.spec.id] ?: nowMillis) >= settings.patienceMillis }
                 .filter { ledger.allows(it.spec.team, needOf(it)) }
                 .sortedBy { it.sinceMillis }
         for (job in patient.take(bound - reservations.count)) {
@@ -155,6 +186,7 @@
     private companion object {
         const val LOOKAHEAD = 64
         const val MAX_UNFIT = 16
+        const val MAX_BATCH_CREDIT = 100.0
         const val WORKERS_PER_RESERVATION = 16
         const val ACCELERATOR_MILLI = 16_000L
     }
--- a/placement/src/main/kotlin/org/gypsumturn/placement/PlacementSettings.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/PlacementSettings.kt
@@ -9,8 +9,10 @@
  * @property processorQuantile quantile of the learned processor use that is set aside for a job
  * @property memoryQuantile quantile of the learned memory use that is set aside for a job
  * @property declaredWeight number of measured jobs that a declared size counts for
- * @property patienceMillis waiting time after which a job that does not fit gets a worker kept free for it
- * @property batchPatienceMillis waiting time after which a batch job goes before normal ones
+ * @property patienceMillis time for which later jobs may start in place of one that does not fit; then a worker is kept
+ *   free for it
+ * @property batchPatienceMillis waiting time after which a batch job may go before normal ones
+ * @property batchShare starts that such batch jobs get for each start of a normal one
  * @property throttledShare part of its processors, from 0 to 1, that a throttled job keeps
  * @property stopAfterMillis time that a job has to checkpoint before it is stopped for an urgent one
  * @property maxPreemptions number of times that a job may be taken off its worker for urgent ones
@@ -23,6 +25,7 @@
     public val declaredWeight: Double = 10.0,
     public val patienceMillis: Long = 60_000,
     public val batchPatienceMillis: Long = 600_000,
+    public val batchShare: Double = 0.25,
     public val throttledShare: Double = 0.25,
     public val stopAfterMillis: Long = 800,
     public val maxPreemptions: Int = 2,
--- a/placement/src/main/kotlin/org/gypsumturn/placement/PoolScheduler.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/PoolScheduler.kt
@@ -69,7 +69,7 @@
 
     /** Takes a job out of the queue, if it waits. */
     public fun withdraw(id: JobId) {
-        if (queues.remove(id) != null) round.unreserve(id)
+        if (queues.remove(id) != null) round.forget(id)
     }
 
     /** Sets capacity aside for a job that was found on [worker]. */
--- a/placement/src/test/kotlin/org/gypsumturn/placement/PoolSchedulerTest.kt
+++ b/placement/src/test/kotlin/org/gypsumturn/placement/PoolSchedulerTest.kt
@@ -108,6 +108,26 @@
         startedAt shouldBeLessThan 20_000
     }
 
+    @Test
+    fun `batch jobs start within a bounded time while normal ones always wait`() {
+        val settings = NO_RESERVE.copy(batchPatienceMillis = 10_000)
+        val scheduler = scheduler(worker(1), settings = settings)
+        (1..5).forEach { scheduler.submit(jobSpec("batch-$it", priority = Priority.BATCH), 0) }
+        val running = ArrayDeque<JobId>()
+        val startedAt = mutableListOf<Long>()
+        for (now in 0L..60_000L step 1_000) {
+            repeat(2) { scheduler.submit(jobSpec("normal-$now-$it"), now) }
+            if (running.isNotEmpty()) scheduler.release(running.removeFirst(), now)
+            for (placement in scheduler.place(now, 100)) {
+                running += placement.job.id
+                if (placement.job.priority == Priority.BATCH) startedAt += now
+            }
+        }
+        startedAt shouldHaveSize 5
+        startedAt.max() shouldBeLessThan 40_000
+        startedAt[2] shouldBe 10_000
+    }
+
     @Test
     fun `a job larger than every worker is reported with its reason`() {
         val scheduler = scheduler(worker(1))
