--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryConfig.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryConfig.kt
@@ -22,6 +22,8 @@
  * Configuration of an entry.
  *
  * @property maxOpen requests that may be open at this entry at once
+ * @property maxHeldBytes bytes that the bodies of open requests may have together
+ * @property jobWaitMillis longest time that a job waits to be recorded
  * @property balancerLagMillis time that the balancer needs to see that the entry is not ready
  * @property instanceListMillis time between two looks at the platform's instance list
  */
@@ -34,6 +36,8 @@
     val ledger: LedgerSettings,
     val retention: RetentionSettings,
     val maxOpen: Int,
+    val maxHeldBytes: Long,
+    val jobWaitMillis: Long,
     val eventLoops: Int,
     val balancerLagMillis: Long,
     val instanceListMillis: Long,
--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryNode.kt
@@ -12,6 +12,7 @@
 import org.gypsumturn.entry.http.HttpAnswer
 import org.gypsumturn.entry.http.Route
 import org.gypsumturn.entry.job.JobDesk
+import org.gypsumturn.entry.job.JobTimes
 import org.gypsumturn.entry.ledger.LedgerDuty
 import org.gypsumturn.entry.ledger.RetentionSweep
 import org.gypsumturn.entry.ledger.SweepDuty
@@ -56,7 +57,8 @@
     private val targets = TargetClient(loops, config.targetLimits, around.nowMillis)
     private val ledger =
         LedgerDuty(around.table, config.ledger, metrics, around.nowMillis, config.maxOpen * ORDERS_PER_REQUEST)
-    private val dispatch = DispatchDuty(config.dispatch, ::ports, metrics, around.seed, config.maxOpen)
+    private val dispatch =
+        DispatchDuty(config.dispatch, ::ports, metrics, around.seed, config.maxOpen, config.maxHeldBytes)
     private val intake =
         Intake(around.view::currentView, dispatch, EntryTracing(around.tracing), around.nowMillis)
     private val jobs = JobDesk(
@@ -64,7 +66,8 @@
         around.view::currentView,
         ::readiness,
         metrics,
-        config.ledger.storeTimeoutMillis,
+        JobTimes(config.ledger.storeTimeoutMillis, config.jobWaitMillis),
+        around.nowMillis,
         around.epochMillis,
         config.maxOpen,
     )
--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryProgram.kt
@@ -27,6 +27,7 @@
 import org.gypsumturn.view.ViewLog
 import java.util.UUID
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 
 /** A running entry with everything that it needs. */
@@ -35,6 +36,7 @@
     private val keeping = ViewSettings.keeping(settings)
     private val platform = PlatformClient(settings[ViewSettings.platformAddress].toAddress())
     private val clients = PeerClients(keeping.peerTimeoutMillis)
+    private val reportsHeard = AtomicLong()
     private val seeds = settings[ViewSettings.seeds].map { it.toAddress() }
     private val self = Node(
         NodeId("${settings[CommonSettings.nodeName]}-${UUID.randomUUID().toString().take(ID_LENGTH)}"),
@@ -72,6 +74,12 @@
         { node.activity },
     )
 
+    /** Port at which callers are served. */
+    val port: Int get() = node.port
+
+    /** Slot reports that peers have made. */
+    val peersHeard: Long get() = reportsHeard.get()
+
     /** Starts to follow the view and to serve. */
     fun start() {
         keeper.onView { view -> clients.retain(view.nodes.values.map { it.peerAddress }.toSet() + seeds) }
@@ -90,7 +98,10 @@
         platform.close()
     }
 
-    private fun peerReported(report: SlotReport) = node.peerReported(report)
+    private fun peerReported(report: SlotReport) {
+        reportsHeard.incrementAndGet()
+        node.peerReported(report)
+    }
 
     private fun HostAndPort.toAddress() = Address(host, port)
 
--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntrySettings.kt
@@ -29,6 +29,8 @@
         address("entry", "address", null, "address at which callers are served").also { declared += it }
     private val balancerLag = millis("entry", "balancer_lag_millis", 5_000, 0L..120_000L, "time the balancer needs")
     private val maxOpen = count("entry", "max_open_requests", 12_000, 1L..200_000L, "requests open at once")
+    private val maxHeld = bytes("entry", "max_held_bytes", 268_435_456, 1_048_576L..17_179_869_184L, "bodies held")
+    private val jobWait = millis("entry", "job_wait_millis", 5_000, 100L..60_000L, "wait of a job to be recorded")
     private val eventLoops = count("entry", "event_loops", 2, 1L..64L, "threads that read and write connections")
     private val instanceList =
         millis("entry", "instance_list_millis", 1_000, 100L..60_000L, "time between looks at the instance list")
@@ -108,6 +110,8 @@
         ledger = ledgerOf(settings),
         retention = RetentionSettings(settings[retention], settings.int(sweepRows), settings[sweepStep]),
         maxOpen = settings.int(maxOpen),
+        maxHeldBytes = settings[maxHeld],
+        jobWaitMillis = settings[jobWait],
         eventLoops = settings.int(eventLoops),
         balancerLagMillis = settings[balancerLag],
         instanceListMillis = settings[instanceList],
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/Dispatch.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/Dispatch.kt
@@ -8,6 +8,7 @@
 import org.gypsumturn.entry.http.HeaderNames
 import org.gypsumturn.entry.http.HttpAnswer
 import org.gypsumturn.entry.http.HttpStatus
+import org.gypsumturn.entry.http.VerdictNames
 import org.gypsumturn.entry.ledger.IntentRow
 import org.gypsumturn.entry.ledger.IntentRows
 import org.gypsumturn.entry.ledger.IntentState
@@ -45,7 +46,7 @@
     settings: DispatchSettings,
     private val ports: DispatchPorts,
     seed: Long,
-    private val onFinished: () -> Unit,
+    private val onFinished: (ServiceCall) -> Unit,
 ) {
     private val dispatcher = RequestDispatcher(settings, ports.self, seed)
     private val calls = HashMap<RequestId, ServiceCall>()
@@ -216,6 +217,7 @@
         val instance = view?.instances?.get(effect.target)
         call.exchangeInstances[effect.exchange] = effect.target
         counts.exchanges(call.service.pool, effect.target, 1)
+        call.lastTarget = effect.target
         call.attempts++
         if (call.attempts > 1) ports.metrics.retries.inc()
         if (instance == null) {
@@ -267,10 +269,11 @@
         call.closed = true
         call.trace.ended(verdict)
         ports.metrics.replied(call.service.id.value, verdict, ports.nowMillis() - call.arrivedMillis)
-        log
-            .atDebug()
+        val line = if (verdict == VerdictNames.MAY_HAVE_RUN) log.atInfo() else log.atDebug()
+        line
             .addKeyValue(LogKeys.REQUEST, call.id.value)
             .addKeyValue(LogKeys.POOL, call.service.pool)
+            .addKeyValue(LogKeys.INSTANCE, call.lastTarget)
             .log("request to {} ended: {}", call.service.id, verdict)
     }
 
@@ -290,7 +293,7 @@
         if (!call.finished || calls.remove(call.id) == null) return
         callsByTeam.remove(call.request.team)
         counts.requests(call.service.pool, -1)
-        onFinished()
+        onFinished(call)
     }
 
     private class HeldReply(val untilMillis: Long, val send: () -> Unit)
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/DispatchDuty.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/DispatchDuty.kt
@@ -8,11 +8,13 @@
 import org.gypsumturn.request.DispatchSettings
 import org.gypsumturn.runtime.duty.Duty
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 
 /**
  * Runs a [Dispatch] on a thread of its own.
  *
  * @param maxOpen requests of which something may be open at once
+ * @param maxHeldBytes bytes that the bodies of these requests may have together
  */
 internal class DispatchDuty(
     settings: DispatchSettings,
@@ -20,9 +22,11 @@
     private val metrics: EntryMetrics,
     seed: Long,
     private val maxOpen: Int,
+    private val maxHeldBytes: Long,
 ) : AutoCloseable {
     private val opened = AtomicInteger()
-    private val dispatch = Dispatch(settings, ports(::post), seed) { opened.decrementAndGet() }
+    private val heldBytes = AtomicLong()
+    private val dispatch = Dispatch(settings, ports(::post), seed, ::release)
     private val duty =
         Duty<DispatchInput>(
             "dispatch",
@@ -46,9 +50,10 @@
 
     /** Takes the request [call]; false if there is no room. */
     fun offer(call: ServiceCall): Boolean {
-        val taken = opened.incrementAndGet() <= maxOpen && duty.offer(DispatchInput.Arrived(call))
+        val fits = heldBytes.addAndGet(call.request.body.size.toLong()) <= maxHeldBytes
+        val taken = (opened.incrementAndGet() <= maxOpen) && fits && duty.offer(DispatchInput.Arrived(call))
         if (!taken) {
-            opened.decrementAndGet()
+            release(call)
             metrics.ringDrops.labelValues("dispatch").inc()
         }
         return taken
@@ -67,6 +72,11 @@
 
     override fun close() = duty.close()
 
+    private fun release(call: ServiceCall) {
+        opened.decrementAndGet()
+        heldBytes.addAndGet(-call.request.body.size.toLong())
+    }
+
     private companion object {
         // Arrival, caller left, and the end of an exchange, of an intent or of an outcome.
         const val MAX_INPUTS_PER_REQUEST = 5
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/ServiceCall.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/ServiceCall.kt
@@ -34,6 +34,9 @@
     /** Targets of the exchanges that have not ended. */
     val exchangeInstances = HashMap<ExchangeId, InstanceId>()
 
+    /** Target of the last exchange. */
+    var lastTarget: InstanceId? = null
+
     /** Exchanges so far. */
     var attempts = 0
 
--- a/entry/src/main/kotlin/org/gypsumturn/entry/job/JobDesk.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/job/JobDesk.kt
@@ -26,22 +26,34 @@
 @Serializable
 internal data class AcceptedBody(val id: String, val repeated: Boolean)
 
+/**
+ * Times of jobs' calls, in milliseconds.
+ *
+ * @property storeMillis longest time that one call of the table may take
+ * @property waitMillis longest time that an order waits for its turn
+ */
+internal data class JobTimes(val storeMillis: Long, val waitMillis: Long)
+
 /** Serves the routes of jobs on a thread of its own, since the table's calls block. */
 internal class JobDesk(
     private val acceptance: JobAcceptance,
     private val view: () -> FleetView,
     private val readiness: () -> Readiness,
     private val metrics: EntryMetrics,
-    private val storeTimeoutMillis: Long,
+    private val times: JobTimes,
+    private val nowMillis: () -> Long,
     private val epochMillis: () -> Long,
     ringCapacity: Int,
 ) : AutoCloseable {
     private sealed interface Order {
+        val sinceMillis: Long
         val reply: (HttpAnswer) -> Unit
 
-        class Accept(val spec: JobSpec, override val reply: (HttpAnswer) -> Unit) : Order
+        class Accept(val spec: JobSpec, override val sinceMillis: Long, override val reply: (HttpAnswer) -> Unit) :
+            Order
 
-        class Get(val route: Route.GetJob, override val reply: (HttpAnswer) -> Unit) : Order
+        class Get(val route: Route.GetJob, override val sinceMillis: Long, override val reply: (HttpAnswer) -> Unit) :
+            Order
     }
 
     private val json = Json { ignoreUnknownKeys = false }
@@ -60,12 +72,12 @@
             spec == null -> reply(Answers.notRun(Failure(FailureKind.INVALID, "the body is not a job in JSON")))
             !isNamed(spec) -> reply(Answers.notRun(Failure(FailureKind.INVALID, "an id must match $NAME")))
             spec.pool !in view().pools -> reply(unknown("unknown pool ${spec.pool}"))
-            else -> offer(Order.Accept(spec, reply))
+            else -> offer(Order.Accept(spec, nowMillis(), reply))
         }
     }
 
     /** Answers with the record of a job. */
-    fun get(route: Route.GetJob, reply: (HttpAnswer) -> Unit) = offer(Order.Get(route, reply))
+    fun get(route: Route.GetJob, reply: (HttpAnswer) -> Unit) = offer(Order.Get(route, nowMillis(), reply))
 
     override fun close() = duty.close()
 
@@ -87,9 +99,10 @@
     }
 
     private fun handle(order: Order) {
-        when (order) {
-            is Order.Accept -> waiting += order
-            is Order.Get -> order.reply(lookUp(order.route))
+        when {
+            nowMillis() - order.sinceMillis > times.waitMillis -> order.reply(tooLate())
+            order is Order.Accept -> waiting += order
+            order is Order.Get -> order.reply(lookUp(order.route))
         }
     }
 
@@ -97,7 +110,7 @@
         if (waiting.isEmpty()) return
         val group = waiting.toList()
         waiting.clear()
-        val verdicts = acceptance.acceptAll(epochMillis(), group.map { it.spec }, storeTimeoutMillis)
+        val verdicts = acceptance.acceptAll(epochMillis(), group.map { it.spec }, times.storeMillis)
         group.zip(verdicts).forEach { (order, verdict) -> order.reply(answerOf(verdict)) }
     }
 
@@ -111,13 +124,15 @@
     }
 
     private fun lookUp(route: Route.GetJob): HttpAnswer =
-        when (val verdict = acceptance.get(route.pool, route.id, storeTimeoutMillis)) {
+        when (val verdict = acceptance.get(route.pool, route.id, times.storeMillis)) {
             is Verdict.Ran -> verdict.value?.let(::found) ?: unknown("unknown job ${route.id}")
             else -> Answers.withoutResult(verdict)
         }
 
     private fun found(record: JobRecord) = Answers.json(HttpStatus.OK, json.encodeToString(record), VerdictNames.RAN)
 
+    private fun tooLate() = Answers.notRun(Failure(FailureKind.TIMEOUT, "the job was not recorded in time"))
+
     private fun unknown(message: String) = Answers.notRun(HttpStatus.NOT_FOUND, Failure(FailureKind.INVALID, message))
 
     private companion object {
--- a/entry/src/main/kotlin/org/gypsumturn/entry/target/TargetClient.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/target/TargetClient.kt
@@ -18,7 +18,15 @@
 ) {
     private data class PoolKey(val instance: InstanceId, val address: Address)
 
-    private class LoopPool(val loop: EventLoop, val pool: TargetPool)
+    private class LoopPool(val loop: EventLoop, val pool: TargetPool) {
+        private val check =
+            loop.scheduleWithFixedDelay({ pool.closeIdle() }, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
+
+        fun close() {
+            check.cancel(false)
+            loop.execute { pool.close() }
+        }
+    }
 
     private val pools = ConcurrentHashMap<PoolKey, LoopPool>()
 
@@ -31,19 +39,17 @@
     /** Closes the unused connections to targets that [view] does not name, or names with another address. */
     fun retain(view: FleetView) {
         val gone = pools.keys.filter { view.instances[it.instance]?.address != it.address }
-        gone.mapNotNull { pools.remove(it) }.forEach { held -> held.loop.execute { held.pool.close() } }
+        gone.mapNotNull { pools.remove(it) }.forEach { it.close() }
     }
 
     /** Closes all connections, those in use after their exchange. */
     fun close() {
-        pools.values.forEach { held -> held.loop.execute { held.pool.close() } }
+        pools.values.forEach { it.close() }
     }
 
     private fun create(key: PoolKey): LoopPool {
         val loop = group.next() as EventLoop
-        val pool = TargetPool(loop, key.address, limits, nowMillis)
-        loop.scheduleWithFixedDelay({ pool.closeIdle() }, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
-        return LoopPool(loop, pool)
+        return LoopPool(loop, TargetPool(loop, key.address, limits, nowMillis))
     }
 
     private companion object {
--- a/entry/src/test/kotlin/org/gypsumturn/entry/Fixture.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/Fixture.kt
@@ -104,6 +104,8 @@
     LedgerSettings(repeatWaitMillis = 300, repeatPollMillis = 20, outcomeRetryMillis = 20, storeTimeoutMillis = 200),
     RetentionSettings(3_600_000, 100, 60_000),
     maxOpen = 1_000,
+    maxHeldBytes = 1_048_576,
+    jobWaitMillis = 5_000,
     eventLoops = 2,
     balancerLagMillis = 0,
     instanceListMillis = 1_000,
