--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -4,6 +4,8 @@
 package org.gypsumturn.bench
 
 import org.gypsumturn.bench.load.runLoad
+import org.gypsumturn.bench.jobs.runJobsExperiment
+import org.gypsumturn.bench.fleet.fleetExperiment
 import kotlin.system.exitProcess
 
 /** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
@@ -11,7 +13,10 @@
 
 /** The experiments by name. */
 public val EXPERIMENTS: Map<String, Experiment> =
-    mapOf()
+    mapOf(
+        "jobs" to ::runJobsExperiment,
+        "fleet" to ::fleetExperiment,
+    )
 
 private const val LOAD = "load"
 private const val EXIT_OK = 0
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/ActivityCounts.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/ActivityCounts.kt
@@ -34,7 +34,7 @@
             val running = exchangesByPool.getOrDefault(pool, 0)
             PoolLoad(pool, maxOf(0, count - running), running)
         }
-        return NodeActivity(busy, load, view.version)
+        return NodeActivity(view.version, busy, load)
     }
 
     private fun <K> HashMap<K, Int>.add(key: K, change: Int) {
--- a/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
+++ b/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
@@ -22,12 +22,13 @@
 /**
  * What a node reports of itself at the time of a beat.
  *
- * @property version version that was in force for all of the node's work when [busy] was taken; null for the newest
+ * @property version version that every duty of the node has in force, or null if only the view's keeper has to
+ * @property busy instances out of service on which the node still has requests or jobs under way
  */
 public data class NodeActivity(
+    public val version: ViewVersion? = null,
     public val busy: List<InstanceId> = emptyList(),
     public val load: List<PoolLoad> = emptyList(),
-    public val version: ViewVersion? = null,
 )
 
 /** Keeps [self] a node of the system until closed. */
