--- a/entry/src/test/kotlin/org/gypsumturn/entry/FakeTarget.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/FakeTarget.kt
@@ -15,7 +15,7 @@
 class SeenRequest(val line: String, val headers: Map<String, String>, val body: String, val connection: Int)
 
 /** One connection of a target, for its script. */
-class TargetSide(private val socket: Socket) {
+class TargetSide(private val socket: Socket, private val onRefuse: () -> Unit) {
     fun write(text: String) {
         socket.getOutputStream().write(text.toByteArray())
         socket.getOutputStream().flush()
@@ -24,6 +24,12 @@
     fun answer(body: String, status: Int = 200, headers: String = "") =
         write("HTTP/1.1 $status OK\r\nContent-Length: ${body.toByteArray().size}\r\n$headers\r\n$body")
 
+    /** Refuses the request for lack of capacity. */
+    fun refuse() {
+        onRefuse()
+        answer("", 503, "X-Overloaded: true\r\n")
+    }
+
     fun close() = socket.close()
 
     fun reset() {
@@ -39,6 +45,9 @@
     private val sockets = ConcurrentLinkedQueue<Socket>()
     val connections = AtomicInteger()
     val seen = ConcurrentLinkedQueue<SeenRequest>()
+
+    /** Bodies of requests that were refused for lack of capacity. */
+    val refused = ConcurrentLinkedQueue<String>()
     val port: Int get() = listener.localPort
 
     init {
@@ -60,7 +69,7 @@
             val body = String(input.readNBytes(headers["content-length"]?.toInt() ?: 0))
             val request = SeenRequest(line, headers, body, number)
             seen += request
-            script(request, TargetSide(socket))
+            script(request, TargetSide(socket) { refused += request.body })
         }
     }
 
--- a/entry/src/test/kotlin/org/gypsumturn/entry/TargetFailureTest.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/TargetFailureTest.kt
@@ -155,7 +155,7 @@
 
     @Test
     fun `an overloaded target has not run the request, which another one then runs`() {
-        FakeTarget { _, side -> side.answer("", 503, "X-Overloaded: true\r\n") }.use { full ->
+        FakeTarget { _, side -> side.refuse() }.use { full ->
             serving(others = listOf(full.port)) { _, entry ->
                 val bodies = (1..10).map { "order-$it" }
                 entry.caller().use { caller -> bodies.map { caller.call("/services/orders/", it).body } } shouldBe
