Let the load tool set faults and tell its own delay

Cause: slow entries after a start made latencies look like queueing in the system, and faults under load needed a program of their own.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -3,9 +3,9 @@
 
 package org.gypsumturn.bench
 
-import org.gypsumturn.bench.load.runLoad
-import org.gypsumturn.bench.jobs.runJobsExperiment
 import org.gypsumturn.bench.fleet.fleetExperiment
+import org.gypsumturn.bench.jobs.runJobsExperiment
+import org.gypsumturn.bench.load.runLoad
 import kotlin.system.exitProcess
 
 /** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
--- a/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadCommand.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadCommand.kt
@@ -3,6 +3,7 @@
 
 package org.gypsumturn.bench.load
 
+import io.grpc.ManagedChannel
 import io.grpc.netty.NettyChannelBuilder
 import org.gypsumturn.runtime.program.CommandLineEnd
 import org.gypsumturn.runtime.program.ExitCode
@@ -32,35 +33,46 @@
 internal fun measureLoad(options: LoadOptions, run: String): LoadResult {
     val plan = planLoad(options, run)
     val caller = Caller(options.entries, EntryHttp(options.timeoutMillis), options.retryWindowMillis)
-    val jobs = CompletableFuture.supplyAsync { JobRun(options, caller).run(plan.jobs) }
-    val sent = sendRequests(options, plan.requests, caller)
-    val submitted = jobs.join()
-    Thread.sleep(SETTLE_MILLIS)
-    val executions = readExecutions(options.standin)
+    val standin = openStandin(options.standin)
+    try {
+        val faults = CompletableFuture.supplyAsync { injectFaults(options.faults, standin) }
+        val jobs = CompletableFuture.supplyAsync { JobRun(options, caller).run(plan.jobs) }
+        val sent = sendRequests(options, plan.requests, caller)
+        val submitted = jobs.join()
+        val remarks = faults.join() + remarksOn(sent, submitted)
+        Thread.sleep(SETTLE_MILLIS)
+        return judge(sent, submitted, readExecutions(standin), remarks)
+    } finally {
+        standin.shutdownNow()
+    }
+}
+
+private fun judge(
+    sent: List<SentRequest>,
+    jobs: List<SubmittedJob>,
+    executions: Executions,
+    remarks: List<String>,
+): LoadResult {
     val counts = listOf(
         countRequests(CallKind.IDEMPOTENT, sent, executions),
         countRequests(CallKind.KEYED, sent, executions),
-        countJobs(submitted, executions),
+        countJobs(jobs, executions),
     )
-    return LoadResult(counts.filter { it.sent > 0 }, executions.interrupted.size, remarksOn(sent, submitted))
+    return LoadResult(counts.filter { it.sent > 0 }, executions.interrupted.size, remarks)
 }
 
-private fun readExecutions(standin: HostAndPort): Executions {
-    val channel =
-        NettyChannelBuilder
-            .forAddress(InetSocketAddress(standin.host, standin.port))
-            .usePlaintext()
-            .maxInboundMessageSize(MAX_ANSWER_BYTES)
-            .build()
-    try {
-        val stub = FaultsGrpc.newBlockingStub(channel).withDeadlineAfter(READ_SECONDS, TimeUnit.SECONDS)
-        val reply = stub.getExecutions(ExecutionsRequest.getDefaultInstance())
-        return Executions(
-            reply.requestsList.associate { it.key to it.times },
-            reply.jobsList.associate { it.key to it.times },
-            reply.interruptedByRebootList,
-        )
-    } finally {
-        channel.shutdownNow()
-    }
+private fun openStandin(address: HostAndPort): ManagedChannel = NettyChannelBuilder
+    .forAddress(InetSocketAddress(address.host, address.port))
+    .usePlaintext()
+    .maxInboundMessageSize(MAX_ANSWER_BYTES)
+    .build()
+
+private fun readExecutions(standin: ManagedChannel): Executions {
+    val stub = FaultsGrpc.newBlockingStub(standin).withDeadlineAfter(READ_SECONDS, TimeUnit.SECONDS)
+    val reply = stub.getExecutions(ExecutionsRequest.getDefaultInstance())
+    return Executions(
+        reply.requestsList.associate { it.key to it.times },
+        reply.jobsList.associate { it.key to it.times },
+        reply.interruptedByRebootList,
+    )
 }
--- a/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadOptions.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadOptions.kt
@@ -22,6 +22,7 @@
  * @property requests largest number of requests; fewer if [durationMillis] ends first
  * @property ratePerSecond requests that fall due each second
  * @property retryWindowMillis time from a call's start within which it may be asked again
+ * @property faults faults that are set at the stand-in during the run
  * @property jobWaitMillis time for accepted jobs to end, from the last submission
  */
 public data class LoadOptions(
@@ -40,6 +41,7 @@
     public val jobs: Int,
     public val jobPool: String,
     public val jobWaitMillis: Long,
+    public val faults: List<ScheduledFault>,
     public val seed: Long,
     public val format: ResultFormat,
 ) {
@@ -57,7 +59,7 @@
     private val team by text("team", "team of the requests and jobs").default("load")
     private val requests by number("requests", "largest number of requests").default(1_000)
     private val rate by number("rate-per-second", "requests that fall due each second").default(100)
-    private val concurrency by number("concurrency", "requests that wait for an answer at once").default(32)
+    private val concurrency by number("concurrency", "requests that wait for an answer at once").default(64)
     private val duration by number("duration-millis", "time after which no more is sent").default(30_000)
     private val timeout by number("timeout-millis", "time for one attempt").default(5_000)
     private val retryWindow by number("retry-window-millis", "time within which a call is asked again").default(15_000)
@@ -65,6 +67,11 @@
     private val jobs by number("jobs", "number of jobs").default(0)
     private val jobPool by text("job-pool", "pool of the jobs").default("")
     private val jobWait by number("job-wait-millis", "time for accepted jobs to end").default(30_000)
+    private val faults by text(
+        "faults",
+        "faults to set: millis:instance:fault or millis:store:fault, separated by commas",
+    )
+        .default("")
     private val seed by number("seed", "seed of all random draws").default(1)
     private val format by parser
         .option(
@@ -98,6 +105,7 @@
             jobs = jobs,
             jobPool = jobPool,
             jobWaitMillis = jobWait.toLong(),
+            faults = parseFaults(faults) ?: throw CommandLineEnd("--faults: bad value \"$faults\"", ExitCode.USAGE),
             seed = seed.toLong(),
             format = format,
         )
--- a/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadResult.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadResult.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
+import org.HdrHistogram.Histogram
 
 /** Result of a run. [interrupted] counts the executions that a reboot cut; [remarks] explain what went wrong. */
 @Serializable
@@ -70,10 +71,21 @@
     val calls = sent.map { it.call } + jobs.map { it.submission }
     val reasons = calls.filter { it.end != CallEnd.ANSWERED }.groupingBy { "${it.end}: ${reasonOf(it)}" }.eachCount()
     val unfinished = jobs.filter { it.submission.end == CallEnd.ANSWERED && it.doneMillis == null }
-    return reasons.entries.sortedByDescending { it.value }.take(MAX_REMARKS).map { "${it.value} x ${it.key}" } +
+    return sentLate(sent.map { it.call }) +
+        reasons.entries.sortedByDescending { it.value }.take(MAX_REMARKS).map { "${it.value} x ${it.key}" } +
         unfinished.take(MAX_REMARKS).map { "job ${it.spec.id} has not ended: ${it.record?.state} ${it.record?.reason}" }
 }
 
+// Latencies count from when a call fell due, so they include the time for which it waited for a sender of this tool.
+private fun sentLate(calls: List<FinishedCall>): List<String> {
+    if (calls.isEmpty()) return emptyList()
+    val late = Histogram(3)
+    calls.forEach { late.recordValue(it.sentLateMillis.coerceAtLeast(0)) }
+    val p50 = late.getValueAtPercentile(50.0)
+    val p99 = late.getValueAtPercentile(99.0)
+    return listOf("of the latency, waiting for a free sender: p50 $p50 ms, p99 $p99 ms")
+}
+
 private fun reasonOf(call: FinishedCall): String = when (val last = call.history.last()) {
     is Reply.Ran -> ""
     is Reply.NotRun -> last.reason
--- a/bench/src/test/kotlin/org/gypsumturn/bench/load/EntryHttpTest.kt
+++ b/bench/src/test/kotlin/org/gypsumturn/bench/load/EntryHttpTest.kt
@@ -85,6 +85,13 @@
         plan.requests.filter { it.kind == CallKind.KEYED }.map { it.service }.toSet() shouldBe setOf("c")
     }
 
+    @Test
+    fun `faults are scheduled in the order of their times, and a wrong one is refused`() {
+        parseFaults("9:store:down, 2:plans-1:silent") shouldBe
+            listOf(ScheduledFault(2, "plans-1", "silent"), ScheduledFault(9, "store", "down"))
+        listOf("9:store:gone", "x:plans-1:cut", "5:plans-1").map(::parseFaults) shouldBe listOf(null, null, null)
+    }
+
     @Test
     fun `a wrong command line is refused`() {
         runLoad(listOf("--entries", "localhost:1", "--standin", "127.0.0.1:2"), {}) shouldBe ExitCode.USAGE
