Borrow when a shortage costs as much as a move

Cause: with dear moves a pool borrowed too early, with cheap ones too late.

Change: the late work so far and until help arrives is weighed against one whole move; the setting for a part of a move is gone.

--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/CapacitySettings.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/CapacitySettings.kt
@@ -27,8 +27,7 @@
  * @property slowMillis time constant of the load average from which the trend is taken
  * @property patientMillis patience from which a pool goes by its backlog instead of its arrivals
  * @property expectedGapMillis time between two peaks that is assumed until some were seen
- * @property entryFraction part of a move's cost that must have been lost to lateness before instances are borrowed
- * @property rolloutFactor times that part that must be lost before instances enter a pool in the middle of a roll-out
+ * @property rolloutFactor moves whose cost must be lost before instances enter a pool in the middle of a roll-out
  * @property latePart part of the time until borrowed instances serve in which demand is already above the rest
  * @property minHoldMillis shortest time for which a pool keeps an instance that it does not need
  */
@@ -40,8 +39,7 @@
     public val slowMillis: Long = 90_000,
     public val patientMillis: Long = 600_000,
     public val expectedGapMillis: Long = 3_600_000,
-    public val entryFraction: Double = 0.25,
-    public val rolloutFactor: Double = 8.0,
+    public val rolloutFactor: Double = 3.0,
     public val latePart: Double = 0.7,
     public val minHoldMillis: Long = 60_000,
 )
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/CapacityState.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/CapacityState.kt
@@ -27,7 +27,8 @@
  * @property fastLoad average load in instances, with the fast time constant
  * @property slowLoad average load in instances, with the slow time constant
  * @property peakLoad largest slow average, forgotten over days
- * @property need instances that the pool needs now
+ * @property expectedLoad load in instances by the time a borrowed one would serve
+ * @property need instances that keep the expected load below the highest utilization
  * @property shortageCost cost of the work that became late for want of instances, in this shortage
  */
 public data class PoolCapacityState(
@@ -35,6 +36,7 @@
     public val fastLoad: Double = 0.0,
     public val slowLoad: Double = 0.0,
     public val peakLoad: Double = 0.0,
+    public val expectedLoad: Double = 0.0,
     public val need: Int = 0,
     public val shortageCost: Double = 0.0,
     public val ranks: List<RankState> = emptyList(),
@@ -74,14 +76,16 @@
 ): PoolCapacityState {
     val hours = (elapsedMillis ?: 0) / MILLIS_PER_HOUR
     val averaged = averaged(load, elapsedMillis, settings)
-    val needed = maxOf(load.minInstances, averaged.neededInstances(load, settings))
-    val lost = (averaged.expectedLoad(load, settings) - load.instances) * hours * settings.weights.latePerInstanceHour
+    val expected = averaged.expectedLoad(load, settings)
+    val needed = maxOf(load.minInstances, ceil(expected / settings.maxUtilization).toInt())
+    val lost = (expected - load.instances) * hours * settings.weights.latePerInstanceHour
     val size = minOf(MAX_RANKS, maxOf(needed, load.instances, ranks.size))
     val observed = List(size) { index ->
         val rank = ranks.getOrNull(index) ?: RankState()
         if (index < needed) rank.used(settings) else rank.copy(idleHours = rank.idleHours + hours)
     }
     return averaged.copy(
+        expectedLoad = expected,
         need = needed,
         shortageCost = if (lost > 0) shortageCost + lost else shortageCost / 2,
         ranks = observed,
@@ -129,10 +133,6 @@
     return minOf(fastLoad + rise, maxOf(fastLoad, peakLoad))
 }
 
-/** Instances that keep the expected load below the highest utilization. */
-private fun PoolCapacityState.neededInstances(load: PoolLoad, settings: CapacitySettings): Int =
-    ceil(expectedLoad(load, settings) / settings.maxUtilization).toInt()
-
 /** Gaps shorter than the shortest hold are noise and are not remembered. */
 private fun RankState.used(settings: CapacitySettings): RankState = when {
     idleHours == 0.0 -> this
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/DecideMoves.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/DecideMoves.kt
@@ -30,7 +30,7 @@
  * Pools without an entry in [demand] take no part. A pool that is short takes what other pools hold idle, then what
  * the spare pools have above their minimum; what a pool no longer wants goes to a spare pool. Every move fits the
  * budgets of both pools in [view]. Pools in [rollingOut], and pools in the middle of a wave, receive nothing unless
- * their shortage has cost [CapacitySettings.rolloutFactor] times as much as it takes elsewhere.
+ * their shortage has cost [CapacitySettings.rolloutFactor] times as much as a move.
  */
 public fun decideMoves(
     nowMillis: Long,
@@ -115,7 +115,7 @@
     private fun isIdle(want: PoolWant): Boolean = count(want) > want.wish.floor
 
     private fun mayReceive(want: PoolWant): Boolean {
-        val threshold = settings.weights.perMove * settings.entryFraction * settings.rolloutFactor
+        val threshold = settings.weights.perMove * settings.rolloutFactor
         return want.load.pool !in unsettled || want.state.shortageCost >= threshold
     }
 
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/MovePolicy.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/MovePolicy.kt
@@ -37,9 +37,10 @@
 }
 
 /**
- * Borrows once the late work of a shortage has cost a part of a move, and gives an instance back once it has idled
- * for as much as giving it back and borrowing again costs: at most twice the cost of the best choice in hindsight,
- * as in the ski rental problem.
+ * Borrows once the late work of a shortage has cost as much as a move, or will have by the time that help arrives.
+ *
+ * Gives an instance back once it has idled for as much as giving it back and borrowing again costs: at most twice the
+ * cost of the best choice in hindsight, as in the ski rental problem.
  */
 public val BREAK_EVEN_POLICY: MovePolicy = { load, state, settings ->
     wishOf(load, state, settings) { number -> breakEvenHours(returnCost(load, state, number, settings), settings) }
@@ -81,15 +82,20 @@
     settings: CapacitySettings,
     holdHours: (number: Int) -> Double,
 ): PoolWish {
-    val borrows = state.need > load.instances &&
-        state.shortageCost >= settings.weights.perMove * settings.entryFraction
-    if (borrows) return PoolWish(state.need, state.need)
+    val borrows = lateCost(load, state, settings) >= settings.weights.perMove
+    if (borrows && state.need > load.instances) return PoolWish(state.need, state.need)
     val floor = maxOf(state.need, load.minInstances)
     var kept = load.instances
     while (kept > floor && idleHours(state, kept) >= holdHours(kept)) kept--
     return PoolWish(kept, state.need)
 }
 
+/** Cost of the late work of this shortage so far, and until a borrowed instance would serve. */
+private fun lateCost(load: PoolLoad, state: PoolCapacityState, settings: CapacitySettings): Double {
+    val missing = maxOf(0.0, state.expectedLoad - load.instances)
+    return state.shortageCost + missing * settings.leadMillis / MILLIS_PER_HOUR * settings.weights.latePerInstanceHour
+}
+
 private fun idleHours(state: PoolCapacityState, number: Int): Double =
     state.ranks.getOrNull(number - 1)?.idleHours ?: 0.0
 
