Share team usage between owners and remove old ended jobs

A quota held per owner only. Each owner now writes one row with what its teams hold and reads the others' every 5 s; the cost grows with owners. Ended jobs are removed after their retention, a page at a time. The inbox reads past a full page, so notices for a removed pool cannot hide later ones.

--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/Inbox.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/Inbox.kt
@@ -7,6 +7,7 @@
 import org.gypsumturn.model.JobRecord
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
+import org.gypsumturn.platform.Row
 import org.gypsumturn.platform.RowKey
 import org.gypsumturn.platform.TableStore
 import org.gypsumturn.platform.Write
@@ -49,21 +50,30 @@
         notices.forEach { handled[it.key] = it }
     }
 
+    /** Reads on past a full page, lest notices for a pool that is gone hide those behind them. */
     private fun pollBucket(nowMillis: Long, bucket: Int) {
-        val page = table.scan(JobRows.inboxPrefix(bucket), null, MAX_NOTICES, settings.tableTimeoutMillis)
-        if (page !is Verdict.Ran) return health.failed(nowMillis)
-        health.answered()
-        for (row in page.value) {
-            if (row.key in handled) continue
-            val notice = JobRows.decodeNotice(row.value ?: continue)
-            val pool = state.pools[notice.pool]?.takeIf { it.isLoaded } ?: continue
-            notice.ended.forEach { id -> pool.jobs[id]?.let { onEnded(it, nowMillis) } }
-            val read = notice.ids.filter { notice.changed || it !in pool.jobs }
-            if (read.isNotEmpty() && !takeIn(nowMillis, pool, read)) return
-            handled[row.key] = HandledNotice(row.key, pool)
+        var after: RowKey? = null
+        repeat(MAX_PAGES) {
+            val page = table.scan(JobRows.inboxPrefix(bucket), after, PAGE_NOTICES, settings.tableTimeoutMillis)
+            if (page !is Verdict.Ran) return health.failed(nowMillis)
+            health.answered()
+            if (!page.value.all { take(nowMillis, it) } || page.value.size < PAGE_NOTICES) return
+            after = page.value.last().key
         }
     }
 
+    /** False if the table does not answer. */
+    private fun take(nowMillis: Long, row: Row): Boolean {
+        if (row.key in handled) return true
+        val notice = JobRows.decodeNotice(row.value ?: return true)
+        val pool = state.pools[notice.pool]?.takeIf { it.isLoaded } ?: return true
+        notice.ended.forEach { id -> pool.jobs[id]?.let { onEnded(it, nowMillis) } }
+        val read = notice.ids.filter { notice.changed || it !in pool.jobs }
+        if (read.isNotEmpty() && !takeIn(nowMillis, pool, read)) return false
+        handled[row.key] = HandledNotice(row.key, pool)
+        return true
+    }
+
     private fun takeIn(nowMillis: Long, pool: OwnedPool, ids: List<JobId>): Boolean {
         val answer = table.read(ids.map { JobRows.open(pool.id, it) }, settings.tableTimeoutMillis)
         if (answer !is Verdict.Ran) {
@@ -88,6 +98,7 @@
     }
 
     private companion object {
-        const val MAX_NOTICES = 200
+        const val PAGE_NOTICES = 200
+        const val MAX_PAGES = 10
     }
 }
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwner.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwner.kt
@@ -44,6 +44,8 @@
     private val supervisor = TaskSupervisor(workers, state, inParallel)
     private val inbox = Inbox(table, state, health, ::adopted, ::rowChanged, ::ended)
     private val ownership = PoolOwnership(table, self, state, health, ::adopted)
+    private val usage = TeamUsage(table, self, state, health)
+    private val retention = Retention(table, state, health)
     private val writer = JobWriter(table, state, health, inbox, Effects())
     private var membersVersion: ViewVersion? = null
     private var membersByPool: Map<PoolId, List<WorkerCapacity>> = emptyMap()
@@ -58,6 +60,8 @@
         if (health.isUp) place(nowMillis)
         writer.write(nowMillis)
         supervisor.startAll(nowMillis)
+        usage.exchange(nowMillis, view, liveControls)
+        retention.sweep(nowMillis)
     }
 
     /** The pools that this process owns, as far as it knows. */
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwnerSettings.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwnerSettings.kt
@@ -20,7 +20,9 @@
  * @property tableRetryMillis first time between two tries while the table is down; it doubles up to
  *   [maxTableRetryMillis]
  * @property reclaimDelayMillis time before a pool that another process took is claimed again
- * @property retentionMillis time for which an ended job is kept
+ * @property retentionMillis time for which an ended job is kept; a repeat of its id is recognised that long
+ * @property sweepEveryMillis time between two looks for ended jobs to remove
+ * @property usageEveryMillis time between two exchanges of what teams hold
  */
 public data class JobOwnerSettings(
     public val leaseMillis: Long = 30_000,
@@ -40,5 +42,7 @@
     public val reclaimDelayMillis: Long = 5_000,
     public val maxClaimsPerStep: Int = 32,
     public val retentionMillis: Long = 86_400_000,
+    public val sweepEveryMillis: Long = 10_000,
+    public val usageEveryMillis: Long = 5_000,
     public val placement: PlacementSettings = PlacementSettings(),
 )
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobRows.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobRows.kt
@@ -6,11 +6,13 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
+import org.gypsumturn.model.Capacity
 import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.JobRecord
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.TeamId
 import org.gypsumturn.placement.bucketOf
 import org.gypsumturn.platform.RowKey
 
@@ -33,6 +35,10 @@
     val ended: List<JobId> = emptyList(),
 )
 
+/** What teams held with the owner [node] at [atMillis]. */
+@Serializable
+internal data class UsageRecord(val node: NodeId, val atMillis: Long, val held: Map<TeamId, Capacity>)
+
 /** Keys and texts of the rows. */
 internal object JobRows {
     private val json = Json { encodeDefaults = false }
@@ -49,6 +55,10 @@
 
     fun owner(pool: PoolId): RowKey = RowKey("owner/$pool")
 
+    const val USAGE_PREFIX = "usage/"
+
+    fun usage(node: NodeId): RowKey = RowKey("$USAGE_PREFIX$node")
+
     fun inboxPrefix(bucket: Int): String = "inbox/${bucket.toString().padStart(2, '0')}/"
 
     /** Key of a notice about [first] and others; [kind] keeps notices of different causes apart. */
@@ -63,6 +73,10 @@
 
     fun decodeOwner(text: String): OwnerRecord = json.decodeFromString(text)
 
+    fun encode(record: UsageRecord): String = json.encodeToString(record)
+
+    fun decodeUsage(text: String): UsageRecord = json.decodeFromString(text)
+
     fun encode(notice: InboxNotice): String = json.encodeToString(notice)
 
     fun decodeNotice(text: String): InboxNotice = json.decodeFromString(text)
--- /dev/null
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/TeamUsage.kt
@@ -0,0 +1,71 @@
+// What teams hold over all owners. Each owner writes one row with what its teams hold and reads the others', so a quota
+// holds for the whole fleet with a lag of a few seconds; the cost grows with owners, not with pools, teams or jobs.
+
+package org.gypsumturn.jobs
+
+import org.gypsumturn.model.Capacity
+import org.gypsumturn.model.FleetView
+import org.gypsumturn.model.NodeId
+import org.gypsumturn.model.TeamId
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.platform.Row
+import org.gypsumturn.platform.TableStore
+import org.gypsumturn.platform.Transaction
+import org.gypsumturn.platform.Write
+
+/** Exchanges the usage of teams with quotas. */
+internal class TeamUsage(
+    private val table: TableStore,
+    private val self: NodeId,
+    private val state: OwnerState,
+    private val health: TableHealth,
+) {
+    private val settings = state.settings
+    private var nextMillis = Long.MIN_VALUE
+    private var lastWritten: Map<TeamId, Capacity> = emptyMap()
+    private var writtenAtMillis = Long.MIN_VALUE
+
+    /** Writes this owner's usage where it changed, and reads the others'. */
+    fun exchange(nowMillis: Long, view: FleetView, live: Set<NodeId>) {
+        if (nowMillis < nextMillis || view.teams.values.none { it.jobQuota != null }) return
+        nextMillis = nowMillis + settings.usageEveryMillis
+        val rows = read(nowMillis) ?: return
+        val records = rows.mapNotNull { row -> row.value?.let(JobRows::decodeUsage) }
+        val others = records.filter { it.node != self && it.node in live }
+        state.ledger.setElsewhere(sum(others.map { it.held }))
+        write(nowMillis, records.filter { it.node != self && isStale(it, nowMillis) })
+    }
+
+    private fun read(nowMillis: Long): List<Row>? {
+        if (!health.mayCall(nowMillis)) return null
+        val answer = table.scan(JobRows.USAGE_PREFIX, null, MAX_OWNERS, settings.tableTimeoutMillis)
+        if (answer is Verdict.Ran) health.answered() else health.failed(nowMillis)
+        return (answer as? Verdict.Ran)?.value
+    }
+
+    private fun write(nowMillis: Long, stale: List<UsageRecord>) {
+        val held = state.ledger.heldHere()
+        val isDue = nowMillis - settings.usageEveryMillis * STALE_PERIODS / 2 >= writtenAtMillis
+        if (held == lastWritten && !isDue && stale.isEmpty()) return
+        val own = Write(JobRows.usage(self), JobRows.encode(UsageRecord(self, nowMillis, held)))
+        val removals = stale.map { Write(JobRows.usage(it.node), null) }
+        val answer = table.commit(Transaction(emptyList(), removals + own), settings.tableTimeoutMillis)
+        if (answer !is Verdict.Ran) return health.failed(nowMillis)
+        lastWritten = held
+        writtenAtMillis = nowMillis
+    }
+
+    private fun isStale(record: UsageRecord, nowMillis: Long): Boolean =
+        nowMillis - record.atMillis > settings.usageEveryMillis * STALE_PERIODS
+
+    private fun sum(parts: List<Map<TeamId, Capacity>>): Map<TeamId, Capacity> {
+        val total = HashMap<TeamId, Capacity>()
+        parts.forEach { part -> part.forEach { (team, held) -> total.merge(team, held, Capacity::plus) } }
+        return total
+    }
+
+    private companion object {
+        const val MAX_OWNERS = 500
+        const val STALE_PERIODS = 60
+    }
+}
--- a/jobs/src/test/kotlin/org/gypsumturn/jobs/JobOwnerTest.kt
+++ b/jobs/src/test/kotlin/org/gypsumturn/jobs/JobOwnerTest.kt
@@ -4,10 +4,17 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.mutate
+import org.gypsumturn.model.AvailabilityBudget
 import org.gypsumturn.model.Capacity
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.JobState
 import org.gypsumturn.model.NodeId
+import org.gypsumturn.model.Pool
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.PoolRole
+import org.gypsumturn.model.Team
+import org.gypsumturn.model.TeamId
 import org.gypsumturn.model.valueOrNull
 import org.gypsumturn.platform.fake.FakeTableStore
 import org.gypsumturn.platform.fake.FakeWorkerTasks
@@ -102,6 +109,43 @@
         Unit
     }
 
+    @Test
+    fun `ended jobs are removed after their retention`(): Unit = with(Fixture()) {
+        val owner = JobOwner(table, workers, SELF, JobOwnerSettings(retentionMillis = 60_000))
+        acceptance.accept(now, spec("a"), TIMEOUT_MILLIS)
+        owner.run(30_000)
+        state("a") shouldBe JobState.FINISHED
+        owner.run(60_000)
+        state("a") shouldBe null
+        Unit
+    }
+
+    @Test
+    fun `a team's quota holds over two owners`(): Unit = with(Fixture()) {
+        script = TaskScript(600_000, Capacity(1_000, 512))
+        val quota = Team(TeamId("plans"), jobQuota = Capacity(3_000, 100_000))
+        val both = setOf(SELF, NodeId("control-2"))
+        val pools = (1..20).map { Pool(PoolId("pool-$it"), PoolRole.WORKING, AvailabilityBudget(1)) }
+        val spread =
+            view.copy(
+                pools = view.pools.clear().putAll(pools.associateBy { it.id }),
+                teams = view.teams.put(quota.id, quota),
+                instances = view.instances.mutate { all ->
+                    all.keys.toList().forEachIndexed { index, id ->
+                        all[id] = all.getValue(id).copy(pool = pools[index].id)
+                    }
+                },
+            )
+        val owners = both.map { owner(it) }
+        val usedPools = spread.instances.values.map { it.pool }
+        fun round() = owners.zip(both) { owner, _ -> owner.step(now, spread, both) }.also { now += 1_000 }
+        repeat(40) { number ->
+            acceptance.accept(now, spec("job-$number").copy(pool = usedPools[number % 4]), TIMEOUT_MILLIS)
+            repeat(12) { round() }
+        }
+        workers.runs shouldHaveSize 3
+    }
+
     @Test
     fun `a new owner takes over running jobs and the former one can no longer write`(): Unit = with(Fixture()) {
         val first = owner(SELF)
