Let an idle owner notice that it lost its pool

An owner that had nothing to write never met its fence. When another process took the pool and left it again with a job assigned, the first owner went on as if it held the pool and did not know the job. Each owner now reads the owner rows of its pools every 5 s, in one read.

The fault has a test of its own.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobWorld.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobWorld.kt
@@ -109,7 +109,8 @@
                 recordOf(id)?.let { it.state == JobState.CANCELLED && it.attempt == 0 } == true && id in runs
             }
         val invented = accepted.keys.filter { recordOf(it)?.state == JobState.FINISHED && it !in runs }
-        return lost.map { "lost ${it.id}: ${recordOf(it.id)}" } +
+        val owners = nodes.map { it.owner.counts() }
+        return lost.map { "lost ${it.id}: ${recordOf(it.id)} with $owners" } +
             doubled.map { "doubled ${it.key}: ${it.value}" } +
             ranThoughRefused.map { "ran though refused: $it" } +
             unstarted.map { "ran though cancelled before any attempt: $it" } +
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwnerSettings.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwnerSettings.kt
@@ -20,6 +20,7 @@
  * @property tableRetryMillis first time between two tries while the table is down; it doubles up to
  *   [maxTableRetryMillis]
  * @property reclaimDelayMillis time before a pool that another process took is claimed again
+ * @property verifyEveryMillis time between two looks whether the owned pools are still held
  * @property retentionMillis time for which an ended job is kept; a repeat of its id is recognised that long
  * @property sweepEveryMillis time between two looks for ended jobs to remove
  * @property usageEveryMillis time between two exchanges of what teams hold
@@ -41,6 +42,7 @@
     public val maxTableRetryMillis: Long = 8_000,
     public val reclaimDelayMillis: Long = 5_000,
     public val maxClaimsPerStep: Int = 32,
+    public val verifyEveryMillis: Long = 5_000,
     public val retentionMillis: Long = 86_400_000,
     public val sweepEveryMillis: Long = 10_000,
     public val usageEveryMillis: Long = 5_000,
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/PoolOwnership.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/PoolOwnership.kt
@@ -31,6 +31,7 @@
 ) {
     private val settings = state.settings
     private val notBefore = HashMap<PoolId, Long>()
+    private var nextVerifyMillis = Long.MIN_VALUE
     private var ownersFor: Set<NodeId>? = null
     private var ownBuckets: Set<Int> = emptySet()
 
@@ -38,6 +39,7 @@
     fun update(nowMillis: Long, view: FleetView, live: Set<NodeId>) {
         val wanted = wantedPools(view, live)
         state.pools.values.filter { it.id !in wanted }.forEach { state.dropPool(it, nowMillis) }
+        verify(nowMillis)
         val unclaimed = wanted.filter { it !in state.pools && nowMillis >= (notBefore[it] ?: Long.MIN_VALUE) }
         if (unclaimed.isNotEmpty()) claim(nowMillis, unclaimed.sorted().take(settings.maxClaimsPerStep))
         state.pools.values.filter { !it.isLoaded }.forEach { load(nowMillis, it) }
@@ -52,6 +54,22 @@
     /** Buckets of the owned pools. */
     fun buckets(): Set<Int> = state.pools.keys.mapTo(sortedSetOf()) { bucketOf(it) }
 
+    /**
+     * Looks whether the pools are still held. An owner that has nothing to write would not notice that another process
+     * took a pool and left it again with jobs that it does not know.
+     */
+    private fun verify(nowMillis: Long) {
+        if (nowMillis < nextVerifyMillis || state.pools.isEmpty() || !health.mayCall(nowMillis)) return
+        nextVerifyMillis = nowMillis + settings.verifyEveryMillis
+        val held = state.pools.values.toList()
+        val rows = table.read(held.map { JobRows.owner(it.id) }, settings.tableTimeoutMillis)
+        if (rows !is Verdict.Ran) return health.failed(nowMillis)
+        health.answered()
+        held.zip(rows.value)
+            .filter { (pool, row) -> pool.fenceCondition().revision != row.revision }
+            .forEach { (pool, _) -> lost(nowMillis, pool) }
+    }
+
     private fun wantedPools(view: FleetView, live: Set<NodeId>): Set<PoolId> {
         if (live != ownersFor) {
             ownBuckets = (0 until OWNER_BUCKETS).filter { ownerOf(it, live) == self }.toSet()
--- a/jobs/src/test/kotlin/org/gypsumturn/jobs/JobOwnerTest.kt
+++ b/jobs/src/test/kotlin/org/gypsumturn/jobs/JobOwnerTest.kt
@@ -109,6 +109,20 @@
         Unit
     }
 
+    @Test
+    fun `an idle owner notices that another took its pool and left it with a job`(): Unit = with(Fixture()) {
+        val other = NodeId("control-2")
+        val idle = owner()
+        idle.run(1_000)
+        val second = owner(other)
+        second.run(1_000, setOf(other))
+        acceptance.accept(now, spec("a"), TIMEOUT_MILLIS)
+        second.run(1_000, setOf(other))
+        idle.run(30_000)
+        state("a") shouldBe JobState.FINISHED
+        Unit
+    }
+
     @Test
     fun `ended jobs are removed after their retention`(): Unit = with(Fixture()) {
         val owner = JobOwner(table, workers, SELF, JobOwnerSettings(retentionMillis = 60_000))
