Move instances between pools as demand asks for it

Change: entries report what waits, runs and has finished in their beats; the control process estimates demand by Little's law and hands the policy's moves to the upkeep. Costs of buffer, moves and lateness are settings.

--- a/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
@@ -11,12 +11,15 @@
 import org.gypsumturn.control.admin.AdminService
 import org.gypsumturn.control.admin.EventStreams
 import org.gypsumturn.control.admin.JobCalls
+import org.gypsumturn.control.fleet.CapacityPlan
 import org.gypsumturn.control.fleet.FleetCommands
 import org.gypsumturn.control.fleet.FleetUpkeep
 import org.gypsumturn.control.fleet.Now
 import org.gypsumturn.control.fleet.Rebooter
 import org.gypsumturn.control.fleet.UpkeepSettings
 import org.gypsumturn.control.job.JobDuty
+import org.gypsumturn.fleet.capacity.CapacitySettings
+import org.gypsumturn.fleet.capacity.CapacityWeights
 import org.gypsumturn.jobs.JobAcceptance
 import org.gypsumturn.jobs.JobOwner
 import org.gypsumturn.jobs.JobOwnerSettings
@@ -125,7 +128,26 @@
                 platformTimeoutMillis = keeping.storeTimeoutMillis,
             )
         val rebooter = Rebooter(platform.table, platform.instances, keeping.storeTimeoutMillis)
-        return FleetUpkeep(node.id, keeper::currentView, commands, beats, platform.instances, rebooter, times)
+        return FleetUpkeep(
+            node.id,
+            keeper::currentView,
+            commands,
+            beats,
+            platform.instances,
+            rebooter,
+            capacityPlan(),
+            times,
+        )
+    }
+
+    private fun capacityPlan(): CapacityPlan {
+        val weights =
+            CapacityWeights(
+                bufferPerInstanceHour = settings[ControlSettings.bufferCost],
+                perMove = settings[ControlSettings.moveCost],
+                latePerInstanceHour = settings[ControlSettings.lateCost],
+            )
+        return CapacityPlan(CapacitySettings(weights), settings[ControlSettings.capacityPeriodMillis])
     }
 
     private fun jobOwner(): JobOwner {
--- a/control/src/main/kotlin/org/gypsumturn/control/ControlSettings.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/ControlSettings.kt
@@ -8,12 +8,14 @@
 import org.gypsumturn.runtime.settings.Setting
 import org.gypsumturn.runtime.settings.SettingsSchema
 import org.gypsumturn.runtime.settings.address
+import org.gypsumturn.runtime.settings.number
 import org.gypsumturn.runtime.settings.text
 import org.gypsumturn.runtime.settings.wholeNumber
 
 /** Settings of the sections `admin`, `fleet` and `jobs`, beside those that all nodes have. */
 internal object ControlSettings {
     private const val MILLISECONDS = "milliseconds"
+    private const val MAX_COST = 1e9
     private const val DAY_MILLIS = 86_400_000L
 
     val adminAddress: Setting<HostAndPort> =
@@ -55,6 +57,37 @@
             MILLISECONDS,
             "period within which each instance is rebooted once by itself; 0 leaves maintenance to operators",
         )
+    val capacityPeriodMillis: Setting<Long> =
+        wholeNumber(
+            "capacity",
+            "period_millis",
+            5_000,
+            0L..3_600_000L,
+            MILLISECONDS,
+            "time between two decisions on moves; 0 leaves moves to operators",
+        )
+    val bufferCost: Setting<Double> =
+        number(
+            "capacity",
+            "buffer_cost_per_hour",
+            1.0,
+            0.0,
+            MAX_COST,
+            "cost units",
+            "cost of an instance held idle for an hour",
+        )
+    val moveCost: Setting<Double> =
+        number("capacity", "move_cost", 0.2, 0.0, MAX_COST, "cost units", "cost of one move of an instance")
+    val lateCost: Setting<Double> =
+        number(
+            "capacity",
+            "late_cost_per_hour",
+            20.0,
+            0.0,
+            MAX_COST,
+            "cost units",
+            "cost of late work, as much as an instance does in an hour",
+        )
     val jobStepMillis: Setting<Long> =
         wholeNumber("jobs", "step_millis", 100, 20L..10_000L, MILLISECONDS, "time between two rounds of job placement")
     val jobLeaseMillis: Setting<Long> =
@@ -75,6 +108,7 @@
                 ViewSettings.all +
                 listOf(adminAddress, readToken, changeToken, certificateFile, keyFile) +
                 listOf(stepMillis, warmMillis, lostMillis, maintenancePeriodMillis) +
+                listOf(capacityPeriodMillis, bufferCost, moveCost, lateCost) +
                 listOf(jobStepMillis, jobLeaseMillis, jobLeaseMarginMillis),
         )
 }
--- a/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
@@ -51,6 +51,7 @@
     private val beats: NodeBeats,
     private val platform: InstanceList,
     private val rebooter: Rebooter,
+    private val capacity: CapacityPlan,
     private val settings: UpkeepSettings,
 ) {
     @Volatile
@@ -77,6 +78,7 @@
         readBeats(now)
         if (ownerOf(DUTY, liveControls(now)) != self) {
             missing = MissingSince()
+            capacity.reset()
             return
         }
         readListing(now)
@@ -106,7 +108,8 @@
         val period = settings.maintenancePeriodMillis
         val maintenance = if (period > 0) dueForMaintenance(current, wall, period) else emptyList()
         return listed.orEmpty() + current.instances.values.mapNotNull { advance(now, current, it) } +
-            planUpkeep(current, wall) + waves + maintenance + removeLapsed(now, current)
+            planUpkeep(current, wall) + waves + maintenance +
+            capacity.moves(now, current, observations) + removeLapsed(now, current)
     }
 
     private fun advance(now: Now, current: FleetView, instance: Instance): FleetCommand? {
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/ActivityCounts.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/ActivityCounts.kt
@@ -17,6 +17,7 @@
     private val requests = HashMap<PoolId, Int>()
     private val exchangesByPool = HashMap<PoolId, Int>()
     private val exchangesByInstance = HashMap<InstanceId, Int>()
+    private val finishedByPool = HashMap<PoolId, Long>()
 
     /** A request for [pool] arrived, or is over. */
     fun requests(pool: PoolId, change: Int) = requests.add(pool, change)
@@ -25,14 +26,16 @@
     fun exchanges(pool: PoolId, instance: InstanceId, change: Int) {
         exchangesByPool.add(pool, change)
         exchangesByInstance.add(instance, change)
+        if (change < 0) finishedByPool.merge(pool, 1L, Long::plus)
     }
 
     /** What is under way, for work that follows [view]. */
     fun snapshot(view: FleetView): NodeActivity {
         val busy = exchangesByInstance.keys.filter { view.instances[it]?.state !in IN_SERVICE }.sorted()
-        val load = requests.map { (pool, count) ->
+        val load = (requests.keys + finishedByPool.keys).map { pool ->
             val running = exchangesByPool.getOrDefault(pool, 0)
-            PoolLoad(pool, maxOf(0, count - running), running)
+            val queued = maxOf(0, requests.getOrDefault(pool, 0) - running)
+            PoolLoad(pool, queued, running, finishedByPool.getOrDefault(pool, 0L))
         }
         return NodeActivity(view.version, busy, load)
     }
--- a/view/src/main/kotlin/org/gypsumturn/view/NodeBeat.kt
+++ b/view/src/main/kotlin/org/gypsumturn/view/NodeBeat.kt
@@ -18,9 +18,14 @@
 import org.gypsumturn.platform.Transaction
 import org.gypsumturn.platform.Write
 
-/** Requests that wait and run at one node for a pool, in requests. */
+/** Requests that wait and run at one node for a pool, and all that have [finished] since the node started. */
 @Serializable
-public data class PoolLoad(public val pool: PoolId, public val queued: Int, public val running: Int)
+public data class PoolLoad(
+    public val pool: PoolId,
+    public val queued: Int,
+    public val running: Int,
+    public val finished: Long = 0,
+)
 
 /** What a node tells. [busy] names instances out of service on which the node still has requests under way. */
 @Serializable
