Keep notices of leaving targets that the view does not name yet

Cause: a notice that came before the first view was dropped, and a full entry refused urgent work while it held batch. Change: notices are kept by id until the view shows the instance out of service or gone; an entry that holds all it can displaces its least urgent request; slot reports are written by a piece of their own.

--- a/request/src/main/kotlin/org/gypsumturn/request/Admission.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/Admission.kt
@@ -15,16 +15,25 @@
 /**
  * What admission knows of the pool that a request is for.
  *
+ * @property entryFull whether this entry holds all it can, and nothing less urgent that could be displaced
  * @property queued requests that wait and are at least as urgent
  * @property serviceMillis time within which nearly all exchanges end
  */
-internal data class PoolLoad(val queued: Int, val expectedWaitMillis: Double, val serviceMillis: Double)
+internal data class PoolLoad(
+    val queued: Int,
+    val expectedWaitMillis: Double,
+    val serviceMillis: Double,
+    val entryFull: Boolean = false,
+)
 
 /** Admission of requests at one entry. Counts the accepted requests of each team. */
 internal class Admission(private val settings: DispatchSettings) {
     private val acceptedByTeam = HashMap<TeamId, Int>()
     private var accepted = 0
 
+    /** Whether this entry holds all that it can. */
+    val isFull: Boolean get() = accepted >= settings.maxQueuedTotal
+
     /** Why [request] is refused, or null if it is accepted. */
     fun refusal(
         nowMillis: Long,
@@ -44,7 +53,7 @@
 
             load.queued >= service.maxQueued -> overloadFailure("the queue is full", load)
 
-            accepted >= settings.maxQueuedTotal -> overloadFailure("this entry holds all it can", load)
+            load.entryFull -> overloadFailure("this entry holds all it can", load)
 
             load.expectedWaitMillis > 0 && load.expectedWaitMillis + load.serviceMillis > remainingMillis ->
                 overloadFailure("the queue is too long for the deadline", load)
--- a/request/src/main/kotlin/org/gypsumturn/request/PoolQueue.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/PoolQueue.kt
@@ -44,6 +44,9 @@
     /** Number of requests that an arrival of [priority] may not displace. */
     fun sizeUpTo(priority: Priority): Int = Priority.entries.filter { it <= priority }.sumOf { sizeOf(it) }
 
+    /** Number of requests that an arrival of [priority] may displace. */
+    fun sizeBelow(priority: Priority): Int = size - sizeUpTo(priority)
+
     /** Removes the newest request of the least urgent priority below [priority], or null if there is none. */
     fun displace(priority: Priority): PendingRequest? {
         val lowest = Priority.entries.lastOrNull { it > priority && sizeOf(it) > 0 } ?: return null
--- a/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
@@ -29,6 +29,7 @@
     private val limits = slotLimits()
     private val chooser =
         TargetChooser(settings, targets, limits, judge, RandomSource.SPLIT_MIX_64.create(seed))
+    private val reporter = SlotReporter(self, settings, targets, chooser)
     private val admission = Admission(settings)
     private val pools = LinkedHashMap<PoolId, PoolState>()
     private val pendingById = HashMap<RequestId, PendingRequest>()
@@ -40,8 +41,6 @@
     private var refusing: Failure? = null
     private var halted: Failure? = null
     private var lastExchange = 0L
-    private var lastReportMillis = Long.MIN_VALUE / 2
-    private var reports = 0L
     private var effects = ArrayList<RequestEffect>()
 
     /** Decides on [event] at [nowMillis], which never goes back, and returns what the entry has to do, in order. */
@@ -67,14 +66,13 @@
             ?: if (service == null) {
                 Failure(FailureKind.INVALID, "unknown service ${request.service}")
             } else {
-                val load = pool(service.pool).load(nowMillis, request.priority)
-                admission.refusal(nowMillis, request, service, view, load)
+                admission.refusal(nowMillis, request, service, view, load(nowMillis, service, request.priority))
             }
         if (service == null || refusal != null) {
             effects += RequestEffect.Reply(request.id, Verdict.NotRun(refusal ?: timeoutFailure()))
             return
         }
-        makeRoom(service, request)
+        makeRoom(service, request.priority)
         admission.accept(request)
         val pending = PendingRequest(request, service.pool, nowMillis)
         pendingById[request.id] = pending
@@ -87,11 +85,20 @@
         }
     }
 
-    /** Displaces a less urgent request from a full queue. */
-    private fun makeRoom(service: Service, request: ArrivedRequest) {
-        val queue = pool(service.pool).queue
-        if (queue.size < service.maxQueued) return
-        queue.displace(request.priority)?.let { endUnanswered(it, busyFailure()) }
+    /** Displaces a less urgent request from a full queue, or from the longest one if the whole entry is full. */
+    private fun makeRoom(service: Service, priority: Priority) {
+        val own = pool(service.pool).queue
+        val queue = when {
+            own.size >= service.maxQueued -> own
+            admission.isFull -> pools.values.map { it.queue }.maxBy { it.sizeBelow(priority) }
+            else -> return
+        }
+        queue.displace(priority)?.let { endUnanswered(it, busyFailure()) }
+    }
+
+    private fun load(nowMillis: Long, service: Service, priority: Priority): PoolLoad {
+        val isFull = admission.isFull && pools.values.none { it.queue.sizeBelow(priority) > 0 }
+        return pool(service.pool).load(nowMillis, priority).copy(entryFull = isFull)
     }
 
     private fun enqueue(nowMillis: Long, pending: PendingRequest) {
@@ -220,19 +227,11 @@
         deadlines.expired(nowMillis).forEach { if (pendingById[it.request.id] === it) expire(it) }
         limits.renew(nowMillis)
         dispatchAll(nowMillis)
-        if (nowMillis - lastReportMillis >= settings.peerReportIntervalMillis) tellPeers(nowMillis)
+        tellPeers(nowMillis)
     }
 
     private fun tellPeers(nowMillis: Long) {
-        lastReportMillis = nowMillis
-        reports++
-        val queued = pools.mapValues { (_, pool) ->
-            QueuedCount(pool.queue.size, pool.queue.sizeOf(Priority.URGENT))
-        }
-        val use = targets.eligibleByPool().values.flatten()
-            .associate { it.id to SlotUse(chooser.limit(nowMillis, it), it.inUse) }
-            .filterValues { it.granted > 0 || it.inUse > 0 }
-        val report = SlotReport(self, reports, queued, use)
+        val report = reporter.next(nowMillis, pools) ?: return
         limits.told(nowMillis, report)
         effects += RequestEffect.TellPeers(report)
     }
--- a/request/src/main/kotlin/org/gypsumturn/request/TargetTable.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/TargetTable.kt
@@ -32,9 +32,6 @@
     /** Whether the last ejection was for silence. */
     var ejectedForSilence: Boolean = false
 
-    /** Time of the platform's notice that the target is leaving, or null. */
-    var leavingSinceMillis: Long? = null
-
     /** Whether the view last showed the target out of service. */
     var outOfService: Boolean = false
 
@@ -66,6 +63,9 @@
     private var byPool: Map<PoolId, List<Target>> = emptyMap()
     private var filled = false
 
+    /** Times of the platform's notices, also for instances that the view does not name yet. */
+    private val leavingSinceMillis = HashMap<InstanceId, Long>()
+
     /** The targets of [pool] that may take new work, in the order of their ids. */
     fun eligible(pool: PoolId): List<Target> = byPool[pool].orEmpty()
 
@@ -78,7 +78,9 @@
 
     fun apply(nowMillis: Long, instances: Collection<Instance>) {
         val present = instances.mapTo(HashSet()) { it.id }
-        targets.keys.retainAll(present)
+        val vanished = targets.keys - present
+        targets.keys.removeAll(vanished)
+        leavingSinceMillis.keys.removeAll(vanished)
         instances.forEach { update(nowMillis, it) }
         filled = filled || instances.isNotEmpty()
         rebuild()
@@ -86,18 +88,13 @@
 
     /** Notes that [id] is leaving; it gets nothing new until the view shows it back in service. */
     fun markLeaving(nowMillis: Long, id: InstanceId) {
-        val target = targets[id] ?: return
-        target.leavingSinceMillis = nowMillis
+        leavingSinceMillis[id] = nowMillis
         rebuild()
     }
 
     /** Forgets notices that the view did not confirm for very long. */
     fun expireNotices(nowMillis: Long) {
-        val expired = targets.values.filter { target ->
-            target.leavingSinceMillis?.let { nowMillis - it > leavingNoticeMillis } ?: false
-        }
-        expired.forEach { it.leavingSinceMillis = null }
-        if (expired.isNotEmpty()) rebuild()
+        if (leavingSinceMillis.values.removeIf { nowMillis - it > leavingNoticeMillis }) rebuild()
     }
 
     private fun update(nowMillis: Long, instance: Instance) {
@@ -110,13 +107,13 @@
             return
         }
         if (isFresh || target.outOfService) target.warmSinceMillis = nowMillis
-        if (target.outOfService) target.leavingSinceMillis = null
+        if (target.outOfService) leavingSinceMillis.remove(instance.id)
         target.outOfService = false
     }
 
     private fun rebuild() {
         byPool = targets.values
-            .filter { it.inService && it.leavingSinceMillis == null }
+            .filter { it.inService && it.id !in leavingSinceMillis }
             .sortedBy { it.id }
             .groupBy { it.instance.pool }
     }
--- a/request/src/test/kotlin/org/gypsumturn/request/AdmissionTest.kt
+++ b/request/src/test/kotlin/org/gypsumturn/request/AdmissionTest.kt
@@ -71,6 +71,15 @@
         kindOf(displaced.verdict) shouldBe FailureKind.OVERLOADED
     }
 
+    @Test
+    fun `a full entry refuses batch and displaces it for urgent`() {
+        val dispatcher = dispatcher(viewOf(), DispatchSettings(maxQueuedTotal = 1))
+        dispatcher.handle(1, arrived(1, Priority.BATCH)).shouldBeEmpty()
+        kindOf(dispatcher.refusalOf(arrived(2, Priority.BATCH))) shouldBe FailureKind.OVERLOADED
+        dispatcher.handle(2, arrived(3, Priority.URGENT)).replies().single().request shouldBe RequestId(1)
+        kindOf(dispatcher.refusalOf(arrived(4, Priority.URGENT))) shouldBe FailureKind.OVERLOADED
+    }
+
     @Test
     fun `a wait beyond the deadline is refused at once with a time to come back`() {
         val dispatcher = dispatcher(viewOf(instance("a", slots = 1)))
--- a/request/src/test/kotlin/org/gypsumturn/request/TargetTest.kt
+++ b/request/src/test/kotlin/org/gypsumturn/request/TargetTest.kt
@@ -30,6 +30,14 @@
         dispatcher.handle(5, RequestEvent.ViewChanged(viewOf(instance("a")))).sends().size shouldBe 1
     }
 
+    @Test
+    fun `a notice that comes before the view counts`() {
+        val dispatcher = RequestDispatcher(DispatchSettings(), SELF, seed = 1)
+        dispatcher.handle(1, RequestEvent.TargetLeaving(InstanceId("a")))
+        dispatcher.handle(2, RequestEvent.ViewChanged(viewOf(instance("a"))))
+        dispatcher.handle(3, arrived(1)).shouldBeEmpty()
+    }
+
     @Test
     fun `a draining target gets nothing new and finishes what it runs`() {
         val dispatcher = dispatcher(viewOf(instance("a")))
