--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -1,9 +1,11 @@
 // Entry point of the experiment tool: `gypsumturn-bench NAME…` runs the named experiments, or all of them;
-// `gypsumturn-bench load …` sends load to running entries; `gypsumturn-bench audit …` replays the log of changes.
+// `gypsumturn-bench load …` sends load to running entries; `gypsumturn-bench audit …` replays the log of changes;
+// `gypsumturn-bench fault …` injects a fault into the stand-in.
 
 package org.gypsumturn.bench
 
 import org.gypsumturn.bench.audit.runAudit
+import org.gypsumturn.bench.fault.runFault
 import org.gypsumturn.bench.fleet.fleetExperiment
 import org.gypsumturn.bench.jobs.runJobsExperiment
 import org.gypsumturn.bench.load.runLoad
@@ -23,15 +25,17 @@
 
 private const val LOAD = "load"
 private const val AUDIT = "audit"
+private const val FAULT = "fault"
 private const val EXIT_OK = 0
 private const val EXIT_BOUND_BROKEN = 1
 private const val EXIT_USAGE = 2
 
-/** Runs the experiments named in [args], or the load tool or the audit where they are named first. */
+/** Runs the experiments named in [args], or the tool that is named first. */
 public fun main(args: Array<String>) {
     val code = when (args.firstOrNull()) {
         LOAD -> runLoad(args.drop(1), ::println)
         AUDIT -> runAudit(args.drop(1), ::println)
+        FAULT -> runFault(args.drop(1), ::println)
         else -> runExperiments(args.toList(), ::println)
     }
     exitProcess(code)
