Decide purely whom a node asks for a newer view, and measure the spread

Cause: the time until a change is in force, and its cost, were only known for a handful of processes. Change: the decision moved from the keeper into a pure function; `bench views` drives it, and the freshness decision, in virtual time with 18 to 252 nodes and a region cut off for an hour.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -10,6 +10,7 @@
 import org.gypsumturn.bench.jobs.runJobsExperiment
 import org.gypsumturn.bench.load.runLoad
 import org.gypsumturn.bench.requests.requestsExperiment
+import org.gypsumturn.bench.views.viewsExperiment
 import kotlin.system.exitProcess
 
 /** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
@@ -21,6 +22,7 @@
         "requests" to ::requestsExperiment,
         "jobs" to ::runJobsExperiment,
         "fleet" to ::fleetExperiment,
+        "views" to ::viewsExperiment,
     )
 
 private const val LOAD = "load"
--- a/peer/src/main/kotlin/org/gypsumturn/peer/ViewKeeper.kt
+++ b/peer/src/main/kotlin/org/gypsumturn/peer/ViewKeeper.kt
@@ -20,9 +20,11 @@
 import org.gypsumturn.view.LoggedView
 import org.gypsumturn.view.PeerNews
 import org.gypsumturn.view.Readiness
+import org.gypsumturn.view.ViewAsks
 import org.gypsumturn.view.ViewLog
 import org.gypsumturn.view.ViewSource
 import org.gypsumturn.view.confirmedAtMillis
+import org.gypsumturn.view.decideAsks
 import org.gypsumturn.view.decideReadiness
 import org.slf4j.LoggerFactory
 import java.util.concurrent.CopyOnWriteArrayList
@@ -54,7 +56,6 @@
     private var snapshot = KeptView(LoggedView(FleetView(), Revision.ABSENT), emptyList(), FreshnessState(self.id))
 
     private var toldReadiness = Readiness(false, "starting")
-    private var nextExchangeAtMillis = 0L
     private var nextPollAtMillis = 0L
 
     /** Starts following. */
@@ -192,11 +193,9 @@
         if (now >= nextPollAtMillis) {
             nextPollAtMillis = now + keeping.pollMillis
             forgetSilentPeers(now)
-            if (shouldAskTable(now)) storeDuty.offer(snapshot.logged)
-        }
-        if (now >= nextExchangeAtMillis) {
-            nextExchangeAtMillis = now + keeping.pollMillis
-            askPeers(now)
+            val asks = decideAsks(now, self, currentView(), snapshot.freshness, keeping.leaseMillis)
+            if (asks.table) storeDuty.offer(snapshot.logged)
+            askPeers(asks, now)
         }
         tellReadiness()
     }
@@ -207,30 +206,15 @@
         if (kept.size != freshness.peers.size) update(freshness.copy(peers = kept))
     }
 
-    // One reader in each data centre asks the table; the others ask the reader, and the table only if it falls silent.
-    private fun shouldAskTable(now: Long): Boolean {
-        val freshness = snapshot.freshness
-        if (self.id !in currentView().nodes || freshness.tableUnreachable) return true
-        if (readerOfDataCentre() == self.id) return true
-        val confirmedAt = confirmedAtMillis(freshness, currentView().version) ?: return true
-        return now - confirmedAt > keeping.leaseMillis / 2
-    }
-
-    private fun readerOfDataCentre(): NodeId? = currentView()
-        .nodes.values
-        .filter { it.dataCentre == self.dataCentre && (it.id == self.id || readsTable(it.id)) }
-        .minOfOrNull { it.id }
-
-    private fun readsTable(peer: NodeId): Boolean = snapshot.freshness.peers[peer]?.tableUnreachable == false
-
-    private fun askPeers(now: Long) {
+    private fun askPeers(asks: ViewAsks, now: Long) {
         val request =
             ExchangeRequest
                 .newBuilder()
                 .setNode(self.id.value)
                 .setVersion(currentView().version.value)
                 .build()
-        val addresses = peersToAsk()
+        val isAlone = currentView().nodes.keys.all { it == self.id }
+        val addresses = if (isAlone) seeds.filter { it != self.peerAddress } else asks.peers.map { it.peerAddress }
         addresses.forEach { address ->
             peers.exchange(address, request) { reply ->
                 if (reply != null) duty.offer(ViewEvent.PeerSaid(reply, now))
@@ -238,20 +222,6 @@
         }
     }
 
-    private fun peersToAsk(): List<Address> {
-        val view = currentView()
-        val others = view.nodes.values.filter { it.id != self.id }
-        if (others.isEmpty()) return seeds.filter { it != self.peerAddress }
-        val asked = if (snapshot.freshness.tableUnreachable) others else nearPeers(others)
-        return asked.map { it.peerAddress }
-    }
-
-    // Peers with smaller ids in the same data centre: the reader, and those who would follow it.
-    private fun nearPeers(others: List<Node>): List<Node> = others
-        .filter { it.dataCentre == self.dataCentre && it.id < self.id }
-        .sortedBy { it.id }
-        .take(MAX_NEAR_PEERS)
-
     private fun followLog(known: LoggedView) {
         val askedAt = monotonicMillis()
         val result = if (known.view.version == ViewVersion.NONE) log.load() else log.follow(known)
@@ -266,7 +236,6 @@
         const val STORE_RING_CAPACITY = 2
         const val TICK_MILLIS = 50L
         const val MAX_RECENT_CHANGES = 256
-        const val MAX_NEAR_PEERS = 2
         const val NEVER = -1L
         val UNKNOWN_REVISION = Revision(-1)
         val LOG = LoggerFactory.getLogger(ViewKeeper::class.java)
