Watch jobs while others are submitted

Cause: the load tool looked at jobs only after the last submission, so the time to their end was mostly the tool's own.

Change: submission and watching go on side by side, and the time from a job's acceptance to its assignment is printed by priority.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/load/JobRun.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/load/JobRun.kt
@@ -17,42 +17,48 @@
     public val doneMillis: Long? = null,
 )
 
-private const val POLL_PAUSE_MILLIS = 100L
+private const val POLL_PAUSE_MILLIS = 250L
 
-/** Submits [jobs] evenly over the run, and waits for their ends. */
-internal class JobRun(private val options: LoadOptions, private val caller: Caller) {
+/** Submits [jobs] evenly over the run, and watches them from then on until all have ended or the time is up. */
+internal class JobRun(private val options: LoadOptions, private val caller: Caller, private val jobs: List<JobSpec>) {
     private val json = Json { ignoreUnknownKeys = true }
+    private val submitted = mutableListOf<SubmittedJob>()
+    private val submittedNanos = LongArray(jobs.size)
+    private val startNanos = System.nanoTime()
+    private val spanNanos = TimeUnit.MILLISECONDS.toNanos(minOf(options.durationMillis, requestMillis()))
 
-    fun run(jobs: List<JobSpec>): List<SubmittedJob> {
-        if (jobs.isEmpty()) return emptyList()
-        val startNanos = System.nanoTime()
-        val spanNanos = TimeUnit.MILLISECONDS.toNanos(minOf(options.durationMillis, expectedRequestMillis()))
-        val submittedNanos = LongArray(jobs.size)
-        val submitted = jobs.mapIndexed { index, spec ->
-            val dueNanos = startNanos + spanNanos * index / jobs.size
-            TimeUnit.NANOSECONDS.sleep((dueNanos - System.nanoTime()).coerceAtLeast(0))
-            submittedNanos[index] = System.nanoTime()
-            val call = HttpCall("/jobs", JSON_HEADERS, json.encodeToString(spec))
-            SubmittedJob(spec, caller.make(call, CallKind.JOB, index, submittedNanos[index]))
+    fun run(): List<SubmittedJob> {
+        var deadlineNanos = Long.MAX_VALUE
+        while (submitted.size < jobs.size || (submitted.any(::isOpen) && System.nanoTime() < deadlineNanos)) {
+            submitDue()
+            if (submitted.size == jobs.size && deadlineNanos == Long.MAX_VALUE) {
+                deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(options.jobWaitMillis)
+            }
+            lookAtOpen()
+            Thread.sleep(POLL_PAUSE_MILLIS)
         }
-        return awaitEnds(submitted, submittedNanos)
+        return submitted
     }
 
-    private fun expectedRequestMillis() = options.requests * TimeUnit.SECONDS.toMillis(1) / options.ratePerSecond
+    private fun requestMillis() = options.requests * TimeUnit.SECONDS.toMillis(1) / options.ratePerSecond
 
-    private fun awaitEnds(submitted: List<SubmittedJob>, submittedNanos: LongArray): List<SubmittedJob> {
-        val jobs = submitted.toMutableList()
-        val deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(options.jobWaitMillis)
-        while (jobs.any(::isOpen) && System.nanoTime() < deadlineNanos) {
-            jobs.indices.filter { isOpen(jobs[it]) }.forEach { index ->
-                val record = look(jobs[index].spec, index)
-                val millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - submittedNanos[index])
-                val done = millis.takeIf { record?.state?.isFinal == true }
-                if (record != null) jobs[index] = jobs[index].copy(record = record, doneMillis = done)
-            }
-            Thread.sleep(POLL_PAUSE_MILLIS)
+    private fun submitDue() {
+        while (submitted.size < jobs.size) {
+            val index = submitted.size
+            if (startNanos + spanNanos * index / jobs.size > System.nanoTime()) return
+            submittedNanos[index] = System.nanoTime()
+            val call = HttpCall("/jobs", JSON_HEADERS, json.encodeToString(jobs[index]))
+            submitted += SubmittedJob(jobs[index], caller.make(call, CallKind.JOB, index, submittedNanos[index]))
+        }
+    }
+
+    private fun lookAtOpen() {
+        submitted.indices.filter { isOpen(submitted[it]) }.forEach { index ->
+            val record = look(submitted[index].spec, index) ?: return@forEach
+            val millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - submittedNanos[index])
+            submitted[index] =
+                submitted[index].copy(record = record, doneMillis = millis.takeIf { record.state.isFinal })
         }
-        return jobs
     }
 
     private fun isOpen(job: SubmittedJob) = job.submission.end == CallEnd.ANSWERED && job.record?.state?.isFinal != true
--- a/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadCommand.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadCommand.kt
@@ -36,7 +36,7 @@
     val standin = openStandin(options.standin)
     try {
         val faults = CompletableFuture.supplyAsync { injectFaults(options.faults, standin) }
-        val jobs = CompletableFuture.supplyAsync { JobRun(options, caller).run(plan.jobs) }
+        val jobs = CompletableFuture.supplyAsync { JobRun(options, caller, plan.jobs).run() }
         val sent = sendRequests(options, plan.requests, caller)
         val submitted = jobs.join()
         val remarks = faults.join() + remarksOn(sent, submitted)
--- a/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadResult.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/load/LoadResult.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 import org.HdrHistogram.Histogram
+import org.gypsumturn.model.Priority
 
 /** Result of a run. [interrupted] counts the executions that a reboot cut; [remarks] explain what went wrong. */
 @Serializable
@@ -72,18 +73,28 @@
     val reasons = calls.filter { it.end != CallEnd.ANSWERED }.groupingBy { "${it.end}: ${reasonOf(it)}" }.eachCount()
     val unfinished = jobs.filter { it.submission.end == CallEnd.ANSWERED && it.doneMillis == null }
     return sentLate(sent.map { it.call }) +
+        startTimes(jobs) +
         reasons.entries.sortedByDescending { it.value }.take(MAX_REMARKS).map { "${it.value} x ${it.key}" } +
         unfinished.take(MAX_REMARKS).map { "job ${it.spec.id} has not ended: ${it.record?.state} ${it.record?.reason}" }
 }
 
 // Latencies count from when a call fell due, so they include the time for which it waited for a sender of this tool.
-private fun sentLate(calls: List<FinishedCall>): List<String> {
-    if (calls.isEmpty()) return emptyList()
-    val late = Histogram(3)
-    calls.forEach { late.recordValue(it.sentLateMillis.coerceAtLeast(0)) }
-    val p50 = late.getValueAtPercentile(50.0)
-    val p99 = late.getValueAtPercentile(99.0)
-    return listOf("of the latency, waiting for a free sender: p50 $p50 ms, p99 $p99 ms")
+private fun sentLate(calls: List<FinishedCall>): List<String> =
+    percentiles("of the latency, waiting for a free sender", calls.map { it.sentLateMillis })
+
+private fun startTimes(jobs: List<SubmittedJob>): List<String> = Priority.entries.flatMap { priority ->
+    val records = jobs.mapNotNull { it.record }.filter { it.spec.priority == priority && it.assignedAtMillis > 0 }
+    val waits = records.map { it.assignedAtMillis - it.acceptedAtMillis }
+    percentiles("${priority.name.lowercase()} jobs, from acceptance to the last assignment", waits)
+}
+
+private fun percentiles(name: String, millis: List<Long>): List<String> {
+    if (millis.isEmpty()) return emptyList()
+    val histogram = Histogram(3)
+    millis.forEach { histogram.recordValue(it.coerceAtLeast(0)) }
+    val p50 = histogram.getValueAtPercentile(50.0)
+    val p99 = histogram.getValueAtPercentile(99.0)
+    return listOf("$name: p50 $p50 ms, p99 $p99 ms")
 }
 
 private fun reasonOf(call: FinishedCall): String = when (val last = call.history.last()) {
