--- a/request/src/main/kotlin/org/gypsumturn/request/SlotLimits.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/SlotLimits.kt
@@ -7,20 +7,25 @@
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.NodeRole
-import org.gypsumturn.model.PoolId
 
 /** Number of slots of a target that this entry may use. */
 internal interface SlotLimits {
     fun limit(target: Target): Int
 
+    /** Slots of [target] that no entry was last seen to use. */
+    fun spare(target: Target): Int = 0
+
     /** Takes note of the entries and targets that exist. */
     fun viewChanged(view: FleetView) = Unit
 
     /** Takes note of a peer's report. */
     fun heard(nowMillis: Long, report: SlotReport) = Unit
 
-    /** Renews the limits; [queued] is this entry's own demand by pool. */
-    fun renew(nowMillis: Long, queued: Map<PoolId, Int>) = Unit
+    /** Takes note of the report that this entry gave to its peers. */
+    fun told(nowMillis: Long, report: SlotReport) = Unit
+
+    /** Lets lapse what is out of date. */
+    fun renew(nowMillis: Long) = Unit
 }
 
 /** All slots: the target itself refuses what exceeds them. */
--- a/request/src/main/kotlin/org/gypsumturn/request/TargetTable.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/TargetTable.kt
@@ -9,7 +9,7 @@
 import org.gypsumturn.model.InstanceState
 import org.gypsumturn.model.PoolId
 
-private const val MAX_PAUSE_DOUBLINGS = 5
+private const val MAX_PAUSE_DOUBLINGS = 10
 private const val LONG_AGO_MILLIS = Long.MIN_VALUE / 2
 
 /** One target as this entry knows it. */
@@ -26,6 +26,9 @@
     /** Until when the target gets nothing because it refused for lack of slots. */
     var pausedUntilMillis: Long = LONG_AGO_MILLIS
 
+    /** Until when no slot beyond this entry's grant is tried, because one was refused. */
+    var noBorrowUntilMillis: Long = LONG_AGO_MILLIS
+
     /** Whether the last ejection was for silence. */
     var ejectedForSilence: Boolean = false
 
@@ -41,8 +44,13 @@
         get() = instance.state == InstanceState.SERVING || instance.state == InstanceState.WARMING
 
     /** Notes that the target refused for lack of slots; each refusal after another doubles the pause. */
-    fun refused(nowMillis: Long, pauseMillis: Long) {
-        pausedUntilMillis = nowMillis + (pauseMillis shl refusals)
+    fun refused(nowMillis: Long, settings: DispatchSettings, wasBorrowed: Boolean) {
+        if (wasBorrowed) {
+            noBorrowUntilMillis = nowMillis + settings.peerReportIntervalMillis
+            return
+        }
+        pausedUntilMillis =
+            nowMillis + minOf(settings.maxOverloadPauseMillis, settings.overloadPauseMillis shl refusals)
         refusals = minOf(refusals + 1, MAX_PAUSE_DOUBLINGS)
     }
 
