Skip pools without room before a move is tried

Cause: at the target's size a policy that wants many moves tried every instance of every pool although the budgets had no room; a run of the threshold rule over 3 hours did not end within 3 minutes. Change: decideMoves counts each pool's room down and tries a move only where both pools have some. bench fleet also times a decision with shortages.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/fleet/DecisionCost.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/DecisionCost.kt
@@ -49,13 +49,16 @@
         "plan a wave of one pool" to cost { planWave(started, wave, now + 2) },
         "upkeep" to cost { planUpkeep(started, now + 2) },
         "due for maintenance" to cost { dueForMaintenance(started, now + 2, 35 * DAY_MILLIS) },
-        "moves" to movesCost(site, started, now),
+        "moves, quiet" to movesCost(site, started, now) { _, size -> size * 0.5 },
+        "moves, one pool in five short" to movesCost(site, started, now) { index, size ->
+            if (index % site.groupSize == 0) size * 1.5 else 0.0
+        },
     )
 }
 
-private fun movesCost(site: Site, view: FleetView, now: Long): Cost {
+private fun movesCost(site: Site, view: FleetView, now: Long, loadOf: (index: Int, size: Int) -> Double): Cost {
     val settings = CapacitySettings(site.weights)
-    val demand = site.poolSizes.mapIndexed { index, size -> PoolDemand(poolId(index), size * SLOTS * 0.5, 0) }
+    val demand = site.poolSizes.mapIndexed { index, size -> PoolDemand(poolId(index), loadOf(index, size) * SLOTS, 0) }
     var state = CapacityState()
     var at = now
     return cost {
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/DecideMoves.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/capacity/DecideMoves.kt
@@ -52,7 +52,7 @@
         PoolWant(load, observed, policy(load, observed, settings))
     }
     val unsettled = rollingOut + poolsInWaves(view)
-    val moves = MoveMatching(view, wants, settings, unsettled, nowMillis).moves()
+    val moves = MoveMatching(view, usages, wants, settings, unsettled, nowMillis).moves()
     return CapacityDecision(moves, CapacityState(nowMillis, wants.map { it.state }))
 }
 
@@ -87,6 +87,7 @@
 /** Matches pools that want instances with pools that can give one, on a view that each match updates. */
 private class MoveMatching(
     private var view: FleetView,
+    usages: Map<PoolId, PoolUsage>,
     private val wants: List<PoolWant>,
     private val settings: CapacitySettings,
     private val unsettled: Set<PoolId>,
@@ -96,6 +97,11 @@
     private val available = view.instances.values.filter { it.isAvailable }.groupBy { it.pool }.toMutableMap()
     private val moves = mutableListOf<FleetCommand.MoveInstance>()
 
+    /** Absences that each pool's budget still allows. */
+    private val room = usages.mapValuesTo(HashMap()) { (id, usage) ->
+        view.pools.getValue(id).budget.maxUnavailable - usage.unavailable
+    }
+
     fun moves(): List<FleetCommand.MoveInstance> {
         wants.filter { !it.load.isSpare && mayReceive(it) }
             .sortedByDescending { it.state.shortageCost }
@@ -112,6 +118,9 @@
     /** A spare pool that has just lent is not short for that reason. */
     private fun isShort(want: PoolWant): Boolean = want.wish.instances > want.load.instances
 
+    /** Whether the pool's budget allows one more absence, without which no move can be accepted. */
+    private fun hasRoom(want: PoolWant): Boolean = (room[want.load.pool] ?: 0) > 0
+
     private fun isIdle(want: PoolWant): Boolean = count(want) > want.wish.floor
 
     private fun mayReceive(want: PoolWant): Boolean {
@@ -131,9 +140,9 @@
     }
 
     private fun fill(want: PoolWant, donors: List<PoolWant>) {
-        while (count(want) < want.wish.instances) {
+        while (count(want) < want.wish.instances && hasRoom(want)) {
             val moved = donors
-                .filter { it.load.pool != want.load.pool && canGive(it) }
+                .filter { it.load.pool != want.load.pool && hasRoom(it) && canGive(it) }
                 .sortedWith(compareBy<PoolWant> { rank(it) }.thenByDescending { count(it) - it.wish.floor })
                 .any { move(it.load.pool, want.load.pool) }
             if (!moved) return
@@ -146,9 +155,9 @@
     }
 
     private fun giveBack(want: PoolWant) {
-        while (count(want) > want.wish.instances) {
+        while (count(want) > want.wish.instances && hasRoom(want)) {
             val moved = wants
-                .filter { it.load.isSpare && it.load.pool !in unsettled }
+                .filter { it.load.isSpare && it.load.pool !in unsettled && hasRoom(it) }
                 .sortedBy { count(it) - it.state.need }
                 .any { move(want.load.pool, it.load.pool) }
             if (!moved) return
@@ -175,6 +184,8 @@
         available[instance.pool] = available[instance.pool].orEmpty() - instance
         counts.merge(instance.pool, -1, Int::plus)
         counts.merge(to, 1, Int::plus)
+        room.merge(instance.pool, -1, Int::plus)
+        room.merge(to, -1, Int::plus)
         moves += command
         return true
     }
