Count the pools of a move in one pass

Cause: deciding a move at the target's size counted each pool up to four times, and every count passes over all instances.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/fleet/FleetExperiment.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/FleetExperiment.kt
@@ -11,4 +11,5 @@
     waveExperiment(report, quick)
     maintenanceExperiment(report, quick)
     decisionCost(report, quick)
+    if (!quick) capacityAtTarget(report)
 }
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/command/InstanceDecisions.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/command/InstanceDecisions.kt
@@ -80,54 +80,67 @@
     val instance = view.instances[command.id]
     checkRevision("instance ${command.id}", command.expected, instance?.revision)?.let { return it }
     checkNotNull(instance)
-    val destination = command.destination
-    refusalOfDestination(view, instance, destination)?.let { return it }
+    val usages = usagesOf(view, setOf(instance.pool, command.destination))
+    refusalOfDestination(view, instance, command.destination, usages)?.let { return it }
     val reservation = Reservation(
         ReservationPurpose.MOVE,
-        destination = destination,
+        destination = command.destination,
         drainVersion = view.version.next(),
     )
-    return takeOut(view, instance, reservation, nowMillis)
+    return takeOut(view, instance, reservation, nowMillis, usages.getValue(instance.pool))
 }
 
 /** A move holds a place in the budgets of both pools, so that the arrival needs no second grant. */
-private fun refusalOfDestination(view: FleetView, instance: Instance, destination: PoolId): CommandDecision? {
+private fun refusalOfDestination(
+    view: FleetView,
+    instance: Instance,
+    destination: PoolId,
+    usages: Map<PoolId, PoolUsage>,
+): CommandDecision? {
     val pool = view.pools[destination] ?: return CommandDecision.NotFound("pool $destination")
     if (destination == instance.pool) return invalid("destination", "is the instance's own pool: $destination")
-    refusalOfSizes(view, instance.pool, destination)?.let { return it }
-    return refusalOf(usageOf(view, destination), pool.budget, instance.domain.dataCentre)
+    refusalOfState(instance)?.let { return it }
+    refusalOfSizes(view, usages.getValue(instance.pool), usages.getValue(destination))?.let { return it }
+    return refusalOf(usages.getValue(destination), pool.budget, instance.domain.dataCentre)
         ?.let { CommandDecision.BudgetExhausted(destination, it) }
 }
 
-private fun refusalOfSizes(view: FleetView, source: PoolId, destination: PoolId): CommandDecision? {
-    val from = usageOf(view, source)
+private fun refusalOfSizes(view: FleetView, from: PoolUsage, to: PoolUsage): CommandDecision? {
     val remaining = from.members.count { it.inboundTo == null } - 1
-    val to = usageOf(view, destination)
     val arriving = to.members.size + to.inbound.size + 1
-    val minInstances = view.pools[source]?.minInstances ?: 0
-    val maxInstances = view.pools[destination]?.maxInstances ?: Int.MAX_VALUE
+    val minInstances = view.pools[from.pool]?.minInstances ?: 0
+    val maxInstances = view.pools[to.pool]?.maxInstances ?: Int.MAX_VALUE
     return when {
-        remaining < minInstances -> CommandDecision.WrongState("pool $source would fall to $remaining instances")
-        arriving > maxInstances -> CommandDecision.WrongState("pool $destination would rise to $arriving instances")
+        remaining < minInstances -> CommandDecision.WrongState("pool ${from.pool} would fall to $remaining instances")
+        arriving > maxInstances -> CommandDecision.WrongState("pool ${to.pool} would rise to $arriving instances")
         else -> null
     }
 }
 
+private fun refusalOfState(instance: Instance): CommandDecision? {
+    if (instance.isAvailable) return null
+    val purpose = instance.reservation?.purpose
+    return CommandDecision.WrongState("instance ${instance.id} is ${instance.state}, reserved for $purpose")
+}
+
 /** Grants [reservation] to an instance that serves, if one more absence fits the budget of its pool. */
-private fun takeOut(view: FleetView, instance: Instance, reservation: Reservation, nowMillis: Long): CommandDecision {
-    val what = "instance ${instance.id}"
-    if (!instance.isAvailable) {
-        return CommandDecision.WrongState("$what is ${instance.state}, reserved for ${instance.reservation?.purpose}")
-    }
+private fun takeOut(
+    view: FleetView,
+    instance: Instance,
+    reservation: Reservation,
+    nowMillis: Long,
+    usage: PoolUsage = usageOf(view, instance.pool),
+): CommandDecision {
+    refusalOfState(instance)?.let { return it }
     val pool = view.pools[instance.pool] ?: return CommandDecision.NotFound("pool ${instance.pool}")
-    val detail = refusalOf(usageOf(view, pool.id), pool.budget, instance.domain.dataCentre)
+    val detail = refusalOf(usage, pool.budget, instance.domain.dataCentre)
     if (detail != null) return CommandDecision.BudgetExhausted(pool.id, detail)
     val draining = instance.copy(
         state = InstanceState.DRAINING,
         reservation = reservation,
         stateSinceMillis = nowMillis,
     )
-    return accepted("drain $what for ${reservation.purpose}", Mutation.PutInstance(draining))
+    return accepted("drain instance ${instance.id} for ${reservation.purpose}", Mutation.PutInstance(draining))
 }
 
 internal fun decideReturn(view: FleetView, command: FleetCommand.ReturnInstance, nowMillis: Long): CommandDecision {
--- a/fleet/src/main/kotlin/org/gypsumturn/fleet/command/PoolUsage.kt
+++ b/fleet/src/main/kotlin/org/gypsumturn/fleet/command/PoolUsage.kt
@@ -44,14 +44,17 @@
     get() = reservation?.destination?.takeIf { it != pool }
 
 /** The use of [pool] in [view]; one pass over all instances. */
-public fun usageOf(view: FleetView, pool: PoolId): PoolUsage {
-    val members = mutableListOf<Instance>()
-    val inbound = mutableListOf<Instance>()
+public fun usageOf(view: FleetView, pool: PoolId): PoolUsage = usagesOf(view, setOf(pool)).getValue(pool)
+
+/** The use of [pools] in [view]; one pass over all instances. */
+public fun usagesOf(view: FleetView, pools: Set<PoolId>): Map<PoolId, PoolUsage> {
+    val members = pools.associateWith { mutableListOf<Instance>() }
+    val inbound = pools.associateWith { mutableListOf<Instance>() }
     view.instances.values.forEach { instance ->
-        if (instance.pool == pool) members += instance
-        if (instance.inboundTo == pool) inbound += instance
+        members[instance.pool]?.add(instance)
+        instance.inboundTo?.let { inbound[it]?.add(instance) }
     }
-    return PoolUsage(pool, members, inbound)
+    return pools.associateWith { PoolUsage(it, members.getValue(it), inbound.getValue(it)) }
 }
 
 /** The use of every pool of [view]; one pass over all instances. */
