--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobsExperiment.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobsExperiment.kt
@@ -3,6 +3,7 @@
 package org.gypsumturn.bench.jobs
 
 import org.gypsumturn.bench.Report
+import org.gypsumturn.model.Priority
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
 
@@ -23,7 +24,11 @@
     }
     report.heading("jobs: urgent work")
     for (size in listOf(FleetSize.LONE_STAR, FleetSize.BRINDLEY)) {
-        listOf(1_000L, 8_000L).forEach { measureUrgentStart(report, size, if (quick) 20 else 400, it) }
+        for (milli in listOf(1_000L, 8_000L)) {
+            listOf(Priority.BATCH, Priority.NORMAL).forEach {
+                measureUrgentStart(report, size, if (quick) 20 else 400, milli, it)
+            }
+        }
     }
     measureCancellation(report, FleetSize.LONE_STAR, if (quick) 1_000 else 10_000)
     report.heading("jobs: the table")
--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/OwnerExperiments.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/OwnerExperiments.kt
@@ -75,16 +75,16 @@
 
 private const val JOBS_BY_POOL = 20
 
-/** Time from acceptance to start of urgent jobs in a pool that batch jobs fill. */
-internal fun measureUrgentStart(report: Report, size: FleetSize, urgentJobs: Int, milliEach: Long) {
+/** Time from acceptance to start of urgent jobs in a pool that jobs of priority [filler] fill. */
+internal fun measureUrgentStart(report: Report, size: FleetSize, urgentJobs: Int, milliEach: Long, filler: Priority) {
     val script = TaskScript(3_600_000, Capacity(900, 900))
     val urgentScript = TaskScript(5_000, Capacity(900, 900), output = "ok")
     val world =
         OwnerWorld(size, 3, { _, task -> if (task.key.job.value.startsWith("urgent")) urgentScript else script })
     val pool = poolOf(0)
     val perWorker = size.worker.processorsMilli / 1_000 + 2
-    val batch = (size.workers * perWorker).toInt()
-    world.accept(List(batch) { world.spec("batch-$it", pool, Priority.BATCH, Capacity(1_000, 1_024)) })
+    val filling = (size.workers * perWorker).toInt()
+    world.accept(List(filling) { world.spec("filling-$it", pool, filler, Capacity(1_000, 1_024)) })
     world.run(120_000)
     val acceptedAt = HashMap<JobId, Long>()
     val gaps = gapsOf(urgentJobs)
@@ -103,8 +103,9 @@
     started.forEach { (id, runs) ->
         histogram.recordValue((runs.first().startedAtMillis - acceptedAt.getValue(id)).coerceAtLeast(1))
     }
-    val name = "${size.name}, full of batch, urgent of $milliEach millicores"
-    report.figure("$name: batch jobs held", batch.toDouble(), "jobs")
+    val name = "${size.name}, full of $filler, urgent of $milliEach millicores"
+    report.figure("$name: jobs in the way", filling.toDouble(), "jobs")
+    report.figure("$name: jobs taken off", world.workers.runs.count { it.resumed }.toDouble(), "jobs")
     report.atLeast("$name: urgent started", started.size.toDouble(), "jobs", urgentJobs.toDouble())
     report.figure("$name: urgent start p50", histogram.getValueAtPercentile(50.0).toDouble(), "ms")
     report.atMost("$name: urgent start p99", histogram.getValueAtPercentile(99.0).toDouble(), "ms", URGENT_BOUND_MILLIS)
--- a/placement/src/main/kotlin/org/gypsumturn/placement/JobQueues.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/JobQueues.kt
@@ -1,36 +1,43 @@
-// Waiting jobs of a pool: a queue for each priority and team, in the order of acceptance. Adding and removing a job
-// takes constant time, so that a wave of cancellations is cheap.
+// Waiting jobs of a pool: a queue for each priority and team. Within a queue the turn of a job is the time of its
+// acceptance plus a multiple of its expected run time, so short jobs go first and long ones still get their turn.
 
 package org.gypsumturn.placement
 
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.Priority
 import org.gypsumturn.model.TeamId
+import java.util.TreeMap
 
-/** The waiting jobs of one pool. */
+/** The waiting jobs of one pool. Adding and removing a job takes logarithmic time. */
 internal class JobQueues {
-    private val byPriority = Priority.entries.associateWith { HashMap<TeamId, LinkedHashMap<JobId, WaitingJob>>() }
-    private val byId = HashMap<JobId, WaitingJob>()
+    private data class Turn(val atMillis: Long, val id: JobId) : Comparable<Turn> {
+        override fun compareTo(other: Turn): Int = compareValuesBy(this, other, { it.atMillis }, { it.id })
+    }
+
+    private class Entry(val job: WaitingJob, val turn: Turn)
+
+    private val byPriority = Priority.entries.associateWith { HashMap<TeamId, TreeMap<Turn, WaitingJob>>() }
+    private val byId = HashMap<JobId, Entry>()
 
     val size: Int get() = byId.size
 
-    fun add(job: WaitingJob) {
+    /** Adds [job], whose turn comes at [turnMillis]. */
+    fun add(job: WaitingJob, turnMillis: Long) {
         remove(job.spec.id)
-        byId[job.spec.id] = job
-        byPriority.getValue(job.spec.priority).getOrPut(job.spec.team) { LinkedHashMap() }[job.spec.id] = job
+        val turn = Turn(turnMillis, job.spec.id)
+        byId[job.spec.id] = Entry(job, turn)
+        byPriority.getValue(job.spec.priority).getOrPut(job.spec.team) { TreeMap() }[turn] = job
     }
 
     fun remove(id: JobId): WaitingJob? {
-        val job = byId.remove(id) ?: return null
-        val teams = byPriority.getValue(job.spec.priority)
-        val queue = teams.getValue(job.spec.team)
-        queue.remove(id)
-        if (queue.isEmpty()) teams.remove(job.spec.team)
-        return job
+        val entry = byId.remove(id) ?: return null
+        val teams = byPriority.getValue(entry.job.spec.priority)
+        val queue = teams.getValue(entry.job.spec.team)
+        queue.remove(entry.turn)
+        if (queue.isEmpty()) teams.remove(entry.job.spec.team)
+        return entry.job
     }
 
-    operator fun contains(id: JobId): Boolean = id in byId
-
     fun isEmpty(priority: Priority): Boolean = byPriority.getValue(priority).isEmpty()
 
     /** Teams with jobs of [priority]. */
@@ -41,5 +48,5 @@
         byPriority.getValue(priority)[team]?.values?.take(max).orEmpty()
 
     /** Heads of all queues of [priority]. */
-    fun oldest(priority: Priority): List<WaitingJob> = byPriority.getValue(priority).values.map { it.values.first() }
+    fun first(priority: Priority): List<WaitingJob> = byPriority.getValue(priority).values.map { it.firstEntry().value }
 }
--- a/placement/src/main/kotlin/org/gypsumturn/placement/PlacementRound.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/PlacementRound.kt
@@ -172,7 +172,7 @@
         }
     }
 
-    private fun heads(): List<WaitingJob> = Priority.entries.flatMap { queues.oldest(it) }
+    private fun heads(): List<WaitingJob> = Priority.entries.flatMap { queues.first(it) }
 
     private fun fitsWhole(job: WaitingJob, slot: WorkerSlot): Boolean = needOf(job).fitsIn(slot.info.capacity)
 
--- a/placement/src/main/kotlin/org/gypsumturn/placement/PoolScheduler.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/PoolScheduler.kt
@@ -64,7 +64,8 @@
 
     /** Lets [job] wait for a worker. */
     public fun enqueue(job: WaitingJob) {
-        queues.add(job)
+        val expectedMillis = sizes.expectedMillis(job.spec).coerceIn(0, settings.maxCountedRunMillis)
+        queues.add(job, job.sinceMillis + (settings.runTimeWeight * expectedMillis).toLong())
     }
 
     /** Takes a job out of the queue, if it waits. */
