--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -1,8 +1,13 @@
-// Entry point of the experiment tool: `gypsumturn-bench NAME…` runs the named experiments, or all of them.
+// Entry point of the experiment tool: `gypsumturn-bench NAME…` runs the named experiments, or all of them;
+// `gypsumturn-bench load …` sends load to running entries; `gypsumturn-bench audit …` replays the log of changes.
 
 package org.gypsumturn.bench
 
+import org.gypsumturn.bench.audit.runAudit
+import org.gypsumturn.bench.fleet.fleetExperiment
 import org.gypsumturn.bench.jobs.runJobsExperiment
+import org.gypsumturn.bench.load.runLoad
+import org.gypsumturn.bench.requests.requestsExperiment
 import kotlin.system.exitProcess
 
 /** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
@@ -11,16 +16,25 @@
 /** The experiments by name. */
 public val EXPERIMENTS: Map<String, Experiment> =
     mapOf(
+        "requests" to ::requestsExperiment,
         "jobs" to ::runJobsExperiment,
+        "fleet" to ::fleetExperiment,
     )
 
+private const val LOAD = "load"
+private const val AUDIT = "audit"
 private const val EXIT_OK = 0
 private const val EXIT_BOUND_BROKEN = 1
 private const val EXIT_USAGE = 2
 
-/** Runs the experiments named in [args]. */
+/** Runs the experiments named in [args], or the load tool or the audit where they are named first. */
 public fun main(args: Array<String>) {
-    exitProcess(runExperiments(args.toList(), ::println))
+    val code = when (args.firstOrNull()) {
+        LOAD -> runLoad(args.drop(1), ::println)
+        AUDIT -> runAudit(args.drop(1), ::println)
+        else -> runExperiments(args.toList(), ::println)
+    }
+    exitProcess(code)
 }
 
 internal fun runExperiments(args: List<String>, print: (String) -> Unit): Int {
