Keep silent workers from holding up an owner's round

Calls to workers ran one after the other, each up to its timeout: 200 silent workers would have held a round up for 100 s, far beyond what urgent work may wait. Exchanges are put together on the owner's thread, so that ParallelWorkerCalls may run them on several threads.

--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwnerSettings.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwnerSettings.kt
@@ -15,6 +15,8 @@
  * @property inboxPollMillis time between two looks for new jobs
  * @property maxRowsPerCommit largest number of jobs in one grouped commit
  * @property maxCommitsPerStep largest number of grouped commits in one round
+ * @property maxWorkersPerCall workers that are called at once in one round of renewals
+ * @property maxSuspectsPerStep workers without an answer to the last call that are called again in one round
  * @property maxPendingEnds ends that wait in memory for the table; further ends stay with their workers
  * @property maxAwaitingStart jobs of one pool that may wait for the commit of their assignment
  * @property tableRetryMillis first time between two tries while the table is down; it doubles up to
@@ -36,6 +38,8 @@
     public val workerTimeoutMillis: Long = 500,
     public val maxRowsPerCommit: Int = 100,
     public val maxCommitsPerStep: Int = 4,
+    public val maxWorkersPerCall: Int = 32,
+    public val maxSuspectsPerStep: Int = 8,
     public val maxPendingEnds: Int = 20_000,
     public val maxAwaitingStart: Int = 200,
     public val tableRetryMillis: Long = 1_000,
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/OwnedPool.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/OwnedPool.kt
@@ -70,5 +70,8 @@
     var nextRenewalMillis: Long = nowMillis
     var lastAnswerMillis: Long = nowMillis
 
+    /** Whether the last call was not answered. */
+    var isSuspect: Boolean = false
+
     val isIdle: Boolean get() = tasks.isEmpty() && toForget.isEmpty()
 }
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/TaskSupervisor.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/TaskSupervisor.kt
@@ -3,7 +3,6 @@
 
 package org.gypsumturn.jobs
 
-import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.valueOrNull
 import org.gypsumturn.placement.JobEvent
@@ -11,11 +10,9 @@
 import org.gypsumturn.placement.isHeld
 import org.gypsumturn.platform.StartOutcome
 import org.gypsumturn.platform.TaskAction
-import org.gypsumturn.platform.TaskKey
 import org.gypsumturn.platform.TaskReport
 import org.gypsumturn.platform.TaskStart
 import org.gypsumturn.platform.TaskState
-import org.gypsumturn.platform.WorkerReport
 import org.gypsumturn.platform.WorkerTasks
 
 /** Runs independent calls and returns once all have ended; a program may run them on several threads. */
@@ -29,6 +26,7 @@
 ) {
     private val settings = state.settings
     private val toStart = ArrayDeque<HeldJob>()
+    private val exchanges = WorkerExchange(workers, settings)
     private val ends = EndRecorder(state)
 
     /** Lets the committed assignment of [job] be dispatched in this round. */
@@ -40,28 +38,48 @@
     fun startAll(nowMillis: Long) {
         val jobs = toStart.filter { state.holds(it) && it.record.state.isHeld }
         toStart.clear()
-        val answers = callAll(jobs) { job -> start(job) }
+        val answers = callAll(jobs, inParallel, ::start)
         jobs.zip(answers).forEach { (job, answer) -> started(job, answer, nowMillis) }
     }
 
-    /** Renews what is due, and takes in the reports. */
+    /**
+     * Renews what is due, and takes in the reports. Workers that did not answer last time come last, few at a time, and
+     * the round ends early where most do not answer, so that silent workers cannot hold up the others for long.
+     */
     fun renewDue(nowMillis: Long) {
         state.workers.values.removeIf { it.isIdle }
         val due =
             state.workers.values.filter {
                 it.nextRenewalMillis <= nowMillis || it.pool.scheduler.hasActions(it.id)
             }
-        val answers = callAll(due) { link -> exchange(link, nowMillis) }
-        due.zip(answers).forEach { (link, answer) -> renewed(link, answer, nowMillis) }
+        val (suspects, others) = due.sortedBy { it.nextRenewalMillis }.partition { it.isSuspect }
+        for (group in others.chunked(settings.maxWorkersPerCall)) {
+            if (exchange(group, nowMillis) * 2 > group.size) break
+        }
+        exchange(suspects.take(settings.maxSuspectsPerStep), nowMillis)
         state.workers.values.forEach { lapse(it, nowMillis) }
     }
 
-    private fun <T, R> callAll(items: List<T>, call: (T) -> R): List<R> {
-        val answers = arrayOfNulls<Any?>(items.size)
-        val calls = items.mapIndexed { index, item -> { answers[index] = call(item) } }
-        if (calls.isNotEmpty()) inParallel(calls)
-        @Suppress("UNCHECKED_CAST")
-        return answers.toList() as List<R>
+    /** Returns how many of [links] did not answer. */
+    private fun exchange(links: List<WorkerLink>, nowMillis: Long): Int {
+        val plans = links.map { plan(it, nowMillis) }
+        val answers = callAll(plans, inParallel, exchanges::run)
+        plans.zip(answers).forEach { (plan, answer) -> renewed(plan, answer, nowMillis) }
+        return answers.count { it.report !is Verdict.Ran }
+    }
+
+    private fun plan(link: WorkerLink, nowMillis: Long): ExchangePlan {
+        val isSilent = nowMillis - link.lastAnswerMillis >= settings.leaseMillis
+        val running = link.tasks.values.filter { !it.isEnding }
+        val scheduled = link.pool.scheduler.takeActions(link.id)
+        val stops = running.filter { it.record.cancelRequested }.mapNotNull { it.task }
+        val orders =
+            stops.map { TaskOrder(it, TaskAction.STOP) } +
+                scheduled.mapNotNull { (id, action) ->
+                    link.tasks[id]?.task?.let { TaskOrder(it, action.toTaskAction()) }
+                }
+        val renewals = if (isSilent) emptyList() else running.mapNotNull { it.task }
+        return ExchangePlan(link, renewals, orders, scheduled, link.toForget.toList())
     }
 
     private fun start(job: HeldJob): Verdict<StartOutcome> {
@@ -77,46 +95,24 @@
         job.leaseUntilMillis = nowMillis + settings.leaseMillis + settings.leaseMarginMillis
         val refused = answer is Verdict.NotRun || (answer as? Verdict.Ran)?.value == StartOutcome.REFUSED
         job.start = if (answer is Verdict.Ran) StartKnowledge.CONFIRMED else StartKnowledge.UNKNOWN
-        if (!refused) return
-        job.record.worker?.let { job.pool.scheduler.refused(it, nowMillis) }
-        ends.record(job, JobEvent.NotStarted, nowMillis)
-    }
-
-    private fun exchange(link: WorkerLink, nowMillis: Long): Verdict<WorkerReport> {
-        val isSilent = nowMillis - link.lastAnswerMillis >= settings.leaseMillis
-        val tasks = if (isSilent) emptyList() else link.tasks.values.filter { !it.isEnding }.mapNotNull { it.task }
-        val answer = workers.renew(link.id, tasks, settings.leaseMillis, settings.workerTimeoutMillis)
-        if (answer is Verdict.Ran) {
-            askActions(link)
-            if (link.toForget.isNotEmpty()) {
-                val keys = link.toForget.toList()
-                val forgotten = workers.forget(link.id, keys, settings.workerTimeoutMillis)
-                if (forgotten is Verdict.Ran) link.toForget -= keys.toSet()
-            }
+        if (refused || answer is Verdict.MayHaveRun) {
+            job.record.worker?.let { job.pool.scheduler.refused(it, nowMillis) }
         }
-        if (!isSilent && answer is Verdict.MayHaveRun) link.tasks.values.forEach { extend(it, nowMillis) }
-        return answer
-    }
-
-    private fun askActions(link: WorkerLink) {
-        val stops = link.tasks.values.filter { it.record.cancelRequested && !it.isEnding }
-        stops.forEach { job -> job.task?.let { act(link.id, it, TaskAction.STOP) } }
-        val scheduled = link.pool.scheduler.takeActions(link.id)
-        scheduled.forEach { (id, action) -> link.tasks[id]?.task?.let { act(link.id, it, action.toTaskAction()) } }
-    }
-
-    private fun act(worker: InstanceId, task: TaskKey, action: TaskAction) {
-        workers.act(worker, task, action, settings.workerTimeoutMillis)
+        if (refused) ends.record(job, JobEvent.NotStarted, nowMillis)
     }
 
     private fun extend(job: HeldJob, nowMillis: Long) {
         if (!job.isEnding) job.leaseUntilMillis = nowMillis + settings.leaseMillis + settings.leaseMarginMillis
     }
 
-    private fun renewed(link: WorkerLink, answer: Verdict<WorkerReport>, nowMillis: Long) {
+    private fun renewed(plan: ExchangePlan, answer: ExchangeAnswer, nowMillis: Long) {
+        val link = plan.link
         val isBusy = link.pool.scheduler.waitingCount > 0 || link.tasks.values.any { it.record.cancelRequested }
         link.nextRenewalMillis = nowMillis + if (isBusy) settings.busyRenewMillis else settings.renewEveryMillis
-        val report = answer.valueOrNull() ?: return
+        link.toForget -= answer.forgotten.toSet()
+        val report = answer.report.valueOrNull()
+        link.isSuspect = report == null
+        if (report == null) return unanswered(plan, answer, nowMillis)
         link.lastAnswerMillis = nowMillis
         val reported = report.tasks.associateBy { it.key }
         for (job in link.tasks.values.toList()) {
@@ -128,6 +124,16 @@
         reported.values.filter { isObsolete(link, it) }.forEach { link.toForget += it.key }
     }
 
+    /** A renewal that may have arrived counts as one. */
+    private fun unanswered(plan: ExchangePlan, answer: ExchangeAnswer, nowMillis: Long) {
+        val scheduler = plan.link.pool.scheduler
+        scheduler.giveBackActions(plan.link.id, plan.scheduled)
+        scheduler.refused(plan.link.id, nowMillis)
+        if (answer.report is Verdict.MayHaveRun) {
+            plan.renewals.forEach { key -> plan.link.tasks[key.job]?.let { extend(it, nowMillis) } }
+        }
+    }
+
     /**
      * A worker that no longer knows a task which it had started has lost it. One whose start was never confirmed may
      * still be on its way, so its lease is waited for.
--- a/jobs/src/test/kotlin/org/gypsumturn/jobs/JobOwnerTest.kt
+++ b/jobs/src/test/kotlin/org/gypsumturn/jobs/JobOwnerTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import kotlinx.collections.immutable.mutate
 import org.gypsumturn.model.AvailabilityBudget
@@ -123,6 +124,24 @@
         Unit
     }
 
+    @Test
+    fun `silent workers hold up a round for a bounded number of calls`(): Unit = with(Fixture()) {
+        script = TaskScript(3_600_000, Capacity(1_000, 512))
+        val many = fleet(workers = 200)
+        val owner = owner()
+        acceptance.acceptAll(now, (1..1_500).map { spec("job-$it") }, TIMEOUT_MILLIS)
+        repeat(60) { owner.step(now, many, setOf(SELF)).also { now += 250 } }
+        workers.runs shouldHaveSize 1_500
+        workerFault = WorkerFault.LOSE_REQUEST
+        val settings = JobOwnerSettings()
+        repeat(80) {
+            val before = workers.calls
+            owner.step(now, many, setOf(SELF)).also { now += 250 }
+            (workers.calls - before) shouldBeLessThanOrEqual
+                0L + settings.maxWorkersPerCall + settings.maxSuspectsPerStep
+        }
+    }
+
     @Test
     fun `ended jobs are removed after their retention`(): Unit = with(Fixture()) {
         val owner = JobOwner(table, workers, SELF, JobOwnerSettings(retentionMillis = 60_000))
--- a/placement/src/main/kotlin/org/gypsumturn/placement/PoolScheduler.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/PoolScheduler.kt
@@ -141,6 +141,11 @@
     /** What is to be done to jobs on [worker]; each action is given out once. */
     public fun takeActions(worker: InstanceId): List<JobAction> = preemption.takeActions(worker)
 
+    /** Keeps [actions] for the next time, since [worker] did not hear them. */
+    public fun giveBackActions(worker: InstanceId, actions: List<JobAction>) {
+        preemption.giveBack(worker, actions)
+    }
+
     /** Chooses workers for at most [max] waiting jobs. The chosen ones no longer wait. */
     public fun place(nowMillis: Long, max: Int): List<Placement> {
         usability.wake(nowMillis)
--- a/placement/src/main/kotlin/org/gypsumturn/placement/Preemption.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/Preemption.kt
@@ -23,6 +23,10 @@
 
     fun takeActions(worker: InstanceId): List<JobAction> = actions.remove(worker).orEmpty()
 
+    fun giveBack(worker: InstanceId, kept: List<JobAction>) {
+        if (kept.isNotEmpty()) actions.getOrPut(worker) { mutableListOf() } += kept
+    }
+
     fun mayTake(job: JobId): Boolean = (timesTaken[job] ?: 0) < settings.maxPreemptions
 
     fun forget(job: JobId) {
