--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryNode.kt
@@ -60,7 +60,13 @@
     private val dispatch =
         DispatchDuty(config.dispatch, ::ports, metrics, around.seed, config.maxOpen, config.maxHeldBytes)
     private val intake =
-        Intake(around.view::currentView, dispatch, EntryTracing(around.tracing), around.nowMillis)
+        Intake(
+            around.view::currentView,
+            around.view::readiness,
+            dispatch,
+            EntryTracing(around.tracing),
+            around.nowMillis,
+        )
     private val jobs = JobDesk(
         JobAcceptance(around.table),
         around.view::currentView,
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/Dispatch.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/Dispatch.kt
@@ -9,9 +9,6 @@
 import org.gypsumturn.entry.http.HttpAnswer
 import org.gypsumturn.entry.http.HttpStatus
 import org.gypsumturn.entry.http.VerdictNames
-import org.gypsumturn.entry.ledger.IntentRow
-import org.gypsumturn.entry.ledger.IntentRows
-import org.gypsumturn.entry.ledger.IntentState
 import org.gypsumturn.entry.ledger.LedgerOrder
 import org.gypsumturn.entry.target.ExchangeEnd
 import org.gypsumturn.entry.target.TargetExchange
@@ -179,9 +176,8 @@
     }
 
     private fun recordIntent(call: ServiceCall) {
-        val key = IntentRows.keyOf(call.service.id, requireNotNull(call.request.key))
-        val hash = IntentRows.hash(call.request)
-        val row = IntentRow(hash, ports.self, call.id.value, IntentState.STARTED, ports.epochMillis())
+        val key = KeyedRows.keyOf(call)
+        val row = KeyedRows.intent(call, ports.self, ports.epochMillis())
         call.intent = row
         call.intentOpen = true
         val order = LedgerOrder.Intent(key, row, call.deadlineMillis) { outcome, recorded ->
@@ -194,17 +190,9 @@
 
     private fun recordOutcome(call: ServiceCall, verdict: Verdict<ExchangeId?>) {
         val intent = call.intent ?: return
-        val key = IntentRows.keyOf(call.service.id, requireNotNull(call.request.key))
-        val row = when (verdict) {
-            is Verdict.NotRun -> null
-
-            is Verdict.MayHaveRun -> intent.copy(state = IntentState.MAY_HAVE_RUN, atMillis = ports.epochMillis())
-
-            is Verdict.Ran -> {
-                val answer = call.answers[verdict.value]?.let { IntentRows.record(it, ports.maxRecordedBytes) }
-                intent.copy(state = IntentState.ANSWERED, atMillis = ports.epochMillis(), answer = answer)
-            }
-        }
+        val key = KeyedRows.keyOf(call)
+        val answer = (verdict as? Verdict.Ran)?.let { call.answers[it.value] }
+        val row = KeyedRows.outcome(intent, verdict, answer, ports.epochMillis(), ports.maxRecordedBytes)
         call.outcomeOpen = true
         val order = LedgerOrder.Outcome(key, intent, row) { ports.post(DispatchInput.OutcomeAttempted(call.id)) }
         if (!ports.record(order)) {
@@ -304,18 +292,3 @@
         val log = LoggerFactory.getLogger(Dispatch::class.java)
     }
 }
-
-private fun nameOf(outcome: IntentOutcome): String = when (outcome) {
-    IntentOutcome.Recorded -> "recorded"
-    IntentOutcome.AlreadyAnswered -> "already-answered"
-    IntentOutcome.AlreadyStarted -> "already-started"
-    IntentOutcome.PayloadDiffers -> "payload-differs"
-    is IntentOutcome.NotRecorded -> "not-recorded"
-    is IntentOutcome.Unknown -> "unknown"
-}
-
-private fun nameOf(result: ExchangeResult): String = when (result) {
-    is ExchangeResult.Answered -> if (result.overloaded) "overloaded" else "answered"
-    is ExchangeResult.NotSent -> "not-sent"
-    is ExchangeResult.Unanswered -> if (result.silent) "silent" else "unanswered"
-}
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/Intake.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/Intake.kt
@@ -11,11 +11,13 @@
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.FleetView
 import org.gypsumturn.request.RequestId
+import org.gypsumturn.view.Readiness
 import java.util.concurrent.atomic.AtomicLong
 
 /** The way from callers' connections to the dispatch thread. Thread-safe. */
 internal class Intake(
     private val view: () -> FleetView,
+    private val readiness: () -> Readiness,
     private val dispatch: DispatchDuty,
     private val tracing: EntryTracing,
     private val nowMillis: () -> Long,
@@ -26,8 +28,7 @@
     fun submit(request: ServiceRequest, traceParent: String?, reply: (HttpAnswer) -> Unit): () -> Unit {
         val service = view().services[request.service]
         if (service == null) {
-            val failure = Failure(FailureKind.INVALID, "unknown service ${request.service}")
-            reply(Answers.notRun(HttpStatus.NOT_FOUND, failure))
+            reply(unknown(request))
             return {}
         }
         val now = nowMillis()
@@ -42,4 +43,12 @@
         }
         return { dispatch.post(DispatchInput.CallerLeft(id)) }
     }
+
+    // Only a view that is in force can tell that there is no such service.
+    private fun unknown(request: ServiceRequest): HttpAnswer {
+        val state = readiness()
+        if (!state.ready) return Answers.notRun(Failure(FailureKind.NOT_READY, state.reason))
+        val failure = Failure(FailureKind.INVALID, "unknown service ${request.service}")
+        return Answers.notRun(HttpStatus.NOT_FOUND, failure)
+    }
 }
--- a/entry/src/test/kotlin/org/gypsumturn/entry/Fixture.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/Fixture.kt
@@ -117,7 +117,12 @@
     table: TableStore = FakeTableStore(),
     name: String = "entry-1",
     config: EntryConfig = TEST_CONFIG,
+    tracing: Tracing = Tracing.none(),
 ) : AutoCloseable {
+    /** How far the entry's monotonic clock is ahead, as after a pause. */
+    @Volatile
+    var pausedMillis = 0L
+
     constructor(target: FakeTarget, table: TableStore = FakeTableStore()) :
         this(SetView(viewOf(listOf(target.port))), table)
 
@@ -129,10 +134,11 @@
             view,
             table,
             EmptyInstances,
-            Tracing.none(),
+            tracing,
             EntryMetrics(registry),
             {},
             seed = 1,
+            nowMillis = { System.nanoTime() / 1_000_000 + pausedMillis },
         ),
     )
 
--- a/entry/src/test/kotlin/org/gypsumturn/entry/KeyedRequestTest.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/KeyedRequestTest.kt
@@ -11,6 +11,7 @@
 import org.gypsumturn.model.valueOrNull
 import org.gypsumturn.platform.fake.FakeTableStore
 import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.view.Readiness
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
@@ -267,4 +268,33 @@
             }
         }
     }
+
+    /** Sends one order to an entry to which [during] happens while its intent is being written. */
+    private fun interrupted(during: (EntryFixture) -> Unit) {
+        var entry: EntryFixture? = null
+        var pending = true
+        val table = FakeTableStore { isCommit ->
+            if (isCommit && pending) {
+                pending = false
+                during(checkNotNull(entry))
+            }
+            TableFault.NONE
+        }
+        FakeTarget().use { target ->
+            EntryFixture(SetView(viewOf(listOf(target.port))), table).use { paused ->
+                entry = paused
+                paused.keyed("k", "order").verdict shouldBe "not-run"
+                target.seen.size shouldBe 0
+                await { rowOf(table, "k") == null }
+            }
+        }
+    }
+
+    @Test
+    fun `an entry that is paused past the deadline while it records an intent sends nothing`() =
+        interrupted { it.pausedMillis = 60_000 }
+
+    @Test
+    fun `an entry whose view's lease runs out while it records an intent sends nothing`() =
+        interrupted { it.view.readiness = Readiness(false, "the view's lease lapsed") }
 }
--- a/entry/src/test/kotlin/org/gypsumturn/entry/WholePathTest.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/WholePathTest.kt
@@ -2,8 +2,16 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldStartWith
+import org.gypsumturn.model.FleetView
+import org.gypsumturn.runtime.settings.CommonSettings
+import org.gypsumturn.runtime.settings.SettingsResult
+import org.gypsumturn.runtime.settings.SettingsSchema
+import org.gypsumturn.runtime.trace.Tracing
+import org.gypsumturn.view.Readiness
+import java.io.File
 
 class WholePathTest : AnnotationSpec() {
     @Test
@@ -58,7 +66,7 @@
         serving { target, entry ->
             entry.caller().use { caller ->
                 caller.call("/health/ready", method = "GET").status shouldBe 200
-                entry.view.readiness = org.gypsumturn.view.Readiness(false, "the view's lease lapsed")
+                entry.view.readiness = Readiness(false, "the view's lease lapsed")
                 val ready = caller.call("/health/ready", method = "GET")
                 ready.status shouldBe 503
                 ready.body shouldContain "lease lapsed"
@@ -70,4 +78,33 @@
             }
         }
     }
+
+    @Test
+    fun `an entry without a view does not say that a service is unknown`() {
+        val view = SetView(FleetView())
+        view.readiness = Readiness(false, "no view has been received")
+        EntryFixture(view).use { entry ->
+            val answer = entry.caller().use { it.call("/services/orders/") }
+            answer.status shouldBe 503
+            answer.verdict shouldBe "not-run"
+        }
+    }
+
+    @Test
+    fun `the target's span is a child of the entry's exchange, in the caller's trace`() {
+        val schema = SettingsSchema(CommonSettings.all)
+        val file = File.createTempFile("traces", ".ini")
+        file.deleteOnExit()
+        file.writeText("[node]\nname=e\nregion=r\ndata_centre=d\n[metrics]\naddress=127.0.0.1:0\n")
+        val settings = (schema.load(file) as SettingsResult.Loaded).settings
+        val parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+        val target = FakeTarget()
+        EntryFixture(SetView(viewOf(listOf(target.port))), tracing = Tracing.of(settings)).use { entry ->
+            entry.caller().use { it.call("/services/quotes/", headers = listOf("traceparent: $parent")) }
+        }
+        target.close()
+        val passedOn = target.seen.single().headers.getValue("traceparent").split('-')
+        passedOn[1] shouldBe "0af7651916cd43dd8448eb211c80319c"
+        passedOn[2] shouldNotBe "b7ad6b7169203331"
+    }
 }
