Refuse unknown actions and options of the programs

Cause: a misspelt action or option was taken for an action, so that `gypsumturn-entry chekc-config` started the program; other wrong command lines ended with code 127.

Change: the action must be one of serve and check-config, and every wrong command line ends with the documented code 2.

--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
@@ -36,6 +36,8 @@
 public const val VERSION: String = "0.1.0"
 
 private const val CHECK_CONFIG = "check-config"
+private val ACTIONS = listOf("serve", CHECK_CONFIG)
+internal val ACTION_TYPE = ArgType.Choice(ACTIONS, { text -> ACTIONS.single { it == text } })
 
 /** Runs [serve] with checked settings, or ends the process with an exit code that says why not. */
 public fun runProgram(name: String, schema: SettingsSchema, args: Array<String>, serve: (Settings) -> Unit) {
@@ -44,15 +46,16 @@
         exitProcess(ExitCode.OK)
     }
     val parser = ArgParser(name)
+    parser.throwOnEnd()
     val config by parser.option(ArgType.String, "config", "c", "settings file (INI)")
     val logFormat by parser
         .option(ArgType.Choice<LogFormat>({ LogFormat.valueOf(it.uppercase()) }, { it.name.lowercase() }), "log-format")
         .default(LogFormat.TEXT)
     val action by parser
-        .argument(ArgType.Choice(listOf("serve", CHECK_CONFIG), { it }), "action", "serve, or only check the settings")
+        .argument(ACTION_TYPE, "action", "serve, or only check the settings")
         .optional()
     parser.option(ArgType.Boolean, "version", description = "print the version")
-    parser.parse(args)
+    parseOrExit(parser, args)
     configureLogging(logFormat)
     val settings = loadOrExit(schema, config?.let(::File))
     if (action == CHECK_CONFIG) {
@@ -62,6 +65,15 @@
     serve(settings)
 }
 
+private fun parseOrExit(parser: ArgParser, args: Array<String>) {
+    try {
+        parser.parse(args)
+    } catch (e: CommandLineEnd) {
+        (if (e.exitCode == ExitCode.OK) System.out else System.err).println(e.text)
+        exitProcess(e.exitCode)
+    }
+}
+
 private fun loadOrExit(schema: SettingsSchema, file: File?): Settings = when (val result = schema.load(file)) {
     is SettingsResult.Loaded -> result.settings
 
