--- a/placement/src/main/kotlin/org/gypsumturn/placement/PoolScheduler.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/PoolScheduler.kt
@@ -64,7 +64,8 @@
 
     /** Lets [job] wait for a worker. */
     public fun enqueue(job: WaitingJob) {
-        queues.add(job)
+        val expectedMillis = sizes.expectedMillis(job.spec).coerceIn(0, settings.maxCountedRunMillis)
+        queues.add(job, job.sinceMillis + (settings.runTimeWeight * expectedMillis).toLong())
     }
 
     /** Takes a job out of the queue, if it waits. */
@@ -140,6 +141,11 @@
     /** What is to be done to jobs on [worker]; each action is given out once. */
     public fun takeActions(worker: InstanceId): List<JobAction> = preemption.takeActions(worker)
 
+    /** Keeps [actions] for the next time, since [worker] did not hear them. */
+    public fun giveBackActions(worker: InstanceId, actions: List<JobAction>) {
+        preemption.giveBack(worker, actions)
+    }
+
     /** Chooses workers for at most [max] waiting jobs. The chosen ones no longer wait. */
     public fun place(nowMillis: Long, max: Int): List<Placement> {
         usability.wake(nowMillis)
