Load the experiment on bad workers so that both get work

One of the two bad workers stood last in the order of workers and was never given a job. The load now keeps about four fifths of the processors busy, and both stand where jobs go.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/FailureExperiment.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/FailureExperiment.kt
@@ -18,10 +18,13 @@
 import org.gypsumturn.placement.WorkerCapacity
 
 /** Measures the verdicts on workers and jobs, with the judge and without. */
-internal fun measureFailures(report: Report, size: FleetSize, jobs: Int, seeds: LongRange, badFromMillis: Long) {
+internal fun measureFailures(report: Report, size: FleetSize, seconds: Int, seeds: LongRange, badFromMillis: Long) {
+    val jobs = seconds * jobsBySecond(size)
     val judged = seeds.map { FailureRun(size, it, badFromMillis, useJudge = true).run(jobs) }
     val plain = seeds.map { FailureRun(size, it, badFromMillis, useJudge = false).run(jobs) }
-    report.remark("${size.name}: $BAD_WORKERS bad workers, $BAD_CLASSES of $CLASSES classes bad, seeds $seeds")
+    report.remark(
+        "${size.name}: $BAD_WORKERS bad workers, $BAD_CLASSES of $CLASSES classes bad, $jobs jobs, seeds $seeds",
+    )
     val name = "${size.name}, bad from ${badFromMillis / 1_000} s"
     report.atMost("$name: healthy workers quarantined", judged.sumOf { it.healthyQuarantined }.toDouble(), "", 0.0)
     report.atMost("$name: good jobs quarantined", judged.sumOf { it.goodJobsQuarantined }.toDouble(), "", 0.0)
@@ -41,6 +44,11 @@
     report.figure("$name: the same, at most eight tries each", plain.map { it.attemptsByBadJob }.average(), "attempts")
 }
 
+/** Jobs that keep about four fifths of the processors busy. */
+private fun jobsBySecond(size: FleetSize): Int =
+    (size.workers * size.worker.processorsMilli / MILLI_BY_JOB_RATE).toInt()
+
+private const val MILLI_BY_JOB_RATE = 25_000L
 private const val BAD_WORKERS = 2
 private const val BAD_CLASSES = 2
 private const val CLASSES = 12
@@ -64,7 +72,7 @@
     private val random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed)
     private val scheduler = PoolScheduler(PlacementSettings())
     private val members = viewOf(size).instances.values.map { WorkerCapacity(it.id, it.domain, it.capacity, true) }
-    private val bad: Set<InstanceId> = (0 until BAD_WORKERS).map { workerOf(it * 7) }.toSet()
+    private val bad: Set<InstanceId> = (0 until BAD_WORKERS).map { workerOf(it * 8) }.toSet()
     private val records = HashMap<JobId, JobRecord>()
     private val running = ArrayDeque<Triple<Long, JobId, InstanceId>>()
     private val everQuarantined = HashSet<InstanceId>()
@@ -80,7 +88,7 @@
         var nowMillis = 0L
         var submitted = 0
         while (submitted < jobs || running.isNotEmpty() || scheduler.waitingCount > 0) {
-            repeat(JOBS_BY_SECOND) { if (submitted < jobs) submit(submitted++, nowMillis) }
+            repeat(jobsBySecond(size)) { if (submitted < jobs) submit(submitted++, nowMillis) }
             scheduler.place(nowMillis, Int.MAX_VALUE).forEach { begin(it.job, it.worker, nowMillis) }
             val ended = running.filter { it.first <= nowMillis }
             running.removeAll(ended.toSet())
@@ -152,7 +160,6 @@
     private fun isBad(spec: JobSpec): Boolean = spec.jobClass.value.removePrefix("class-").toInt() < BAD_CLASSES
 
     private companion object {
-        const val JOBS_BY_SECOND = 20
         const val FLAKY_PERCENT = 2
         const val TRIES_TO_FIND = 10
         const val PLAIN_TRIES = 8
--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobsExperiment.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobsExperiment.kt
@@ -20,7 +20,7 @@
     }
     report.heading("jobs: bad jobs and bad workers")
     for (size in listOf(FleetSize.LONE_STAR, FleetSize.BRINDLEY)) {
-        listOf(0L, WARM_MILLIS).forEach { measureFailures(report, size, if (quick) 4_000 else 10_000, seeds, it) }
+        listOf(0L, WARM_MILLIS).forEach { measureFailures(report, size, if (quick) 180 else 300, seeds, it) }
     }
     report.heading("jobs: urgent work")
     for (size in listOf(FleetSize.LONE_STAR, FleetSize.BRINDLEY)) {
