--- a/bench/src/main/kotlin/org/gypsumturn/bench/fleet/WaveRun.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/WaveRun.kt
@@ -138,18 +138,19 @@
 }
 
 /**
- * An operator's rule: a tenth of the fleet at once, as far as the budgets allow, and the next tenth when all are
- * back. It has no canary and does not halt.
+ * An operator's rule: a tenth of each pool at once, but at least one instance, and the next tenth when all are back.
+ * It has no canary and does not halt.
  */
 internal val TENTHS: WavePlanner = { view, wave, now ->
     val progress = progressOf(view, wave)
     val carriedOn = planWave(view, wave.copy(maxFailures = Int.MAX_VALUE, canaries = 0, maxParallel = 1), now)
         .map { restored(it.command, wave) }
         .filter { it !is FleetCommand.RebootInstance && !(it is FleetCommand.RecordWave && isHalt(it)) }
-    val batch = if (progress.inWork.isEmpty()) progress.candidates else emptyList()
-    val starts = batch.sortedBy { it.id }.take(maxOf(1, view.instances.size / 10)).map {
-        FleetCommand.RebootInstance(it.id, wave.id, it.revision)
-    }
+    val batch = if (progress.inWork.isEmpty()) progress.candidates.groupBy { it.pool }.values else emptyList()
+    val starts = batch.flatMap { members ->
+        val size = view.membersOf(members.first().pool).size
+        members.sortedBy { it.id }.take(maxOf(1, size / 10))
+    }.map { FleetCommand.RebootInstance(it.id, wave.id, it.revision) }
     carriedOn + starts
 }
 
