Report slots less often while no entry has demand

Cause: idle entries spent most of their bytes and processor time on slot reports ten times a second; measured 47 KB/s for each of three entries. Change: reports every 700 ms while neither this entry nor a peer has anything queued, every 100 ms otherwise; still below the lapse of 2 s.

--- a/request/src/main/kotlin/org/gypsumturn/request/DispatchSettings.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/DispatchSettings.kt
@@ -20,7 +20,8 @@
  * @property maxQueuedTotal requests that one entry holds at once, over all pools
  * @property retryBudgetShare retries per first attempt, for each pool
  * @property maxAttempts exchanges per request
- * @property peerReportIntervalMillis time between two slot reports
+ * @property peerReportIntervalMillis time between two slot reports while there is demand
+ * @property quietReportIntervalMillis time between two slot reports while no entry has demand
  * @property peerLapseMillis age at which a peer's report, and with it its grants, no longer counts
  * @property slowStartMillis time over which a fresh target's slots are opened
  * @property ejectionMillis time for which a faulty target gets nothing
@@ -35,6 +36,7 @@
     public val retryBudgetShare: Double = 0.1,
     public val maxAttempts: Int = 3,
     public val peerReportIntervalMillis: Long = 100,
+    public val quietReportIntervalMillis: Long = 700,
     public val peerLapseMillis: Long = 2_000,
     public val slowStartMillis: Long = 10_000,
     public val ejectionMillis: Long = 5_000,
--- a/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
@@ -54,7 +54,7 @@
             is RequestEvent.ViewChanged -> viewChanged(nowMillis, event.view)
             is RequestEvent.TargetLeaving -> targets.markLeaving(nowMillis, event.instance)
             is RequestEvent.ReadinessChanged -> readinessChanged(event)
-            is RequestEvent.PeerReported -> limits.heard(nowMillis, event.report)
+            is RequestEvent.PeerReported -> peerReported(nowMillis, event.report)
             RequestEvent.Tick -> tick(nowMillis)
         }
         return effects
@@ -230,6 +230,11 @@
         tellPeers(nowMillis)
     }
 
+    private fun peerReported(nowMillis: Long, report: SlotReport) {
+        reporter.heard(nowMillis, report)
+        limits.heard(nowMillis, report)
+    }
+
     private fun tellPeers(nowMillis: Long) {
         val report = reporter.next(nowMillis, pools) ?: return
         limits.told(nowMillis, report)
--- a/request/src/main/kotlin/org/gypsumturn/request/SlotReporter.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/SlotReporter.kt
@@ -15,10 +15,16 @@
 ) {
     private var lastMillis = Long.MIN_VALUE / 2
     private var sequence = 0L
+    private var peerDemandAtMillis = Long.MIN_VALUE / 2
+
+    /** Notes whether a peer has demand. */
+    fun heard(nowMillis: Long, report: SlotReport) {
+        if (report.queuedByPool.values.any { it.total > 0 }) peerDemandAtMillis = nowMillis
+    }
 
     /** The next report, or null if the last one is too young. */
     fun next(nowMillis: Long, pools: Map<PoolId, PoolState>): SlotReport? {
-        if (nowMillis - lastMillis < settings.peerReportIntervalMillis) return null
+        if (nowMillis - lastMillis < intervalMillis(nowMillis, pools)) return null
         lastMillis = nowMillis
         sequence++
         val queued = pools.mapValues { (_, pool) ->
@@ -29,4 +35,11 @@
             .filterValues { it.granted > 0 || it.inUse > 0 }
         return SlotReport(self, sequence, queued, use)
     }
+
+    // Grants have to follow demand quickly, wherever it is; without any, reports only show that this entry is alive.
+    private fun intervalMillis(nowMillis: Long, pools: Map<PoolId, PoolState>): Long {
+        val hasDemand = pools.values.any { it.queue.size > 0 }
+        val heardDemand = nowMillis - peerDemandAtMillis <= settings.peerLapseMillis
+        return if (hasDemand || heardDemand) settings.peerReportIntervalMillis else settings.quietReportIntervalMillis
+    }
 }
