--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -1,10 +1,12 @@
 // Entry point of the experiment tool: `gypsumturn-bench NAME…` runs the named experiments, or all of them;
 // `gypsumturn-bench load …` sends load to running entries; `gypsumturn-bench audit …` replays the log of changes;
-// `gypsumturn-bench fault …` injects a fault into the stand-in.
+// `gypsumturn-bench fault …` injects a fault into the stand-in;
+// `gypsumturn-bench entry …` compares a running entry with direct calls of its targets.
 
 package org.gypsumturn.bench
 
 import org.gypsumturn.bench.audit.runAudit
+import org.gypsumturn.bench.entry.runEntry
 import org.gypsumturn.bench.fault.runFault
 import org.gypsumturn.bench.fleet.fleetExperiment
 import org.gypsumturn.bench.jobs.runJobsExperiment
@@ -28,6 +30,7 @@
 private const val LOAD = "load"
 private const val AUDIT = "audit"
 private const val FAULT = "fault"
+private const val ENTRY = "entry"
 private const val EXIT_OK = 0
 private const val EXIT_BOUND_BROKEN = 1
 private const val EXIT_USAGE = 2
@@ -38,6 +41,7 @@
         LOAD -> runLoad(args.drop(1), ::println)
         AUDIT -> runAudit(args.drop(1), ::println)
         FAULT -> runFault(args.drop(1), ::println)
+        ENTRY -> runEntry(args.drop(1), ::println)
         else -> runExperiments(args.toList(), ::println)
     }
     exitProcess(code)
