Bound callers' connections, and read the lease again before sending

An entry took any number of callers' connections, and the view's lease was read at dispatch only, so an entry that was paused while a connection to a target opened could still send after its lease had lapsed.

The setting `max_connections` of the section `callers` (default 16,000) bounds the connections; one beyond it is closed at once and counted in `gypsumturn_entry_connections_refused_total`. Readiness is read again on the event loop before a request is written, on a free connection as on one that has just opened; a request that is held back is not run, and its target is not blamed for it.

--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryConfig.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryConfig.kt
@@ -23,6 +23,7 @@
  *
  * @property maxOpen requests that may be open at this entry at once
  * @property maxHeldBytes bytes that the bodies of open requests may have together
+ * @property maxConnections connections of callers that may be open at once
  * @property jobWaitMillis longest time that a job waits to be recorded
  * @property balancerLagMillis time that the balancer needs to see that the entry is not ready
  * @property instanceListMillis time between two looks at the platform's instance list
@@ -35,6 +36,7 @@
     val dispatch: DispatchSettings,
     val ledger: LedgerSettings,
     val retention: RetentionSettings,
+    val maxConnections: Int,
     val maxOpen: Int,
     val maxHeldBytes: Long,
     val jobWaitMillis: Long,
--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryMetrics.kt
@@ -37,6 +37,11 @@
         Counter.builder().name("gypsumturn_entry_ring_drops_total").help("Events refused by a full ring")
             .labelNames("ring").register(registry)
 
+    /** Connections of callers that were closed at once because too many were open. */
+    val connectionsRefused: Counter =
+        Counter.builder().name("gypsumturn_entry_connections_refused_total").help("Connections beyond the limit")
+            .register(registry)
+
     /** Outcomes that could not be recorded. */
     val outcomesDropped: Counter =
         Counter.builder().name("gypsumturn_entry_outcomes_dropped_total").help("Outcomes that were given up")
--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryNode.kt
@@ -9,6 +9,7 @@
 import org.gypsumturn.entry.dispatch.DispatchPorts
 import org.gypsumturn.entry.dispatch.Intake
 import org.gypsumturn.entry.http.CallerServer
+import org.gypsumturn.entry.http.ConnectionLimit
 import org.gypsumturn.entry.http.HttpAnswer
 import org.gypsumturn.entry.http.Route
 import org.gypsumturn.entry.job.JobDesk
@@ -54,7 +55,7 @@
 internal class EntryNode(private val config: EntryConfig, private val around: EntrySurroundings) {
     private val loops = MultiThreadIoEventLoopGroup(config.eventLoops, NioIoHandler.newFactory())
     private val metrics = around.metrics
-    private val targets = TargetClient(loops, config.targetLimits, around.nowMillis)
+    private val targets = TargetClient(loops, config.targetLimits, around.nowMillis) { around.view.readiness().ready }
     private val ledger =
         LedgerDuty(around.table, config.ledger, metrics, around.nowMillis, config.maxOpen * ORDERS_PER_REQUEST)
     private val dispatch =
@@ -78,8 +79,9 @@
         config.maxOpen,
     )
     private val health = Health(::readiness)
+    private val admission = ConnectionLimit(config.maxConnections) { metrics.connectionsRefused.inc() }
     private val server =
-        CallerServer(loops, config.address, config.sizes, config.callerLimits, around.nowMillis, ::serve)
+        CallerServer(loops, config.address, config.sizes, config.callerLimits, admission, around.nowMillis, ::serve)
     private val sweep = SweepDuty(
         RetentionSweep(
             around.table,
--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntrySettings.kt
@@ -41,6 +41,7 @@
     private val requestRead = millis("callers", "read_millis", 10_000, 50L..120_000L, "time for one request to arrive")
     private val callerIdle = millis("callers", "idle_millis", 60_000, 100L..3_600_000L, "life of an unused connection")
     private val answerWrite = millis("callers", "write_millis", 30_000, 100L..600_000L, "time without write progress")
+    private val maxConnections = count("callers", "max_connections", 16_000, 1L..200_000L, "connections open at once")
     private val maxPipelined = count("callers", "max_pipelined", 16, 1L..1_000L, "requests under way per connection")
 
     private val connect = millis("targets", "connect_millis", 500, 10L..10_000L, "time for a connection to open")
@@ -109,6 +110,7 @@
         dispatch = dispatchOf(settings),
         ledger = ledgerOf(settings),
         retention = RetentionSettings(settings[retention], settings.int(sweepRows), settings[sweepStep]),
+        maxConnections = settings.int(maxConnections),
         maxOpen = settings.int(maxOpen),
         maxHeldBytes = settings[maxHeld],
         jobWaitMillis = settings[jobWait],
--- a/entry/src/main/kotlin/org/gypsumturn/entry/http/CallerServer.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/http/CallerServer.kt
@@ -29,6 +29,7 @@
     private val address: HostAndPort,
     private val sizes: RequestSizes,
     private val limits: CallerLimits,
+    private val admission: ConnectionLimit,
     private val nowMillis: () -> Long,
     private val serve: RouteHandler,
 ) {
@@ -74,10 +75,17 @@
     }
 
     private fun initialise(channel: SocketChannel) {
+        if (!admission.admit()) {
+            channel.close()
+            return
+        }
         val progress = ReadProgress(nowMillis)
         val connection = CallerConnection(limits, progress, serve, nowMillis)
         connections += connection
-        channel.closeFuture().addListener { connections -= connection }
+        channel.closeFuture().addListener {
+            connections -= connection
+            admission.release()
+        }
         val pipeline: ChannelPipeline = channel.pipeline()
         pipeline.addLast(progress)
         pipeline.addLast(HttpRequestDecoder(sizes.maxLineBytes, sizes.maxHeaderBytes, MAX_CHUNK_BYTES))
--- a/entry/src/main/kotlin/org/gypsumturn/entry/target/TargetClient.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/target/TargetClient.kt
@@ -10,11 +10,16 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 
-/** The HTTP client towards targets. Thread-safe. */
+/**
+ * The HTTP client towards targets. Thread-safe.
+ *
+ * @property mayWrite whether this entry may still send; read just before the first byte of each exchange
+ */
 internal class TargetClient(
     private val group: EventLoopGroup,
     private val limits: TargetLimits,
     private val nowMillis: () -> Long,
+    private val mayWrite: () -> Boolean,
 ) {
     private data class PoolKey(val instance: InstanceId, val address: Address)
 
@@ -49,7 +54,7 @@
 
     private fun create(key: PoolKey): LoopPool {
         val loop = group.next() as EventLoop
-        return LoopPool(loop, TargetPool(loop, key.address, limits, nowMillis))
+        return LoopPool(loop, TargetPool(loop, key.address, limits, nowMillis, mayWrite))
     }
 
     private companion object {
--- a/entry/src/main/kotlin/org/gypsumturn/entry/target/TargetPool.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/target/TargetPool.kt
@@ -35,6 +35,7 @@
     private val address: Address,
     private val limits: TargetLimits,
     private val nowMillis: () -> Long,
+    private val mayWrite: () -> Boolean,
 ) {
     private val idle = ArrayDeque<TargetConnection>()
     private var open = 0
@@ -46,6 +47,10 @@
             notSent(exchange, FailureKind.TIMEOUT, "the deadline passed before the request was sent")
             return
         }
+        if (!mayWrite()) {
+            notSent(exchange, FailureKind.NOT_READY, LAPSED)
+            return
+        }
         while (idle.isNotEmpty()) {
             if (idle.removeLast().begin(watched(exchange))) return
         }
@@ -106,6 +111,11 @@
             idle.remove(connection)
         }
         val late = exchange.deadlineMillis <= nowMillis()
+        if (!late && !mayWrite()) {
+            reusable(connection)
+            notSent(exchange, FailureKind.NOT_READY, LAPSED)
+            return
+        }
         if (late) reusable(connection)
         if (late || !connection.begin(watched(exchange))) {
             notSent(exchange, FailureKind.UNREACHABLE, "the connection to the target came too late or was lost")
@@ -137,6 +147,7 @@
     }
 
     private companion object {
+        const val LAPSED = "the entry ceased to be ready before the request was sent"
         const val MAX_CHUNK_BYTES = 65_536
     }
 }
--- a/entry/src/test/kotlin/org/gypsumturn/entry/CallerTest.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/CallerTest.kt
@@ -130,6 +130,27 @@
         }
     }
 
+    private fun oneConnection(test: (FakeTarget, EntryFixture) -> Unit) = FakeTarget().use { target ->
+        val view = SetView(viewOf(listOf(target.port)))
+        EntryFixture(view, config = TEST_CONFIG.copy(maxConnections = 1)).use { test(target, it) }
+    }
+
+    private fun succeeds(entry: EntryFixture, body: String) =
+        runCatching { entry.caller().use { it.call("/services/quotes/", body).body } }.getOrNull() == body
+
+    @Test
+    fun `a connection beyond the limit is closed and counted, and its place is free again after one ends`() =
+        oneConnection { target, entry ->
+            entry.caller().use { first ->
+                first.call("/services/quotes/", "first").body shouldBe "first"
+                entry.caller().use { it.isClosedByEntry() shouldBe true }
+                entry.refusedConnections() shouldBe 1.0
+                first.call("/services/quotes/", "again").body shouldBe "again"
+            }
+            await { succeeds(entry, "next") }
+            target.seen.map { it.body } shouldBe listOf("first", "again", "next")
+        }
+
     @Test
     fun `a deadline of the caller ends its wait`() {
         serving({ _, _ -> }) { target, entry ->
--- a/entry/src/test/kotlin/org/gypsumturn/entry/Fixture.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/Fixture.kt
@@ -103,6 +103,7 @@
     DispatchSettings(slowStartMillis = 0),
     LedgerSettings(repeatWaitMillis = 300, repeatPollMillis = 20, outcomeRetryMillis = 20, storeTimeoutMillis = 200),
     RetentionSettings(3_600_000, 100, 60_000),
+    maxConnections = 1_000,
     maxOpen = 1_000,
     maxHeldBytes = 1_048_576,
     jobWaitMillis = 5_000,
@@ -154,6 +155,11 @@
         .filter { it.labels.get("verdict") == verdict }
         .sumOf { (it as CounterSnapshot.CounterDataPointSnapshot).value }
 
+    /** Number of connections that were refused. */
+    fun refusedConnections(): Double = registry.scrape { it == "gypsumturn_entry_connections_refused" }
+        .flatMap { it.dataPoints }
+        .sumOf { (it as CounterSnapshot.CounterDataPointSnapshot).value }
+
     override fun close() = node.stop()
 }
 
--- a/request/src/main/kotlin/org/gypsumturn/request/FaultJudge.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/FaultJudge.kt
@@ -3,6 +3,7 @@
 package org.gypsumturn.request
 
 import org.gypsumturn.model.DataCentreId
+import org.gypsumturn.model.FailureKind
 
 /** Time within which silent exchanges count as happening at once. */
 private const val SILENCE_WINDOW_MILLIS = 10_000L
@@ -25,11 +26,16 @@
     fun ended(nowMillis: Long, target: Target, result: ExchangeResult) {
         when (result) {
             is ExchangeResult.Answered -> answered(nowMillis, target, result)
-            is ExchangeResult.NotSent -> failed(nowMillis, target)
+            is ExchangeResult.NotSent -> notSent(nowMillis, target, result)
             is ExchangeResult.Unanswered -> if (result.silent) silent(nowMillis, target) else failed(nowMillis, target)
         }
     }
 
+    // What this entry may not send tells nothing about the target.
+    private fun notSent(nowMillis: Long, target: Target, result: ExchangeResult.NotSent) {
+        if (result.failure.kind != FailureKind.NOT_READY) failed(nowMillis, target)
+    }
+
     private fun answered(nowMillis: Long, target: Target, result: ExchangeResult.Answered) {
         pathSuspectUntil.remove(target.instance.domain.dataCentre)
         if (result.status >= FIRST_SERVER_ERROR && !result.overloaded) {
--- a/request/src/test/kotlin/org/gypsumturn/request/FaultJudgeTest.kt
+++ b/request/src/test/kotlin/org/gypsumturn/request/FaultJudgeTest.kt
@@ -52,6 +52,13 @@
         fixture.judge.pathSuspected(20, fixture.target("a")) shouldBe false
     }
 
+    @Test
+    fun `a target is not blamed for what the entry was not ready to send`() {
+        val fixture = four()
+        fixture.ended("a", ExchangeResult.NotSent(Failure(FailureKind.NOT_READY, "test")), times = 10)
+        fixture.ejected() shouldBe emptyList()
+    }
+
     @Test
     fun `a refusing target among healthy ones is ejected`() {
         val fixture = four()
