--- a/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
@@ -23,6 +23,7 @@
 import org.gypsumturn.jobs.JobAcceptance
 import org.gypsumturn.jobs.JobOwner
 import org.gypsumturn.jobs.JobOwnerSettings
+import org.gypsumturn.jobs.ParallelWorkerCalls
 import org.gypsumturn.model.Address
 import org.gypsumturn.model.DataCentreId
 import org.gypsumturn.model.Node
@@ -58,6 +59,7 @@
     private val peers = PeerClients(keeping.peerTimeoutMillis)
     private val keeper =
         ViewKeeper(node, log, peers, settings[ViewSettings.seeds].map { it.toAddress() }, keeping, ::monotonicMillis)
+    private val workerCalls = ParallelWorkerCalls(WORKER_CALL_THREADS)
     private val runner = ChangeRunner(keeper, log, ::monotonicMillis)
     private val commands = FleetCommands(runner)
     private val upkeep = upkeepOf()
@@ -81,7 +83,7 @@
             keeping,
             ::monotonicMillis,
             System::currentTimeMillis,
-        ) { NodeActivity(version = versionInForce(), busy = jobDuty.lastRound().busyOutOfService) }
+        ) { activity() }
     private val events = EventStreams(log) { keeper.currentView().version }
     private val metrics = Metrics()
     private val opened = mutableListOf<AutoCloseable>()
@@ -104,6 +106,7 @@
 
     override fun close() {
         jobDuty.close()
+        workerCalls.close()
         upkeepDuty.close()
         events.close()
         membership.close()
@@ -115,6 +118,11 @@
 
     private fun isReady(): Boolean = keeper.readiness().ready
 
+    private fun activity(): NodeActivity {
+        val round = jobDuty.lastRound()
+        return NodeActivity(versionInForce(), round.busyOutOfService, quarantined = round.quarantined)
+    }
+
     // Until the job duty has worked with a version, this process has not stopped using what the version takes away.
     private fun versionInForce() = minOf(keeper.currentView().version, jobDuty.lastRound().version)
 
@@ -157,7 +165,7 @@
                 leaseMarginMillis = settings[ControlSettings.jobLeaseMarginMillis],
                 tableTimeoutMillis = keeping.storeTimeoutMillis,
             )
-        return JobOwner(platform.table, platform.tasks, node.id, owner)
+        return JobOwner(platform.table, platform.tasks, node.id, owner, workerCalls)
     }
 
     private fun jobCalls() = JobCalls(JobAcceptance(platform.table), keeping.storeTimeoutMillis)
@@ -196,6 +204,7 @@
     private fun now() = Now(monotonicMillis(), System.currentTimeMillis())
 
     private companion object {
+        const val WORKER_CALL_THREADS = 8
         val LOG = LoggerFactory.getLogger(ControlNode::class.java)
     }
 }
--- a/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
@@ -11,6 +11,7 @@
 import org.gypsumturn.fleet.wave.unfinishedWaves
 import org.gypsumturn.model.FleetView
 import org.gypsumturn.model.Instance
+import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.InstanceState
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.NodeRole
@@ -103,7 +104,9 @@
     private fun commandsFor(now: Now): List<FleetCommand> {
         val current = view()
         val wall = now.wallMillis
-        val listed = listing?.let { decideListed(now.monotonicMillis, current, it, missing, settings.lostMillis) }
+        val failing = quarantined(now, current)
+        val listed =
+            listing?.let { decideListed(now.monotonicMillis, current, it, missing, failing, settings.lostMillis) }
         val waves = unfinishedWaves(current).flatMap { planWave(current, it, wall) }.map { it.command }
         val period = settings.maintenancePeriodMillis
         val maintenance = if (period > 0) dueForMaintenance(current, wall, period) else emptyList()
@@ -112,6 +115,12 @@
             capacity.moves(now, current, observations) + removeLapsed(now, current)
     }
 
+    // Only live owners' words count: a quarantine ends with the process that decided it.
+    private fun quarantined(now: Now, current: FleetView): Set<InstanceId> {
+        val live = observations.liveNodes(now.monotonicMillis, current, settings.lapseMillis)
+        return live.flatMap { observations.byNode[it]?.beat?.quarantined.orEmpty() }.toSet()
+    }
+
     private fun advance(now: Now, current: FleetView, instance: Instance): FleetCommand? {
         val next =
             when (instance.state) {
--- a/control/src/main/kotlin/org/gypsumturn/control/fleet/ListingWatch.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/ListingWatch.kt
@@ -22,12 +22,16 @@
     }
 }
 
-/** The commands that bring the states of [view] in line with [listing] at [nowMillis]. */
+/**
+ * The commands that bring the states of [view] in line with [listing] at [nowMillis]. Workers in [quarantined] count as
+ * lost, though they are listed, until the owner of their pool gives them another chance.
+ */
 internal fun decideListed(
     nowMillis: Long,
     view: FleetView,
     listing: InstanceListing,
     missing: MissingSince,
+    quarantined: Set<InstanceId>,
     lostMillis: Long,
 ): List<FleetCommand> {
     val listed = listing.instances.associateBy { it.id }
@@ -35,6 +39,7 @@
         val found = listed[instance.id]
         val absentSince = missing.byInstance[instance.id]
         when {
+            instance.id in quarantined -> lostState(instance)
             found != null -> listedState(instance, found)
             absentSince == null || nowMillis - absentSince <= lostMillis -> null
             else -> lostState(instance)
--- a/control/src/main/kotlin/org/gypsumturn/control/job/JobDuty.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/job/JobDuty.kt
@@ -16,6 +16,7 @@
     val version: ViewVersion = ViewVersion.NONE,
     val busyOutOfService: List<InstanceId> = emptyList(),
     val ownedPools: List<PoolId> = emptyList(),
+    val quarantined: List<InstanceId> = emptyList(),
 )
 
 /** Runs [owner] every [stepMillis]. */
@@ -52,7 +53,7 @@
                 val state = current.instances[id]?.state
                 state == InstanceState.DRAINING || state == InstanceState.DRAINED || state == InstanceState.LEAVING
             }
-        round = JobRound(current.version, busy.sorted(), owner.ownedPools())
+        round = JobRound(current.version, busy.sorted(), owner.ownedPools(), owner.quarantinedWorkers())
     }
 
     private companion object {
--- a/peer/src/main/kotlin/org/gypsumturn/peer/ChangeRunner.kt
+++ b/peer/src/main/kotlin/org/gypsumturn/peer/ChangeRunner.kt
@@ -42,15 +42,25 @@
     public val nowMillis: Long,
 )
 
-/** Makes changes for one process. Calls block while the table is asked. Thread-safe. */
+/**
+ * Makes changes for one process. Calls block while the table is asked. Thread-safe.
+ *
+ * @param current the newest view that is known here
+ * @param onFollowed is told each newer view, with the time at which the table was asked
+ */
 public class ChangeRunner(
-    private val keeper: ViewKeeper,
     private val log: ViewLog,
     private val monotonicMillis: () -> Long,
+    private val current: () -> LoggedView,
+    private val onFollowed: (followed: FollowedLog, askedAtMillis: Long) -> Unit,
 ) {
+    /** Makes changes against the view that [keeper] holds, and tells it of what is read and made. */
+    public constructor(keeper: ViewKeeper, log: ViewLog, monotonicMillis: () -> Long) :
+        this(log, monotonicMillis, keeper::loggedView, keeper::offer)
+
     /** Makes the change that [decide] gives, once for each operation id. */
     public fun <R> run(header: ChangeHeader, decide: (FleetView) -> ChangeDecision<R>): Verdict<ChangeOutcome<R>> {
-        val known = keeper.loggedView()
+        val known = current()
         // A refusal against a view that may be old is decided again against the newest one.
         val early = if (known.view.version == ViewVersion.NONE) null else attempt(known, header, decide)
         if (early is Attempt.Ended) return early.result
@@ -89,7 +99,7 @@
         val askedAt = monotonicMillis()
         val result = if (known.view.version == ViewVersion.NONE) log.load() else log.follow(known)
         val followed = result.valueOr { return it }
-        keeper.offer(followed, askedAt)
+        onFollowed(followed, askedAt)
         return Verdict.Ran(followed.logged)
     }
 
@@ -102,7 +112,7 @@
             ProposalOutcome.Behind -> Attempt.Behind
 
             is ProposalOutcome.Accepted -> {
-                keeper.offer(FollowedLog(outcome.next, listOf(outcome.change)), askedAt)
+                onFollowed(FollowedLog(outcome.next, listOf(outcome.change)), askedAt)
                 made(outcome.change.version)
             }
         }
--- a/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
+++ b/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
@@ -24,11 +24,13 @@
  *
  * @property version version that every duty of the node has in force, or null if only the view's keeper has to
  * @property busy instances out of service on which the node still has requests or jobs under way
+ * @property quarantined workers of pools that the node owns which fail what they start
  */
 public data class NodeActivity(
     public val version: ViewVersion? = null,
     public val busy: List<InstanceId> = emptyList(),
     public val load: List<PoolLoad> = emptyList(),
+    public val quarantined: List<InstanceId> = emptyList(),
 )
 
 /** Keeps [self] a node of the system until closed. */
@@ -104,7 +106,7 @@
 
     private fun beat(now: Long, version: ViewVersion, current: NodeActivity) {
         nextBeatAtMillis = now + keeping.beatMillis
-        val beat = NodeBeat(self.id, version, ++beatCount, current.busy, current.load)
+        val beat = NodeBeat(self.id, version, ++beatCount, current.busy, current.load, current.quarantined)
         if (beats.write(beat) is Verdict.Ran) {
             toldVersion = version
             toldBusy = current.busy
--- a/view/src/main/kotlin/org/gypsumturn/view/NodeBeat.kt
+++ b/view/src/main/kotlin/org/gypsumturn/view/NodeBeat.kt
@@ -27,7 +27,12 @@
     public val finished: Long = 0,
 )
 
-/** What a node tells. [busy] names instances out of service on which the node still has requests under way. */
+/**
+ * What a node tells.
+ *
+ * @property busy instances out of service on which the node still has requests or jobs under way
+ * @property quarantined workers that fail what they start, as found by the node that owns their pool
+ */
 @Serializable
 public data class NodeBeat(
     public val node: NodeId,
@@ -35,6 +40,7 @@
     public val count: Long,
     public val busy: List<InstanceId> = emptyList(),
     public val load: List<PoolLoad> = emptyList(),
+    public val quarantined: List<InstanceId> = emptyList(),
 )
 
 /** Writes and reads beats. */
