Print the slopes that the capacity page uses

Cause: the page needs slopes that anyone can measure again. Change: `bench slopes` measures the memory and rows of a view, and gathers the spread, fleet, job and table slopes; the two copies of the least squares slope became one.

--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -10,6 +10,7 @@
 import org.gypsumturn.bench.jobs.runJobsExperiment
 import org.gypsumturn.bench.load.runLoad
 import org.gypsumturn.bench.requests.requestsExperiment
+import org.gypsumturn.bench.slopes.slopesExperiment
 import org.gypsumturn.bench.views.viewsExperiment
 import kotlin.system.exitProcess
 
@@ -23,6 +24,7 @@
         "jobs" to ::runJobsExperiment,
         "fleet" to ::fleetExperiment,
         "views" to ::viewsExperiment,
+        "slopes" to ::slopesExperiment,
     )
 
 private const val LOAD = "load"
--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/Slope.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Slope.kt
@@ -1,6 +1,6 @@
 // Straight line through measured points.
 
-package org.gypsumturn.bench.jobs
+package org.gypsumturn.bench
 
 /** One point of a series: a size and what was measured there. */
 internal data class Point(val size: Double, val value: Double)
--- a/bench/src/main/kotlin/org/gypsumturn/bench/fleet/DecisionCost.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/fleet/DecisionCost.kt
@@ -3,7 +3,9 @@
 package org.gypsumturn.bench.fleet
 
 import com.sun.management.ThreadMXBean
+import org.gypsumturn.bench.Point
 import org.gypsumturn.bench.Report
+import org.gypsumturn.bench.slopeOf
 import org.gypsumturn.fleet.capacity.CapacitySettings
 import org.gypsumturn.fleet.capacity.CapacityState
 import org.gypsumturn.fleet.capacity.PoolDemand
@@ -20,6 +22,7 @@
 
 private const val WARM_UP_CALLS = 300
 private const val TIMED_CALLS = 300
+private const val NANOS_PER_MICRO = 1_000.0
 
 private data class Cost(val micros: Double, val bytes: Double)
 
@@ -31,9 +34,10 @@
         costs.forEach { (size, byName) ->
             report.figure("$name at $size instances", byName.getValue(name).micros, "us a call")
         }
-        val points = costs.map { (size, byName) -> size.toDouble() to byName.getValue(name) }
-        report.figure("$name: slope of time", slope(points.map { it.first to it.second.micros }) * 1_000, "ns/instance")
-        report.figure("$name: slope of bytes", slope(points.map { it.first to it.second.bytes }), "bytes/instance")
+        val micros = costs.map { (size, byName) -> Point(size.toDouble(), byName.getValue(name).micros) }
+        val bytes = costs.map { (size, byName) -> Point(size.toDouble(), byName.getValue(name).bytes) }
+        report.figure("$name: slope of time", slopeOf(micros) * NANOS_PER_MICRO, "ns/instance")
+        report.figure("$name: slope of bytes", slopeOf(bytes), "bytes/instance")
     }
 }
 
@@ -77,11 +81,3 @@
     val bytes = threads.currentThreadAllocatedBytes - bytesBefore
     return Cost(nanos / 1_000.0 / TIMED_CALLS, bytes.toDouble() / TIMED_CALLS)
 }
-
-/** Slope of the least-squares line through [points]. */
-private fun slope(points: List<Pair<Double, Double>>): Double {
-    val meanX = points.sumOf { it.first } / points.size
-    val meanY = points.sumOf { it.second } / points.size
-    return points.sumOf { (it.first - meanX) * (it.second - meanY) } /
-        points.sumOf { (it.first - meanX) * (it.first - meanX) }
-}
--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/DecisionCost.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/DecisionCost.kt
@@ -4,7 +4,9 @@
 
 import org.HdrHistogram.Histogram
 import org.apache.commons.rng.simple.RandomSource
+import org.gypsumturn.bench.Point
 import org.gypsumturn.bench.Report
+import org.gypsumturn.bench.slopeOf
 import org.gypsumturn.model.Capacity
 import org.gypsumturn.model.JobClassId
 import org.gypsumturn.model.JobId
--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobsExperiment.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobsExperiment.kt
@@ -66,7 +66,7 @@
     report.atMost("explored schedules: wrong", exploration.faults.size.toDouble(), "", 0.0)
 }
 
-private fun measureCosts(report: Report, quick: Boolean) {
+internal fun measureCosts(report: Report, quick: Boolean) {
     val decisions = if (quick) 5_000 else 200_000
     if (quick) return measureDecisionCost(report, listOf(FleetSize.LONE_STAR), decisions)
     measureDecisionCost(report, listOf(FleetSize.LONE_STAR), decisions)
@@ -77,7 +77,7 @@
     measureDecisionCost(report, listOf(775, 1_550, 3_100, 6_200).map(single::scaledTo), decisions)
 }
 
-private fun measureTables(report: Report, quick: Boolean) {
+internal fun measureTables(report: Report, quick: Boolean) {
     if (quick) {
         measureTableCost(report, FleetSize.LONE_STAR, TODAY_NODES, 8, 10)
         measureTakeover(report, FleetSize.LONE_STAR, TODAY_NODES)
--- /dev/null
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/slopes/SlopesExperiment.kt
@@ -0,0 +1,118 @@
+// `bench slopes`: the slopes that the capacity page uses.
+
+package org.gypsumturn.bench.slopes
+
+import org.gypsumturn.bench.Point
+import org.gypsumturn.bench.Report
+import org.gypsumturn.bench.fleet.decisionCost
+import org.gypsumturn.bench.jobs.measureCosts
+import org.gypsumturn.bench.jobs.measureTables
+import org.gypsumturn.bench.slopeOf
+import org.gypsumturn.bench.views.measureSpreads
+import org.gypsumturn.model.Address
+import org.gypsumturn.model.AvailabilityBudget
+import org.gypsumturn.model.Capacity
+import org.gypsumturn.model.DataCentreId
+import org.gypsumturn.model.FailureDomain
+import org.gypsumturn.model.FleetView
+import org.gypsumturn.model.Instance
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.Mutation
+import org.gypsumturn.model.OperationId
+import org.gypsumturn.model.OperatorId
+import org.gypsumturn.model.Pool
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.PoolRole
+import org.gypsumturn.model.RackId
+import org.gypsumturn.model.RegionId
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.platform.fake.FakeTableStore
+import org.gypsumturn.view.LoggedView
+import org.gypsumturn.view.Proposal
+import org.gypsumturn.view.ProposalOutcome
+import org.gypsumturn.view.ViewLog
+
+private const val TABLE_TIMEOUT_MILLIS = 1_000L
+private const val INSTANCES_PER_POOL = 28
+private const val MAX_RECORDS_PER_CHANGE = 500
+private val VIEW_SIZES = listOf(775, 1_550, 3_100, 6_200)
+private val SEEDS = 1L..5L
+
+/** Runs the experiment. */
+public fun slopesExperiment(report: Report, quick: Boolean) {
+    report.heading("slopes: the view of one node")
+    measureViews(report, if (quick) VIEW_SIZES.take(2) else VIEW_SIZES)
+    report.heading("slopes: spread of views")
+    measureSpreads(report, if (quick) 1L..1L else SEEDS)
+    report.heading("slopes: fleet decisions")
+    decisionCost(report, quick)
+    report.heading("slopes: job decisions")
+    measureCosts(report, quick)
+    report.heading("slopes: the table")
+    measureTables(report, quick)
+}
+
+private fun measureViews(report: Report, sizes: List<Int>) {
+    val costs = sizes.map { it to costOf(it) }
+    costs.forEach { (size, cost) ->
+        report.figure("memory of a view of $size instances", cost.heapBytes, "bytes")
+        report.figure("rows to load a view of $size instances", cost.loadedRows, "rows")
+        report.figure("rows of one change at $size instances", cost.rowsPerChange, "rows")
+    }
+    val memory = slopeOf(costs.map { (size, cost) -> Point(size.toDouble(), cost.heapBytes) })
+    val rows = slopeOf(costs.map { (size, cost) -> Point(size.toDouble(), cost.loadedRows) })
+    report.figure("slope: memory of a view", memory, "bytes/instance")
+    report.figure("slope: rows to load a view", rows, "rows/instance")
+}
+
+private data class ViewCost(val heapBytes: Double, val loadedRows: Double, val rowsPerChange: Double)
+
+private fun costOf(size: Int): ViewCost {
+    val table = FakeTableStore()
+    val log = ViewLog(table, TABLE_TIMEOUT_MILLIS)
+    val records = recordsOf(size)
+    var logged = LoggedView(FleetView(), Revision.ABSENT)
+    records.chunked(MAX_RECORDS_PER_CHANGE).forEach { logged = propose(log, logged, it) }
+    val written = table.usage().writtenRows
+    logged = propose(log, logged, records.take(1))
+    val rowsPerChange = table.usage().writtenRows - written
+    val read = table.usage().readRows
+    val heapBefore = usedHeap()
+    val loaded = log.load()
+    val heapBytes = usedHeap() - heapBefore
+    check(loaded is Verdict.Ran && loaded.value.logged.view.instances.size == size) { "the view was not loaded" }
+    return ViewCost(heapBytes.toDouble(), (table.usage().readRows - read).toDouble(), rowsPerChange.toDouble())
+}
+
+private fun propose(log: ViewLog, base: LoggedView, mutations: List<Mutation>): LoggedView {
+    val operation = OperationId("op-${base.view.version}")
+    val outcome = log.propose(base, Proposal(operation, OperatorId("bench"), 0, "records", mutations))
+    check(outcome is Verdict.Ran) { "the fake table refused" }
+    val accepted = outcome.value
+    check(accepted is ProposalOutcome.Accepted) { "nobody else writes" }
+    return accepted.next
+}
+
+private fun recordsOf(size: Int): List<Mutation> {
+    val pools = (0..size / INSTANCES_PER_POOL).map { pool ->
+        Mutation.PutPool(Pool(PoolId("pool-$pool"), PoolRole.WORKING, AvailabilityBudget(2)))
+    }
+    return pools + (0 until size).map { Mutation.PutInstance(instance(it)) }
+}
+
+private fun instance(number: Int) = Instance(
+    InstanceId("instance-$number"),
+    PoolId("pool-${number / INSTANCES_PER_POOL}"),
+    FailureDomain(RegionId("r${number % 6}"), DataCentreId("d${number % 14}"), RackId("rack-${number / 40}")),
+    Address("10.0.${number / 250}.${number % 250}", 8_080),
+    Capacity(64_000, 131_072, 2),
+    slots = 8,
+    connections = 64,
+)
+
+private fun usedHeap(): Long {
+    val runtime = Runtime.getRuntime()
+    repeat(3) { System.gc() }
+    return runtime.totalMemory() - runtime.freeMemory()
+}
--- a/bench/src/main/kotlin/org/gypsumturn/bench/views/ViewsExperiment.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/views/ViewsExperiment.kt
@@ -26,13 +26,17 @@
 /** Runs the experiment. */
 public fun viewsExperiment(report: Report, quick: Boolean) {
     val seeds = FIRST_SEED until FIRST_SEED + (if (quick) 2 else 20)
-    report.remark("seeds ${seeds.first} to ${seeds.last}; baseline: every node reads the table")
-    SIZES.forEach { size -> measureSpread(report, size, seeds) }
+    measureSpreads(report, seeds)
     val target = SIZES[2]
     val cutMillis = if (quick) CUT_MILLIS / 10 else CUT_MILLIS
     seeds.take(if (quick) 1 else 3).forEach { seed -> measureCut(report, target, seed, cutMillis) }
 }
 
+internal fun measureSpreads(report: Report, seeds: LongRange) {
+    report.remark("seeds ${seeds.first} to ${seeds.last}; baseline: every node reads the table")
+    SIZES.forEach { size -> measureSpread(report, size, seeds) }
+}
+
 private fun measureSpread(report: Report, size: SpreadSettings, seeds: LongRange) {
     val nodes = size.dataCentres * size.nodesPerDataCentre
     val label = "$nodes nodes in ${size.dataCentres} data centres"
