--- a/cli/src/main/kotlin/org/gypsumturn/cli/CliSettings.kt
+++ b/cli/src/main/kotlin/org/gypsumturn/cli/CliSettings.kt
@@ -22,6 +22,9 @@
 
     val token: Setting<String> = text("cli", "token", "", "token that proves who calls")
 
+    val authorityFile: Setting<String> =
+        text("cli", "tls_authority_file", "", "certificates in PEM that servers are checked with; empty: no TLS")
+
     val output: Setting<String> = oneOf("cli", "output", "table", listOf("table", "json"), "form of the output")
 
     val timeoutMillis: Setting<Long> = wholeNumber(
@@ -33,5 +36,5 @@
         "time that each server has for an answer",
     )
 
-    val schema = SettingsSchema(listOf(servers, operator, token, output, timeoutMillis))
+    val schema = SettingsSchema(listOf(servers, operator, token, authorityFile, output, timeoutMillis))
 }
--- a/cli/src/main/kotlin/org/gypsumturn/cli/client/AdminClient.kt
+++ b/cli/src/main/kotlin/org/gypsumturn/cli/client/AdminClient.kt
@@ -6,12 +6,14 @@
 import io.grpc.ManagedChannel
 import io.grpc.Metadata
 import io.grpc.StatusRuntimeException
+import io.grpc.netty.GrpcSslContexts
 import io.grpc.netty.NettyChannelBuilder
 import io.grpc.stub.MetadataUtils
 import org.gypsumturn.platform.grpc.SendTracker
 import org.gypsumturn.runtime.settings.HostAndPort
 import org.gypsumturn.schema.admin.AdminGrpc
 import org.gypsumturn.schema.admin.AdminGrpc.AdminBlockingStub
+import java.io.File
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 
@@ -21,8 +23,13 @@
 private val AUTHORIZATION: Metadata.Key<String> =
     Metadata.Key.of("authorization", Metadata.ASCII_STRING_MARSHALLER)
 
-/** Where and how calls are made. An empty [token] sends none. */
-internal data class ClientOptions(val servers: List<HostAndPort>, val token: String, val timeoutMillis: Long)
+/** Where and how calls are made. An empty [token] sends none; an empty [authorityFile] makes calls without TLS. */
+internal data class ClientOptions(
+    val servers: List<HostAndPort>,
+    val token: String,
+    val timeoutMillis: Long,
+    val authorityFile: String = "",
+)
 
 /** Client of the administration API. */
 internal class AdminClient(private val options: ClientOptions) {
@@ -78,12 +85,18 @@
             .withInterceptors(MetadataUtils.newAttachHeadersInterceptor(headers), tracker.interceptor())
     }
 
-    private fun open(server: HostAndPort): ManagedChannel = NettyChannelBuilder
-        .forAddress(InetSocketAddress(server.host, server.port))
-        .usePlaintext()
+    private fun open(server: HostAndPort): ManagedChannel = secured(
+        NettyChannelBuilder.forAddress(InetSocketAddress(server.host, server.port)),
+    )
         .disableRetry()
         .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
         .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
         .maxInboundMessageSize(MAX_ANSWER_BYTES)
         .build()
+
+    private fun secured(builder: NettyChannelBuilder): NettyChannelBuilder {
+        if (options.authorityFile.isEmpty()) return builder.usePlaintext()
+        val context = GrpcSslContexts.forClient().trustManager(File(options.authorityFile)).build()
+        return builder.sslContext(context)
+    }
 }
--- a/cli/src/main/kotlin/org/gypsumturn/cli/command/CallCommand.kt
+++ b/cli/src/main/kotlin/org/gypsumturn/cli/command/CallCommand.kt
@@ -49,6 +49,11 @@
         description = "form of the output",
     )
     private val token by option(ArgType.String, "token", description = "token that proves who calls")
+    private val authorityFile by option(
+        ArgType.String,
+        "tls-authority-file",
+        description = "certificates in PEM that servers are checked with; without it no TLS is used",
+    )
     private val timeoutMillis by option(ArgType.Int, "timeout-millis", description = "time for each server's answer")
 
     /** Whether the command line named this call. */
@@ -65,7 +70,8 @@
         if (asked.isEmpty()) throw CommandLineEnd("no server: name one with --server ip:port", ExitCode.USAGE)
         val timeout = timeoutMillis?.toLong() ?: settings[CliSettings.timeoutMillis]
         if (timeout <= 0) throw CommandLineEnd("--timeout-millis: must be at least 1", ExitCode.USAGE)
-        return ClientOptions(asked, token ?: settings[CliSettings.token], timeout)
+        val authority = authorityFile ?: settings[CliSettings.authorityFile]
+        return ClientOptions(asked, token ?: settings[CliSettings.token], timeout, authority)
     }
 
     fun outputFormat(settings: Settings): OutputFormat =
--- /dev/null
+++ b/control/src/main/kotlin/org/gypsumturn/control/ControlGauges.kt
@@ -0,0 +1,66 @@
+// Gauges of a control process, read when they are scraped.
+
+package org.gypsumturn.control
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.gypsumturn.control.job.JobRound
+import org.gypsumturn.model.InstanceState
+import org.gypsumturn.model.WaveState
+import org.gypsumturn.peer.ViewKeeper
+
+/** Registers the gauges of the view, the fleet and the jobs of this process. */
+internal fun publishGauges(registry: PrometheusRegistry, keeper: ViewKeeper, lastRound: () -> JobRound) {
+    val gauges = Gauges(registry)
+    gauges.add("gypsumturn_view_version", "version of the view in force") {
+        keeper.currentView().version.value.toDouble()
+    }
+    gauges.add("gypsumturn_ready", "1 while the lease of the view holds") { if (keeper.readiness().ready) 1.0 else 0.0 }
+    gauges.add("gypsumturn_table_reachable", "1 while the platform's table answers") {
+        if (keeper.tableSight().reachable) 1.0 else 0.0
+    }
+    publishFleet(gauges, keeper)
+    publishJobs(gauges, lastRound)
+}
+
+private fun publishFleet(gauges: Gauges, keeper: ViewKeeper) {
+    gauges.addEach("gypsumturn_instances", "instances of the fleet by state", "state", InstanceState.entries) { state ->
+        keeper.currentView().instances.values.count { it.state == state }
+    }
+    gauges.addEach("gypsumturn_waves", "maintenance waves by state", "state", WaveState.entries) { state ->
+        keeper.currentView().waves.values.count { it.state == state }
+    }
+}
+
+private fun publishJobs(gauges: Gauges, lastRound: () -> JobRound) {
+    gauges.add("gypsumturn_owned_pools", "pools whose jobs this process runs") {
+        lastRound().ownedPools.size.toDouble()
+    }
+    gauges.add("gypsumturn_open_jobs", "jobs of owned pools that have not ended") {
+        lastRound().counts.openJobs.toDouble()
+    }
+    gauges.add("gypsumturn_waiting_jobs", "jobs of owned pools that wait for a worker") {
+        lastRound().counts.waitingJobs.toDouble()
+    }
+    gauges.add("gypsumturn_pending_job_writes", "job rows that are not yet written to the table") {
+        lastRound().counts.pendingWrites.toDouble()
+    }
+    gauges.add("gypsumturn_quarantined_workers", "workers of owned pools in quarantine") {
+        lastRound().counts.quarantinedWorkers.toDouble()
+    }
+}
+
+private class Gauges(private val registry: PrometheusRegistry) {
+    fun add(name: String, help: String, value: () -> Double) {
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
+    }
+
+    fun <E : Enum<E>> addEach(name: String, help: String, label: String, entries: List<E>, count: (E) -> Int) {
+        GaugeWithCallback.builder()
+            .name(name)
+            .help(help)
+            .labelNames(label)
+            .callback { callback -> entries.forEach { callback.call(count(it).toDouble(), it.name.lowercase()) } }
+            .register(registry)
+    }
+}
--- a/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
@@ -3,7 +3,6 @@
 package org.gypsumturn.control
 
 import io.grpc.ServerInterceptors
-import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import org.gypsumturn.control.admin.AccessInterceptor
 import org.gypsumturn.control.admin.AccessTokens
 import org.gypsumturn.control.admin.AdminContext
@@ -91,7 +90,7 @@
     /** Starts all duties and opens all ports. */
     fun start() {
         opened += metrics.serve(settings[CommonSettings.metricsAddress])
-        registerMetrics()
+        publishGauges(metrics.registry, keeper, jobDuty::lastRound)
         opened += GrpcPort.open(settings[ViewSettings.peerAddress], listOf(PeerService(keeper::answer)))
         keeper.start()
         membership.start()
@@ -179,28 +178,6 @@
         lapseMillis = keeping.lapseMillis,
     )
 
-    private fun registerMetrics() {
-        gauge("gypsumturn_view_version", "version of the view in force") {
-            keeper.currentView().version.value.toDouble()
-        }
-        gauge("gypsumturn_ready", "whether the view's lease holds") { if (isReady()) 1.0 else 0.0 }
-        gauge("gypsumturn_owned_pools", "pools whose jobs this process runs") {
-            jobDuty.lastRound().ownedPools.size.toDouble()
-        }
-        gauge("gypsumturn_table_reachable", "whether the platform's table answers") {
-            if (keeper.tableSight().reachable) 1.0 else 0.0
-        }
-    }
-
-    private fun gauge(name: String, help: String, value: () -> Double) {
-        GaugeWithCallback
-            .builder()
-            .name(name)
-            .help(help)
-            .callback { it.call(value()) }
-            .register(metrics.registry)
-    }
-
     private fun now() = Now(monotonicMillis(), System.currentTimeMillis())
 
     private companion object {
--- a/control/src/main/kotlin/org/gypsumturn/control/job/JobDuty.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/job/JobDuty.kt
@@ -3,6 +3,7 @@
 package org.gypsumturn.control.job
 
 import org.gypsumturn.jobs.JobOwner
+import org.gypsumturn.jobs.JobOwnerCounts
 import org.gypsumturn.model.FleetView
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.InstanceState
@@ -17,6 +18,7 @@
     val busyOutOfService: List<InstanceId> = emptyList(),
     val ownedPools: List<PoolId> = emptyList(),
     val quarantined: List<InstanceId> = emptyList(),
+    val counts: JobOwnerCounts = JobOwnerCounts(0, 0, 0, 0, 0, tableUp = true),
 )
 
 /** Runs [owner] every [stepMillis]. */
@@ -53,7 +55,7 @@
                 val state = current.instances[id]?.state
                 state == InstanceState.DRAINING || state == InstanceState.DRAINED || state == InstanceState.LEAVING
             }
-        round = JobRound(current.version, busy.sorted(), owner.ownedPools(), owner.quarantinedWorkers())
+        round = JobRound(current.version, busy.sorted(), owner.ownedPools(), owner.quarantinedWorkers(), owner.counts())
     }
 
     private companion object {
--- a/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
+++ b/peer/src/main/kotlin/org/gypsumturn/peer/NodeMembership.kt
@@ -51,6 +51,8 @@
     private var toldVersion = ViewVersion.NONE
     private var toldBusy = emptyList<InstanceId>()
     private var beatCount = 0L
+    private var hasBeaten = false
+    private var nextJoinLogAtMillis = 0L
 
     /** Starts the beats. */
     public fun start() {
@@ -67,20 +69,22 @@
 
     private fun tick() {
         val now = monotonicMillis()
-        if (self.id !in keeper.currentView().nodes && now >= nextJoinAtMillis) {
-            nextJoinAtMillis = now + JOIN_PAUSE_MILLIS
-            join(now)
-        }
         val current = activity()
         val version = current.version ?: keeper.currentView().version
         val changed = version != toldVersion || current.busy != toldBusy
         if (now >= nextBeatAtMillis || changed) beat(now, version, current)
+        val isMember = self.id in keeper.currentView().nodes
+        // A member without a beat would be waited for by nobody, so the first beat comes before the membership.
+        if (!isMember && hasBeaten && now >= nextJoinAtMillis) {
+            nextJoinAtMillis = now + JOIN_PAUSE_MILLIS
+            join(now)
+        }
     }
 
     private fun join(now: Long) {
         val read = beats.readAll()
         if (read !is Verdict.Ran) {
-            LOG.info("cannot join yet: {}", read)
+            logJoin(now, read)
             return
         }
         val told = read.value.map { it.beat }
@@ -91,7 +95,13 @@
                 val allowed = mayChangeMembership(view, told) || mayForce
                 if (allowed) listOf(Mutation.PutNode(self)) else emptyList()
             }
-        if (result !is Verdict.Ran) LOG.info("cannot join yet: {}", result)
+        if (result !is Verdict.Ran) logJoin(now, result)
+    }
+
+    private fun logJoin(now: Long, result: Verdict<*>) {
+        if (now < nextJoinLogAtMillis) return
+        nextJoinLogAtMillis = now + JOIN_LOG_PAUSE_MILLIS
+        LOG.info("cannot join yet: {}", result)
     }
 
     private fun change(
@@ -108,6 +118,7 @@
         nextBeatAtMillis = now + keeping.beatMillis
         val beat = NodeBeat(self.id, version, ++beatCount, current.busy, current.load, current.quarantined)
         if (beats.write(beat) is Verdict.Ran) {
+            hasBeaten = true
             toldVersion = version
             toldBusy = current.busy
         }
@@ -117,6 +128,7 @@
         const val RING_CAPACITY = 64
         const val TICK_MILLIS = 100L
         const val JOIN_PAUSE_MILLIS = 200L
+        const val JOIN_LOG_PAUSE_MILLIS = 5_000L
         const val FORCED_JOIN_MILLIS = 60_000L
         val LOG = LoggerFactory.getLogger(NodeMembership::class.java)
     }
--- a/peer/src/main/kotlin/org/gypsumturn/peer/ViewKeeper.kt
+++ b/peer/src/main/kotlin/org/gypsumturn/peer/ViewKeeper.kt
@@ -176,6 +176,9 @@
     }
 
     private fun update(freshness: FreshnessState) {
+        if (freshness.tableUnreachable != snapshot.freshness.tableUnreachable) {
+            LOG.warn("the platform's table is {}", if (freshness.tableUnreachable) "out of reach" else "back in reach")
+        }
         snapshot = snapshot.copy(freshness = freshness)
         tellReadiness()
     }
--- a/view/src/main/kotlin/org/gypsumturn/view/Freshness.kt
+++ b/view/src/main/kotlin/org/gypsumturn/view/Freshness.kt
@@ -46,21 +46,27 @@
     if (view.version == ViewVersion.NONE) return Readiness(false, "no view has been received")
     if (state.peers.values.any { it.version > view.version }) return Readiness(false, "a peer holds a newer view")
     val confirmedAt = confirmedAtMillis(state, view.version)
-    if (confirmedAt != null && nowMillis - confirmedAt <= leaseMillis) return registered(state, view)
-    if (isTableOutForMajority(nowMillis, state, view, leaseMillis)) {
-        return Readiness(true, "the table is out of reach for a majority of nodes; view ${view.version} stays in force")
+    val isConfirmed = confirmedAt != null && nowMillis - confirmedAt <= leaseMillis
+    return when {
+        isConfirmed && state.self in view.nodes -> Readiness(true, "the view is confirmed")
+
+        isTableOutForMajority(nowMillis, state, view, leaseMillis) -> tableOut(view)
+
+        // Nobody waits for this node before an instance is taken out of service, so it may not send requests yet.
+        isConfirmed -> Readiness(false, "this node is not yet part of the view")
+
+        else -> lapsed(nowMillis, view, confirmedAt, leaseMillis)
     }
+}
+
+private fun tableOut(view: FleetView) =
+    Readiness(true, "the table is out of reach for a majority of nodes; view ${view.version} stays in force")
+
+private fun lapsed(nowMillis: Long, view: FleetView, confirmedAt: Long?, leaseMillis: Long): Readiness {
     val age = if (confirmedAt == null) "never" else "${nowMillis - confirmedAt} ms ago"
     return Readiness(false, "view ${view.version} was last confirmed $age; the lease is $leaseMillis ms")
 }
 
-private fun registered(state: FreshnessState, view: FleetView): Readiness =
-    if (state.tableUnreachable || state.self in view.nodes) {
-        Readiness(true, "the view is confirmed")
-    } else {
-        Readiness(false, "this node is not yet part of the view")
-    }
-
 private fun isTableOutForMajority(
     nowMillis: Long,
     state: FreshnessState,
--- a/view/src/main/kotlin/org/gypsumturn/view/NodeBeat.kt
+++ b/view/src/main/kotlin/org/gypsumturn/view/NodeBeat.kt
@@ -86,16 +86,34 @@
     public val changedAtMillis: Long,
 )
 
-/** Beats as observed by one node over time. */
-public data class BeatObservations(public val byNode: Map<NodeId, ObservedBeat> = emptyMap()) {
-    /** These observations after [beats] were read at [nowMillis]. */
-    public fun updated(nowMillis: Long, beats: List<ReadBeat>): BeatObservations = BeatObservations(
-        beats.associate { read ->
+/**
+ * Beats as observed by one node over time.
+ *
+ * @property readAtMillis time of the last reading on the reader's own clock, or null before the first
+ */
+public data class BeatObservations(
+    public val byNode: Map<NodeId, ObservedBeat> = emptyMap(),
+    public val readAtMillis: Long? = null,
+) {
+    /**
+     * These observations after [beats] were read at [nowMillis]. When the last reading is longer ago than
+     * [maxGapMillis], the reader missed changes, so every beat counts as changed now: a node is silent only as long as
+     * somebody listened.
+     */
+    public fun updated(
+        nowMillis: Long,
+        beats: List<ReadBeat>,
+        maxGapMillis: Long = DEFAULT_MAX_GAP_MILLIS,
+    ): BeatObservations {
+        val listened = readAtMillis != null && nowMillis - readAtMillis <= maxGapMillis
+        val observed = beats.associate { read ->
             val known = byNode[read.beat.node]
-            val changedAt = if (known?.revision == read.revision) known.changedAtMillis else nowMillis
+            val isUnchanged = known != null && listened && known.revision == read.revision
+            val changedAt = if (isUnchanged) known.changedAtMillis else nowMillis
             read.beat.node to ObservedBeat(read.beat, read.revision, changedAt)
-        },
-    )
+        }
+        return BeatObservations(observed, nowMillis)
+    }
 
     /** Nodes of [view] whose beat changed within [lapseMillis]. */
     public fun liveNodes(nowMillis: Long, view: FleetView, lapseMillis: Long): Set<NodeId> = view.nodes.keys
@@ -103,6 +121,10 @@
             val observed = byNode[id]
             observed != null && nowMillis - observed.changedAtMillis <= lapseMillis
         }.toSet()
+
+    private companion object {
+        const val DEFAULT_MAX_GAP_MILLIS = 2_000L
+    }
 }
 
 /**
--- a/view/src/test/kotlin/org/gypsumturn/view/FreshnessTest.kt
+++ b/view/src/test/kotlin/org/gypsumturn/view/FreshnessTest.kt
@@ -70,4 +70,16 @@
         val stranger = FreshnessState(NodeId("new"), tableConfirmedAtMillis = 10_000)
         ready(stranger) shouldBe false
     }
+
+    @Test
+    fun `a node that is not part of the view and is cut off from the table does not serve on a peer's word`() {
+        val peers = mapOf(ids[1] to news(confirmedAt = 10_000))
+        ready(FreshnessState(NodeId("new"), tableUnreachable = true, peers = peers)) shouldBe false
+    }
+
+    @Test
+    fun `a node that starts while the table is out of everybody's reach serves with the majority`() {
+        val peers = ids.associateWith { news(blind = true) }
+        ready(FreshnessState(NodeId("new"), tableUnreachable = true, peers = peers)) shouldBe true
+    }
 }
