--- a/request/src/test/kotlin/org/gypsumturn/request/RetryTest.kt
+++ b/request/src/test/kotlin/org/gypsumturn/request/RetryTest.kt
@@ -84,6 +84,15 @@
         sends shouldBeLessThanOrEqual 220
     }
 
+    @Test
+    fun `the first failed attempt of a fresh entry is retried and the next one is not`() {
+        val dispatcher = twoTargets(DispatchSettings(retryBudgetShare = 0.1))
+        val first = dispatcher.handle(1, arrived(1)).sends().single()
+        dispatcher.end(first, refused).sends().map { it.request.value } shouldBe listOf(1L)
+        val second = dispatcher.handle(2, arrived(2)).sends().single()
+        dispatcher.end(second, refused, 2).sends().shouldBeEmpty()
+    }
+
     @Test
     fun `nothing is retried for a caller who left`() {
         val dispatcher = twoTargets()
