Take over a dead owner's pools of jobs within a second or so

Ownership is fenced by rows, so suspecting a live owner costs work and breaks nothing. Change: control processes beat, and read all beats, four times within `[jobs] owner_lapse_millis` (1 s), and give up a pool's owner after that; fleet upkeep and drains keep the long lapse. A pool that was taken is claimed back after 250 ms, ever later up to 5 s if it is taken again. The upkeep ends its round where the table does not answer. Two tests guard that queued requests finish at a shutdown. Ruled out: telling the dispatcher of a shutdown. It would refuse requests that were half received, which finish today.

--- a/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
@@ -10,6 +10,7 @@
 import org.gypsumturn.control.admin.AdminService
 import org.gypsumturn.control.admin.EventStreams
 import org.gypsumturn.control.admin.JobCalls
+import org.gypsumturn.control.fleet.BeatWatch
 import org.gypsumturn.control.fleet.CapacityPlan
 import org.gypsumturn.control.fleet.FleetCommands
 import org.gypsumturn.control.fleet.FleetUpkeep
@@ -61,6 +62,10 @@
     private val workerCalls = ParallelWorkerCalls(WORKER_CALL_THREADS)
     private val runner = ChangeRunner(keeper, log, ::monotonicMillis)
     private val commands = FleetCommands(runner)
+    private val ownerLapseMillis = settings[ControlSettings.ownerLapseMillis]
+    private val beatPauseMillis = ownerLapseMillis / BEATS_PER_LAPSE
+    private val watch = BeatWatch(beats, maxGapMillis = ownerLapseMillis / 2)
+    private val watchDuty = Duty<Unit>("beats", 1, beatPauseMillis, {}, { watch.step(monotonicMillis()) })
     private val upkeep = upkeepOf()
     private val upkeepDuty =
         Duty<Unit>("fleet", 1, settings[ControlSettings.stepMillis], {}, { if (isReady()) upkeep.step(now()) })
@@ -70,7 +75,7 @@
             settings[ControlSettings.jobStepMillis],
             keeper::currentView,
             ::isReady,
-            { upkeep.liveControls(now()) },
+            { watch.owners(keeper.currentView(), ownerLapseMillis) },
             System::currentTimeMillis,
         )
     private val membership =
@@ -79,7 +84,7 @@
             keeper,
             runner,
             beats,
-            keeping,
+            keeping.copy(beatMillis = minOf(keeping.beatMillis, beatPauseMillis)),
             ::monotonicMillis,
             System::currentTimeMillis,
         ) { activity() }
@@ -94,6 +99,7 @@
         opened += GrpcPort.open(settings[ViewSettings.peerAddress], listOf(PeerService(keeper::answer)))
         keeper.start()
         membership.start()
+        watchDuty.start()
         upkeepDuty.start()
         jobDuty.start()
         events.start()
@@ -107,6 +113,7 @@
         jobDuty.close()
         workerCalls.close()
         upkeepDuty.close()
+        watchDuty.close()
         events.close()
         membership.close()
         opened.reversed().forEach { it.close() }
@@ -140,6 +147,7 @@
             keeper::currentView,
             commands,
             beats,
+            watch,
             platform.instances,
             rebooter,
             capacityPlan(),
@@ -173,7 +181,7 @@
         self = node.id,
         keeper = keeper,
         now = ::now,
-        observations = upkeep::observations,
+        observations = watch::observations,
         ownedPools = { jobDuty.lastRound().ownedPools },
         lapseMillis = keeping.lapseMillis,
     )
@@ -182,6 +190,9 @@
 
     private companion object {
         const val WORKER_CALL_THREADS = 8
+
+        /** Beats written, and readings of all beats, within the lapse of an owner; two may be late. */
+        const val BEATS_PER_LAPSE = 4
         val LOG = LoggerFactory.getLogger(ControlNode::class.java)
     }
 }
--- a/control/src/main/kotlin/org/gypsumturn/control/ControlSettings.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/ControlSettings.kt
@@ -101,6 +101,15 @@
             MILLISECONDS,
             "time after a lapsed lease before a job may run again",
         )
+    val ownerLapseMillis: Setting<Long> =
+        wholeNumber(
+            "jobs",
+            "owner_lapse_millis",
+            1_000,
+            400L..60_000L,
+            MILLISECONDS,
+            "time without a beat after which other control processes take a process's pools of jobs",
+        )
 
     val schema: SettingsSchema =
         SettingsSchema(
@@ -109,6 +118,6 @@
                 listOf(adminAddress, readToken, changeToken, certificateFile, keyFile) +
                 listOf(stepMillis, warmMillis, lostMillis, maintenancePeriodMillis) +
                 listOf(capacityPeriodMillis, bufferCost, moveCost, lateCost) +
-                listOf(jobStepMillis, jobLeaseMillis, jobLeaseMarginMillis),
+                listOf(jobStepMillis, jobLeaseMillis, jobLeaseMarginMillis, ownerLapseMillis),
         )
 }
--- /dev/null
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/BeatWatch.kt
@@ -0,0 +1,43 @@
+// Reads the beats of all nodes at short intervals, and tells which control processes may own pools of jobs.
+
+package org.gypsumturn.control.fleet
+
+import org.gypsumturn.model.FleetView
+import org.gypsumturn.model.NodeId
+import org.gypsumturn.model.NodeRole
+import org.gypsumturn.model.valueOrNull
+import org.gypsumturn.view.BeatObservations
+import org.gypsumturn.view.NodeBeats
+
+/**
+ * Reads [beats], one [step] at a time, from one thread; what it saw may be read from any thread.
+ *
+ * @param maxGapMillis time between two readings beyond which nobody's silence is held against it
+ */
+internal class BeatWatch(private val beats: NodeBeats, private val maxGapMillis: Long) {
+    private class Seen(val readAtMillis: Long, val observations: BeatObservations)
+
+    @Volatile
+    private var seen = Seen(0, BeatObservations())
+
+    /** The latest beats of all nodes. */
+    fun observations(): BeatObservations = seen.observations
+
+    /** Reads the beats once. */
+    fun step(monotonicMillis: Long) {
+        val read = beats.readAll().valueOrNull() ?: return
+        seen = Seen(monotonicMillis, seen.observations.updated(monotonicMillis, read, maxGapMillis))
+    }
+
+    /**
+     * The control processes of [view] whose beat changed in the [lapseMillis] before the last reading. Ages end with
+     * that reading, so a pause of this process, or a table that is down, makes no other process look dead.
+     */
+    fun owners(view: FleetView, lapseMillis: Long): Set<NodeId> {
+        val last = seen
+        return last.observations
+            .liveNodes(last.readAtMillis, view, lapseMillis)
+            .filter { view.nodes[it]?.role == NodeRole.CONTROL }
+            .toSet()
+    }
+}
--- a/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
@@ -50,23 +50,20 @@
     private val view: () -> FleetView,
     private val commands: FleetCommands,
     private val beats: NodeBeats,
+    private val watch: BeatWatch,
     private val platform: InstanceList,
     private val rebooter: Rebooter,
     private val capacity: CapacityPlan,
     private val settings: UpkeepSettings,
 ) {
-    @Volatile
-    private var observations = BeatObservations()
+    private val observations: BeatObservations
+        get() = watch.observations()
     private var listing: InstanceListing? = null
     private var missing = MissingSince()
     private var nextListingAtMillis = 0L
-    private var nextBeatsAtMillis = 0L
-
-    /** The latest beats of all nodes. */
-    fun observations(): BeatObservations = observations
 
     /** The control processes whose beats are not older than the lapse. */
-    fun liveControls(now: Now): Set<NodeId> {
+    private fun liveControls(now: Now): Set<NodeId> {
         val current = view()
         return observations
             .liveNodes(now.monotonicMillis, current, settings.lapseMillis)
@@ -76,21 +73,14 @@
 
     /** Does one round. */
     fun step(now: Now) {
-        readBeats(now)
         if (ownerOf(DUTY, liveControls(now)) != self) {
             missing = MissingSince()
             capacity.reset()
             return
         }
         readListing(now)
-        commandsFor(now).take(MAX_COMMANDS_PER_STEP).forEach { run(now, it) }
-    }
-
-    private fun readBeats(now: Now) {
-        if (now.monotonicMillis < nextBeatsAtMillis) return
-        nextBeatsAtMillis = now.monotonicMillis + READ_PAUSE_MILLIS
-        val read = beats.readAll().valueOrNull() ?: return
-        observations = observations.updated(now.monotonicMillis, read)
+        // Where one command cannot be carried out for want of the table, the others cannot either.
+        commandsFor(now).take(MAX_COMMANDS_PER_STEP).all { run(now, it) }
     }
 
     private fun readListing(now: Now) {
@@ -161,12 +151,12 @@
         return lapsed.sorted().take(1).map { FleetCommand.RemoveNodes(listOf(it)) }
     }
 
-    private fun run(now: Now, command: FleetCommand) {
+    private fun run(now: Now, command: FleetCommand): Boolean {
         val header = ChangeHeader(OperationId("upkeep-${UUID.randomUUID()}"), OperatorId(self.value), now.wallMillis)
-        when (val result = commands.run(header, command)) {
-            is Verdict.Ran -> ended(command, result.value)
-            else -> LOG.warn("command {} was not carried out: {}", command, result)
-        }
+        val result = commands.run(header, command)
+        if (result is Verdict.Ran) ended(command, result.value)
+        if (result !is Verdict.Ran) LOG.warn("command {} was not carried out: {}", command, result)
+        return result is Verdict.Ran
     }
 
     private fun ended(command: FleetCommand, outcome: ChangeOutcome<CommandDecision>) {
--- a/control/src/test/kotlin/org/gypsumturn/control/fleet/FleetFixture.kt
+++ b/control/src/test/kotlin/org/gypsumturn/control/fleet/FleetFixture.kt
@@ -88,12 +88,14 @@
     private val commands = FleetCommands(runner)
     private var beatCount = 0L
     val node = Node(NodeId(name), NodeRole.CONTROL, RegionId("r"), DataCentreId("d"), Address("127.0.0.1", 1))
+    private val watch = BeatWatch(beats, maxGapMillis = 2_000)
     private val upkeep =
         FleetUpkeep(
             node.id,
             { logged.view },
             commands,
             beats,
+            watch,
             platform,
             Rebooter(table, platform, TIMEOUT),
             CapacityPlan(CapacitySettings(CapacityWeights(1.0, 1.0, 1.0)), 0),
@@ -112,6 +114,7 @@
 
     fun step() {
         follow()
+        watch.step(clock())
         upkeep.step(Now(clock(), clock()))
     }
 
--- a/entry/src/test/kotlin/org/gypsumturn/entry/ShutdownTest.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/ShutdownTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import org.gypsumturn.view.Readiness
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
@@ -47,4 +48,42 @@
             }
         }
     }
+
+    @Test
+    fun `a request that is queued at a shutdown gets its whole answer`() = shutDownWithQueued { _, queued, go ->
+        go()
+        queued.read().let { it.status to it.body } shouldBe (200 to "queued")
+    }
+
+    @Test
+    fun `a queued request is not run once the view may no longer be used, also in a shutdown`() =
+        shutDownWithQueued { entry, queued, go ->
+            entry.view.readiness = Readiness(false, "the view's lease lapsed")
+            queued.read().verdict shouldBe "not-run"
+            go()
+        }
+
+    // One request holds the only slot of the target until [check] lets it go; the other one is queued.
+    private fun shutDownWithQueued(check: (EntryFixture, RawCaller, () -> Unit) -> Unit) {
+        val started = CountDownLatch(1)
+        val go = CountDownLatch(1)
+        val script = { seen: SeenRequest, side: TargetSide ->
+            started.countDown()
+            go.await()
+            side.answer(seen.body)
+        }
+        FakeTarget(script).use { target ->
+            val entry = EntryFixture(SetView(viewOf(listOf(target.port), slots = 1)))
+            val running = entry.caller().apply { send("/services/orders/", "running") }
+            started.await()
+            val queued = entry.caller().apply { send("/services/orders/", "queued") }
+            await { entry.node.openRequests == 2 }
+            val ending = thread { entry.node.shutDown() }
+            await { runCatching { entry.caller().close() }.isFailure }
+            target.seen.size shouldBe 1
+            check(entry, queued, go::countDown)
+            running.read().body shouldBe "running"
+            ending.join()
+        }
+    }
 }
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwnerSettings.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwnerSettings.kt
@@ -21,7 +21,8 @@
  * @property maxAwaitingStart jobs of one pool that may wait for the commit of their assignment
  * @property tableRetryMillis first time between two tries while the table is down; it doubles up to
  *   [maxTableRetryMillis]
- * @property reclaimDelayMillis time before a pool that another process took is claimed again
+ * @property firstReclaimDelayMillis time before a pool that another process took is claimed again
+ * @property reclaimDelayMillis longest such time; it doubles while the pool is taken again and again
  * @property verifyEveryMillis time between two looks whether the owned pools are still held
  * @property retentionMillis time for which an ended job is kept; a repeat of its id is recognised that long
  * @property sweepEveryMillis time between two looks for ended jobs to remove
@@ -44,6 +45,7 @@
     public val maxAwaitingStart: Int = 200,
     public val tableRetryMillis: Long = 1_000,
     public val maxTableRetryMillis: Long = 8_000,
+    public val firstReclaimDelayMillis: Long = 250,
     public val reclaimDelayMillis: Long = 5_000,
     public val maxClaimsPerStep: Int = 32,
     public val verifyEveryMillis: Long = 5_000,
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/PoolOwnership.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/PoolOwnership.kt
@@ -31,6 +31,7 @@
 ) {
     private val settings = state.settings
     private val notBefore = HashMap<PoolId, Long>()
+    private val losses = HashMap<PoolId, PoolLoss>()
     private var nextVerifyMillis = Long.MIN_VALUE
     private var ownersFor: Set<NodeId>? = null
     private var ownBuckets: Set<Int> = emptySet()
@@ -45,9 +46,16 @@
         state.pools.values.filter { !it.isLoaded }.forEach { load(nowMillis, it) }
     }
 
-    /** Another process took [pool]; it is not claimed back at once, lest two processes that disagree duel. */
+    /**
+     * Another process took [pool]. It is claimed back soon, since that process may have been wrong to take it, but ever
+     * later if it is taken again and again: two processes that disagree must not duel.
+     */
     fun lost(nowMillis: Long, pool: OwnedPool) {
-        notBefore[pool.id] = nowMillis + settings.reclaimDelayMillis
+        val before = losses[pool.id]?.takeIf { nowMillis - it.atMillis <= 2 * settings.reclaimDelayMillis }
+        val doubled = before?.let { 2 * it.delayMillis } ?: settings.firstReclaimDelayMillis
+        val loss = PoolLoss(nowMillis, minOf(doubled, settings.reclaimDelayMillis))
+        losses[pool.id] = loss
+        notBefore[pool.id] = nowMillis + loss.delayMillis
         state.dropPool(pool, nowMillis)
     }
 
@@ -130,3 +138,6 @@
 
 /** Whether jobs may be given to the pool. */
 internal val Pool.runsJobs: Boolean get() = role == PoolRole.WORKING || role == PoolRole.SPARE
+
+/** When a pool was last taken away, and how long it was left alone thereafter. */
+private data class PoolLoss(val atMillis: Long, val delayMillis: Long)
