--- a/request/src/main/kotlin/org/gypsumturn/request/RetryBudget.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/RetryBudget.kt
@@ -5,16 +5,25 @@
 /** Tokens that may be saved up, so that a short fault after a quiet time can be retried at once. */
 private const val MAX_TOKENS = 10.0
 
-/** Tokens of a new pool, so that a fresh entry's first failed attempt can be retried; paid once, not by time. */
-private const val INITIAL_TOKENS = 1.0
+/** Tokens of a fresh bucket, so that the first failure of a fresh entry can be retried. */
+private const val ADVANCE_TOKENS = 1.0
 
-/** Token bucket that starts with one token: each first attempt earns [share] of a token, and each retry spends one. */
+/**
+ * Token bucket: each first attempt earns [share] of a token, and each retry spends one. A fresh bucket holds one token
+ * in advance, which the first attempts pay back before they earn more, so that retries are never more than [share] of
+ * the first attempts once these are as many as it takes to earn a token.
+ */
 internal class RetryBudget(private val share: Double) {
-    private var tokens = INITIAL_TOKENS
+    private var tokens = ADVANCE_TOKENS
+    private var owed = ADVANCE_TOKENS
 
     /** Notes a first attempt. */
     fun earn() {
-        tokens = minOf(MAX_TOKENS, tokens + share)
+        if (owed > 0) {
+            owed -= share
+        } else {
+            tokens = minOf(MAX_TOKENS, tokens + share)
+        }
     }
 
     /** Spends a token; false if there is none. */
