Join what stood twice: rendezvous hashing and the set-up of a node

Cause: two modules divided duties by two hashes, one of them written by hand, and both programs built their node record for themselves.

--- a/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
@@ -24,12 +24,7 @@
 import org.gypsumturn.jobs.JobOwner
 import org.gypsumturn.jobs.JobOwnerSettings
 import org.gypsumturn.jobs.ParallelWorkerCalls
-import org.gypsumturn.model.Address
-import org.gypsumturn.model.DataCentreId
-import org.gypsumturn.model.Node
-import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.NodeRole
-import org.gypsumturn.model.RegionId
 import org.gypsumturn.peer.ChangeRunner
 import org.gypsumturn.peer.GrpcPort
 import org.gypsumturn.peer.NodeActivity
@@ -38,21 +33,20 @@
 import org.gypsumturn.peer.PeerService
 import org.gypsumturn.peer.ViewKeeper
 import org.gypsumturn.peer.ViewSettings
+import org.gypsumturn.peer.toAddress
 import org.gypsumturn.platform.grpc.PlatformClient
 import org.gypsumturn.runtime.duty.Duty
 import org.gypsumturn.runtime.metrics.Metrics
 import org.gypsumturn.runtime.settings.CommonSettings
-import org.gypsumturn.runtime.settings.HostAndPort
 import org.gypsumturn.runtime.settings.Settings
 import org.gypsumturn.view.NodeBeats
 import org.gypsumturn.view.ViewLog
 import org.slf4j.LoggerFactory
-import java.util.UUID
 
 /** One control process. */
 internal class ControlNode(private val settings: Settings) : AutoCloseable {
     private val keeping = ViewSettings.keeping(settings)
-    private val node = nodeOf(settings)
+    private val node = ViewSettings.node(settings, NodeRole.CONTROL)
     private val platform = PlatformClient(settings[ViewSettings.platformAddress].toAddress())
     private val log = ViewLog(platform.table, keeping.storeTimeoutMillis)
     private val beats = NodeBeats(platform.table, keeping.storeTimeoutMillis)
@@ -200,18 +194,3 @@
 private const val NANOS_PER_MILLI = 1_000_000L
 
 private fun monotonicMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
-
-private fun HostAndPort.toAddress(): Address = Address(host, port)
-
-private fun nodeOf(settings: Settings): Node {
-    val start = UUID.randomUUID().toString().take(START_ID_LENGTH)
-    return Node(
-        id = NodeId("${settings[CommonSettings.nodeName]}-$start"),
-        role = NodeRole.CONTROL,
-        region = RegionId(settings[CommonSettings.region]),
-        dataCentre = DataCentreId(settings[CommonSettings.dataCentre]),
-        peerAddress = settings[ViewSettings.peerAddress].toAddress(),
-    )
-}
-
-private const val START_ID_LENGTH = 8
--- a/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
@@ -18,6 +18,7 @@
 import org.gypsumturn.model.OperationId
 import org.gypsumturn.model.OperatorId
 import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.ownerOf
 import org.gypsumturn.model.valueOrNull
 import org.gypsumturn.peer.ChangeHeader
 import org.gypsumturn.peer.ChangeOutcome
@@ -28,7 +29,6 @@
 import org.gypsumturn.view.NodeBeats
 import org.gypsumturn.view.decideDrain
 import org.gypsumturn.view.mayChangeMembership
-import org.gypsumturn.view.ownerOf
 import org.slf4j.LoggerFactory
 import java.util.UUID
 
--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryProgram.kt
@@ -3,12 +3,7 @@
 package org.gypsumturn.entry
 
 import org.gypsumturn.entry.peer.SlotSharing
-import org.gypsumturn.model.Address
-import org.gypsumturn.model.DataCentreId
-import org.gypsumturn.model.Node
-import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.NodeRole
-import org.gypsumturn.model.RegionId
 import org.gypsumturn.peer.ChangeRunner
 import org.gypsumturn.peer.GrpcPort
 import org.gypsumturn.peer.NodeMembership
@@ -16,16 +11,14 @@
 import org.gypsumturn.peer.PeerService
 import org.gypsumturn.peer.ViewKeeper
 import org.gypsumturn.peer.ViewSettings
+import org.gypsumturn.peer.toAddress
 import org.gypsumturn.platform.grpc.PlatformClient
 import org.gypsumturn.request.SlotReport
 import org.gypsumturn.runtime.metrics.Metrics
-import org.gypsumturn.runtime.settings.CommonSettings
-import org.gypsumturn.runtime.settings.HostAndPort
 import org.gypsumturn.runtime.settings.Settings
 import org.gypsumturn.runtime.trace.Tracing
 import org.gypsumturn.view.NodeBeats
 import org.gypsumturn.view.ViewLog
-import java.util.UUID
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
@@ -38,13 +31,7 @@
     private val clients = PeerClients(keeping.peerTimeoutMillis)
     private val reportsHeard = AtomicLong()
     private val seeds = settings[ViewSettings.seeds].map { it.toAddress() }
-    private val self = Node(
-        NodeId("${settings[CommonSettings.nodeName]}-${UUID.randomUUID().toString().take(ID_LENGTH)}"),
-        NodeRole.ENTRY,
-        RegionId(settings[CommonSettings.region]),
-        DataCentreId(settings[CommonSettings.dataCentre]),
-        settings[ViewSettings.peerAddress].toAddress(),
-    )
+    private val self = ViewSettings.node(settings, NodeRole.ENTRY)
     private val log = ViewLog(platform.table, keeping.storeTimeoutMillis)
     private val keeper = ViewKeeper(self, log, clients, seeds, keeping, monotonicMillis)
     private val sharing: SlotSharing = SlotSharing(self.id, keeper::currentView, clients::shareSlots, ::peerReported)
@@ -102,10 +89,4 @@
         reportsHeard.incrementAndGet()
         node.peerReported(report)
     }
-
-    private fun HostAndPort.toAddress() = Address(host, port)
-
-    private companion object {
-        const val ID_LENGTH = 8
-    }
 }
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/PoolOwnership.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/PoolOwnership.kt
@@ -13,7 +13,7 @@
 import org.gypsumturn.placement.OWNER_BUCKETS
 import org.gypsumturn.placement.PoolScheduler
 import org.gypsumturn.placement.bucketOf
-import org.gypsumturn.placement.ownerOf
+import org.gypsumturn.placement.ownerOfBucket
 import org.gypsumturn.platform.CommitOutcome
 import org.gypsumturn.platform.Condition
 import org.gypsumturn.platform.Row
@@ -80,7 +80,7 @@
 
     private fun wantedPools(view: FleetView, live: Set<NodeId>): Set<PoolId> {
         if (live != ownersFor) {
-            ownBuckets = (0 until OWNER_BUCKETS).filter { ownerOf(it, live) == self }.toSet()
+            ownBuckets = (0 until OWNER_BUCKETS).filter { ownerOfBucket(it, live) == self }.toSet()
             ownersFor = live.toSet()
         }
         return view.pools.values.filter { it.runsJobs && bucketOf(it.id) in ownBuckets }.mapTo(HashSet()) { it.id }
--- a/peer/src/main/kotlin/org/gypsumturn/peer/ViewSettings.kt
+++ b/peer/src/main/kotlin/org/gypsumturn/peer/ViewSettings.kt
@@ -2,12 +2,20 @@
 
 package org.gypsumturn.peer
 
+import org.gypsumturn.model.Address
+import org.gypsumturn.model.DataCentreId
+import org.gypsumturn.model.Node
+import org.gypsumturn.model.NodeId
+import org.gypsumturn.model.NodeRole
+import org.gypsumturn.model.RegionId
+import org.gypsumturn.runtime.settings.CommonSettings
 import org.gypsumturn.runtime.settings.HostAndPort
 import org.gypsumturn.runtime.settings.Setting
 import org.gypsumturn.runtime.settings.Settings
 import org.gypsumturn.runtime.settings.address
 import org.gypsumturn.runtime.settings.addresses
 import org.gypsumturn.runtime.settings.wholeNumber
+import java.util.UUID
 
 /** How a node keeps its view. Times are in milliseconds. */
 public data class ViewKeeping(
@@ -112,4 +120,21 @@
         beatMillis = settings[beatMillis],
         storeTimeoutMillis = settings[storeTimeoutMillis],
     )
+
+    /** The node that [settings] describe. Its id is new at each call, since a node that starts anew is another node. */
+    public fun node(settings: Settings, role: NodeRole): Node {
+        val start = UUID.randomUUID().toString().take(START_ID_LENGTH)
+        return Node(
+            id = NodeId("${settings[CommonSettings.nodeName]}-$start"),
+            role = role,
+            region = RegionId(settings[CommonSettings.region]),
+            dataCentre = DataCentreId(settings[CommonSettings.dataCentre]),
+            peerAddress = settings[peerAddress].toAddress(),
+        )
+    }
+
+    private const val START_ID_LENGTH = 8
 }
+
+/** The address of the model that this setting names. */
+public fun HostAndPort.toAddress(): Address = Address(host, port)
