--- a/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/RequestDispatcher.kt
@@ -207,6 +207,8 @@
     }
 
     private fun viewChanged(nowMillis: Long, newer: FleetView) {
+        // A view that was overtaken on its way here must not bring back what a newer one took away.
+        if (newer.version < view.version) return
         view = newer
         targets.apply(nowMillis, newer.instances.values)
         limits.viewChanged(newer)
--- a/request/src/test/kotlin/org/gypsumturn/request/TargetTest.kt
+++ b/request/src/test/kotlin/org/gypsumturn/request/TargetTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.shouldBe
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.InstanceState
+import org.gypsumturn.model.ViewVersion
 
 class TargetTest : AnnotationSpec() {
     private fun RequestDispatcher.startable(nowMillis: Long, from: Long = 1): Int =
@@ -63,4 +64,12 @@
         dispatcher.handle(60_000, RequestEvent.Tick)
         dispatcher.startable(60_000) shouldBe 4
     }
+
+    @Test
+    fun `a view that was overtaken by a newer one changes nothing`() {
+        val drained = viewOf(instance("a", state = InstanceState.DRAINING)).copy(version = ViewVersion(9))
+        val dispatcher = dispatcher(drained)
+        dispatcher.handle(1, RequestEvent.ViewChanged(viewOf(instance("a")).copy(version = ViewVersion(8))))
+        dispatcher.handle(2, arrived(1)).shouldBeEmpty()
+    }
 }
