--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -14,6 +14,7 @@
 import org.gypsumturn.bench.requests.requestsExperiment
 import org.gypsumturn.bench.slopes.slopesExperiment
 import org.gypsumturn.bench.views.viewsExperiment
+import org.gypsumturn.runtime.program.runProgram
 import kotlin.system.exitProcess
 
 /** An experiment prints its measurements into a report; [quick] asks for the small fixed set that CI runs. */
@@ -33,6 +34,7 @@
 private const val AUDIT = "audit"
 private const val FAULT = "fault"
 private const val ENTRY = "entry"
+private val COMMON_OPTIONS = setOf("--help", "-h", "--version", "--config", "-c", "--log-format", "check-config")
 private const val EXIT_OK = 0
 private const val EXIT_BOUND_BROKEN = 1
 private const val EXIT_USAGE = 2
@@ -44,14 +46,24 @@
         AUDIT -> runAudit(args.drop(1), ::println)
         FAULT -> runFault(args.drop(1), ::println)
         ENTRY -> runEntry(args.drop(1), ::println)
-        else -> runExperiments(args.toList(), ::println)
+        else -> runNamed(args)
     }
     exitProcess(code)
 }
 
+// The options that all programs have come with a settings file in place of names.
+private fun runNamed(args: Array<String>): Int {
+    if (args.none { it in COMMON_OPTIONS }) return runExperiments(args.toList(), ::println)
+    var code = EXIT_OK
+    runProgram("gypsumturn-bench", BenchSettings.schema, args) { settings ->
+        code = runExperiments(BenchSettings.arguments(settings), ::println)
+    }
+    return code
+}
+
 internal fun runExperiments(args: List<String>, print: (String) -> Unit): Int {
-    val quick = "--quick" in args
-    val names = args.filter { it != "--quick" }.ifEmpty { EXPERIMENTS.keys.toList() }
+    val quick = QUICK in args
+    val names = args.filter { it != QUICK }.ifEmpty { EXPERIMENTS.keys.toList() }
     val unknown = names.filter { it !in EXPERIMENTS }
     if (unknown.isNotEmpty()) {
         print("unknown experiment ${unknown.joinToString()}; known: ${EXPERIMENTS.keys.joinToString()}")
