Keep one time of the last reading of beats, and one choice of live controls

Cause: the watch of beats kept the time of its last reading beside the observations, which hold it themselves, and chose the live control processes as the upkeep of the fleet did, line for line. Change: both ask the observations; behaviour stays.

--- a/control/src/main/kotlin/org/gypsumturn/control/fleet/BeatWatch.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/BeatWatch.kt
@@ -4,7 +4,6 @@
 
 import org.gypsumturn.model.FleetView
 import org.gypsumturn.model.NodeId
-import org.gypsumturn.model.NodeRole
 import org.gypsumturn.model.valueOrNull
 import org.gypsumturn.view.BeatObservations
 import org.gypsumturn.view.NodeBeats
@@ -15,18 +14,16 @@
  * @param maxGapMillis time between two readings beyond which nobody's silence is held against it
  */
 internal class BeatWatch(private val beats: NodeBeats, private val maxGapMillis: Long) {
-    private class Seen(val readAtMillis: Long, val observations: BeatObservations)
-
     @Volatile
-    private var seen = Seen(0, BeatObservations())
+    private var observations = BeatObservations()
 
     /** The latest beats of all nodes. */
-    fun observations(): BeatObservations = seen.observations
+    fun observations(): BeatObservations = observations
 
     /** Reads the beats once. */
     fun step(monotonicMillis: Long) {
         val read = beats.readAll().valueOrNull() ?: return
-        seen = Seen(monotonicMillis, seen.observations.updated(monotonicMillis, read, maxGapMillis))
+        observations = observations.updated(monotonicMillis, read, maxGapMillis)
     }
 
     /**
@@ -34,10 +31,7 @@
      * that reading, so a pause of this process, or a table that is down, makes no other process look dead.
      */
     fun owners(view: FleetView, lapseMillis: Long): Set<NodeId> {
-        val last = seen
-        return last.observations
-            .liveNodes(last.readAtMillis, view, lapseMillis)
-            .filter { view.nodes[it]?.role == NodeRole.CONTROL }
-            .toSet()
+        val last = observations
+        return last.liveControls(last.readAtMillis ?: 0, view, lapseMillis)
     }
 }
--- a/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
@@ -14,7 +14,6 @@
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.InstanceState
 import org.gypsumturn.model.NodeId
-import org.gypsumturn.model.NodeRole
 import org.gypsumturn.model.OperationId
 import org.gypsumturn.model.OperatorId
 import org.gypsumturn.model.Verdict
@@ -62,18 +61,10 @@
     private var missing = MissingSince()
     private var nextListingAtMillis = 0L
 
-    /** The control processes whose beats are not older than the lapse. */
-    private fun liveControls(now: Now): Set<NodeId> {
-        val current = view()
-        return observations
-            .liveNodes(now.monotonicMillis, current, settings.lapseMillis)
-            .filter { current.nodes[it]?.role == NodeRole.CONTROL }
-            .toSet()
-    }
-
     /** Does one round. */
     fun step(now: Now) {
-        if (ownerOf(DUTY, liveControls(now)) != self) {
+        val live = observations.liveControls(now.monotonicMillis, view(), settings.lapseMillis)
+        if (ownerOf(DUTY, live) != self) {
             missing = MissingSince()
             capacity.reset()
             return
--- a/view/src/main/kotlin/org/gypsumturn/view/NodeBeat.kt
+++ b/view/src/main/kotlin/org/gypsumturn/view/NodeBeat.kt
@@ -8,6 +8,7 @@
 import org.gypsumturn.model.FleetView
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.NodeId
+import org.gypsumturn.model.NodeRole
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
@@ -122,6 +123,10 @@
             observed != null && nowMillis - observed.changedAtMillis <= lapseMillis
         }.toSet()
 
+    /** The control processes among [liveNodes]. */
+    public fun liveControls(nowMillis: Long, view: FleetView, lapseMillis: Long): Set<NodeId> =
+        liveNodes(nowMillis, view, lapseMillis).filter { view.nodes[it]?.role == NodeRole.CONTROL }.toSet()
+
     private companion object {
         const val DEFAULT_MAX_GAP_MILLIS = 2_000L
     }
