--- a/request/src/main/kotlin/org/gypsumturn/request/DispatchSettings.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/DispatchSettings.kt
@@ -29,7 +29,8 @@
  * @property overloadPauseMillis time for which a target gets nothing from this entry after it refused for lack of
  *   slots; doubled with each refusal that follows another, up to [maxOverloadPauseMillis]
  * @property maxOverloadPauseMillis longest such time
- * @property leavingNoticeMillis time for which a notice that a target is leaving counts without the view's confirmation
+ * @property leavingNoticeMillis time for which a notice that a target is leaving counts without the view's
+ * confirmation
  */
 public data class DispatchSettings(
     public val maxQueuedTotal: Int = 10_000,
--- a/request/src/main/kotlin/org/gypsumturn/request/GrantedSlots.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/GrantedSlots.kt
@@ -1,5 +1,6 @@
 // Slot grants that follow demand. The slots of a pool are laid out in a fixed order that goes round its targets, and
-// each entry takes a range whose length is its part of the demand, so entries that know the same reports never overlap.
+// each entry takes a range whose length is its part of the demand, so entries that know the same reports never
+// overlap.
 
 package org.gypsumturn.request
 
@@ -19,8 +20,8 @@
 private const val URGENT_WEIGHT = 8
 
 /**
- * Waiting requests, other than urgent ones, that count at most. Beyond it a long queue tells how much an entry admitted
- * for the slots that it had rather than what it needs.
+ * Waiting requests, other than urgent ones, that count at most. Beyond it a long queue tells how much an entry
+ * admitted for the slots that it had rather than what it needs.
  */
 private const val MAX_WAITING = 32
 
--- a/request/src/main/kotlin/org/gypsumturn/request/SlotReporter.kt
+++ b/request/src/main/kotlin/org/gypsumturn/request/SlotReporter.kt
@@ -19,7 +19,8 @@
 
     /** Notes whether a peer has demand. */
     fun heard(nowMillis: Long, report: SlotReport) {
-        if (report.queuedByPool.values.any { it.total > 0 }) peerDemandAtMillis = nowMillis
+        val waits = report.queuedByPool.values.any { it.total > 0 }
+        if (waits || report.useByInstance.values.any { it.inUse > 0 }) peerDemandAtMillis = nowMillis
     }
 
     /** The next report, or null if the last one is too young. */
@@ -37,8 +38,10 @@
     }
 
     // Grants have to follow demand quickly, wherever it is; without any, reports only show that this entry is alive.
+    // Requests under way are demand like those that wait: the grants are divided by both.
     private fun intervalMillis(nowMillis: Long, pools: Map<PoolId, PoolState>): Long {
-        val hasDemand = pools.values.any { it.queue.size > 0 }
+        val waits = pools.values.any { it.queue.size > 0 }
+        val hasDemand = waits || targets.eligibleByPool().values.any { members -> members.any { it.inUse > 0 } }
         val heardDemand = nowMillis - peerDemandAtMillis <= settings.peerLapseMillis
         return if (hasDemand || heardDemand) settings.peerReportIntervalMillis else settings.quietReportIntervalMillis
     }
--- a/request/src/test/kotlin/org/gypsumturn/request/SlotLimitsTest.kt
+++ b/request/src/test/kotlin/org/gypsumturn/request/SlotLimitsTest.kt
@@ -118,4 +118,17 @@
         holders[0].limits.heard(110, report("e1", 1, queued = 32))
         holders[0].total() shouldBe before
     }
+
+    @Test
+    fun `an entry whose requests run without waiting reports at the short interval`() {
+        val table = TargetTable(600_000).also { it.apply(0, view.instances.values) }
+        val limits = StaticSlots(NodeId("e0"), table)
+        val random = RandomSource.SPLIT_MIX_64.create(1L)
+        val chooser = TargetChooser(settings, table, limits, FaultJudge(settings, table), random)
+        val reporter = SlotReporter(NodeId("e0"), settings, table, chooser)
+        reporter.next(0, emptyMap())
+        reporter.next(settings.peerReportIntervalMillis, emptyMap()) shouldBe null
+        table.eligible(POOL).first().inUse = 1
+        (reporter.next(settings.peerReportIntervalMillis, emptyMap()) != null) shouldBe true
+    }
 }
