--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
@@ -1,4 +1,5 @@
-// What all programs share on their command line: settings file, log format, check of the settings, version, exit codes.
+// What all programs share on their command line: settings file, log format, check of the settings, version, exit
+// codes.
 
 package org.gypsumturn.runtime.program
 
--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Termination.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Termination.kt
@@ -1,5 +1,5 @@
-// How command lines end. kotlinx-cli ends the process by itself, with code 127 after a wrong command line; its hook for
-// that is not visible to Kotlin callers, so it is reached by reflection.
+// How command lines end. kotlinx-cli ends the process by itself, with code 127 after a wrong command line; its hook
+// for that is not visible to Kotlin callers, so it is reached by reflection.
 
 package org.gypsumturn.runtime.program
 
@@ -10,7 +10,9 @@
 
 private const val HOOK = "setOutputAndTerminate\$kotlinx_cli"
 
-/** Makes this parser, and subcommands that are added later, throw [CommandLineEnd] where they would end the process. */
+/**
+ * Makes this parser, and subcommands that are added later, throw [CommandLineEnd] where they would end the process.
+ */
 public fun ArgParser.throwOnEnd() {
     val end: (String, Int) -> Nothing = { text, code ->
         throw CommandLineEnd(text, if (code == 0) ExitCode.OK else ExitCode.USAGE)
--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/settings/Settings.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/settings/Settings.kt
@@ -6,6 +6,10 @@
 import org.ini4j.Ini
 import java.io.File
 import java.io.IOException
+import java.io.StringReader
+
+/** Mark that some editors put at the head of a UTF-8 file. */
+private const val BYTE_ORDER_MARK = "\uFEFF"
 
 /** What is wrong with a setting. */
 public enum class SettingsProblemKind { UNREADABLE_FILE, UNKNOWN, DUPLICATE, MISSING, BAD_VALUE }
@@ -81,7 +85,7 @@
                 isEscape = false
                 isEmptyOption = true
             }
-        if (file != null) file.inputStream().use { ini.load(it) }
+        if (file != null) ini.load(StringReader(file.readText().removePrefix(BYTE_ORDER_MARK)))
         return ini
     }
 
--- a/runtime/src/test/kotlin/org/gypsumturn/runtime/settings/SettingsTest.kt
+++ b/runtime/src/test/kotlin/org/gypsumturn/runtime/settings/SettingsTest.kt
@@ -48,6 +48,12 @@
         problems("[entry]\naddress = localhost:80\n").single().kind shouldBe SettingsProblemKind.BAD_VALUE
     }
 
+    @Test
+    fun `a byte order mark at the head of a file is passed over`() {
+        val loaded = load("\uFEFF[entry]\naddress = 127.0.0.1:8080\n").shouldBeInstanceOf<SettingsResult.Loaded>()
+        loaded.settings[listen] shouldBe HostAndPort("127.0.0.1", 8080)
+    }
+
     @Test
     fun `a file that is not there is reported`() {
         val result = schema.load(File("/nonexistent/settings.ini")).shouldBeInstanceOf<SettingsResult.Rejected>()
