--- a/bench/src/main/kotlin/org/gypsumturn/bench/audit/AuditCommand.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/audit/AuditCommand.kt
@@ -9,7 +9,7 @@
 import org.gypsumturn.model.Change
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.ViewVersion
-import org.gypsumturn.platform.grpc.PlatformClient
+import org.gypsumturn.ports.grpc.PlatformClient
 import org.gypsumturn.runtime.program.ExitCode
 import org.gypsumturn.view.ViewLog
 
--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobWorld.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/JobWorld.kt
@@ -20,19 +20,19 @@
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.isFinal
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.TaskAction
-import org.gypsumturn.platform.TaskKey
-import org.gypsumturn.platform.TaskStart
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.WorkerTasks
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.FakeWorkerTasks
-import org.gypsumturn.platform.fake.TableFault
-import org.gypsumturn.platform.fake.TaskScript
-import org.gypsumturn.platform.fake.WorkerFault
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.TaskAction
+import org.gypsumturn.ports.TaskKey
+import org.gypsumturn.ports.TaskStart
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.WorkerTasks
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.FakeWorkerTasks
+import org.gypsumturn.ports.fake.TableFault
+import org.gypsumturn.ports.fake.TaskScript
+import org.gypsumturn.ports.fake.WorkerFault
 
 /** Kinds of calls at which an owner may be paused. */
 internal enum class CallKind { READ, COMMIT, START, OTHER }
--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/OwnerExperiments.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/OwnerExperiments.kt
@@ -15,7 +15,7 @@
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.isFinal
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.fake.TaskScript
+import org.gypsumturn.ports.fake.TaskScript
 
 private const val URGENT_BOUND_MILLIS = 2_400.0
 private const val WRITES_BOUND_PER_SECOND = 300.0
--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/OwnerWorld.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/OwnerWorld.kt
@@ -16,16 +16,16 @@
 import org.gypsumturn.model.Priority
 import org.gypsumturn.model.TeamId
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.TaskStart
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.FakeWorkerTasks
-import org.gypsumturn.platform.fake.TableFault
-import org.gypsumturn.platform.fake.TaskScript
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.TaskStart
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.FakeWorkerTasks
+import org.gypsumturn.ports.fake.TableFault
+import org.gypsumturn.ports.fake.TaskScript
 
 /** Calls and rows that a table has served. */
 internal data class TableCounts(val commits: Long, val reads: Long, val rowsWritten: Long, val rowsRead: Long) {
--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/RandomSchedules.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/RandomSchedules.kt
@@ -8,9 +8,9 @@
 import org.gypsumturn.model.Capacity
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.Priority
-import org.gypsumturn.platform.fake.TableFault
-import org.gypsumturn.platform.fake.TaskScript
-import org.gypsumturn.platform.fake.WorkerFault
+import org.gypsumturn.ports.fake.TableFault
+import org.gypsumturn.ports.fake.TaskScript
+import org.gypsumturn.ports.fake.WorkerFault
 
 /** What one schedule did and what was wrong. */
 internal data class ScheduleOutcome(val seed: Long, val jobs: Int, val runs: Int, val faults: List<String>)
--- a/bench/src/main/kotlin/org/gypsumturn/bench/jobs/ScheduleExploration.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/jobs/ScheduleExploration.kt
@@ -6,9 +6,9 @@
 import org.gypsumturn.model.Capacity
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.NodeId
-import org.gypsumturn.platform.fake.TableFault
-import org.gypsumturn.platform.fake.TaskScript
-import org.gypsumturn.platform.fake.WorkerFault
+import org.gypsumturn.ports.fake.TableFault
+import org.gypsumturn.ports.fake.TaskScript
+import org.gypsumturn.ports.fake.WorkerFault
 
 /** What can happen next in an explored schedule. */
 internal enum class ExploredAction {
--- a/bench/src/main/kotlin/org/gypsumturn/bench/slopes/SlopesExperiment.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/slopes/SlopesExperiment.kt
@@ -27,7 +27,7 @@
 import org.gypsumturn.model.RegionId
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.fake.FakeTableStore
+import org.gypsumturn.ports.fake.FakeTableStore
 import org.gypsumturn.view.LoggedView
 import org.gypsumturn.view.Proposal
 import org.gypsumturn.view.ProposalOutcome
--- a/cli/src/main/kotlin/org/gypsumturn/cli/client/AdminClient.kt
+++ b/cli/src/main/kotlin/org/gypsumturn/cli/client/AdminClient.kt
@@ -9,7 +9,7 @@
 import io.grpc.netty.GrpcSslContexts
 import io.grpc.netty.NettyChannelBuilder
 import io.grpc.stub.MetadataUtils
-import org.gypsumturn.platform.grpc.SendTracker
+import org.gypsumturn.ports.grpc.SendTracker
 import org.gypsumturn.runtime.settings.HostAndPort
 import org.gypsumturn.schema.admin.AdminGrpc
 import org.gypsumturn.schema.admin.AdminGrpc.AdminBlockingStub
--- a/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/ControlNode.kt
@@ -34,7 +34,7 @@
 import org.gypsumturn.peer.ViewKeeper
 import org.gypsumturn.peer.ViewSettings
 import org.gypsumturn.peer.toAddress
-import org.gypsumturn.platform.grpc.PlatformClient
+import org.gypsumturn.ports.grpc.PlatformClient
 import org.gypsumturn.runtime.duty.Duty
 import org.gypsumturn.runtime.metrics.Metrics
 import org.gypsumturn.runtime.settings.CommonSettings
--- a/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/FleetUpkeep.kt
@@ -21,8 +21,8 @@
 import org.gypsumturn.model.valueOrNull
 import org.gypsumturn.peer.ChangeHeader
 import org.gypsumturn.peer.ChangeOutcome
-import org.gypsumturn.platform.InstanceList
-import org.gypsumturn.platform.InstanceListing
+import org.gypsumturn.ports.InstanceList
+import org.gypsumturn.ports.InstanceListing
 import org.gypsumturn.view.BeatObservations
 import org.gypsumturn.view.DrainProgress
 import org.gypsumturn.view.NodeBeats
--- a/control/src/main/kotlin/org/gypsumturn/control/fleet/ListingWatch.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/ListingWatch.kt
@@ -8,9 +8,9 @@
 import org.gypsumturn.model.Instance
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.InstanceState
-import org.gypsumturn.platform.InstanceListing
-import org.gypsumturn.platform.ListedInstance
-import org.gypsumturn.platform.ListedState
+import org.gypsumturn.ports.InstanceListing
+import org.gypsumturn.ports.ListedInstance
+import org.gypsumturn.ports.ListedState
 
 /** Since when instances of the view have been missing from the list; times of the observer's monotonic clock. */
 internal data class MissingSince(val byInstance: Map<InstanceId, Long> = emptyMap()) {
--- a/control/src/main/kotlin/org/gypsumturn/control/fleet/Rebooter.kt
+++ b/control/src/main/kotlin/org/gypsumturn/control/fleet/Rebooter.kt
@@ -8,13 +8,13 @@
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.InstanceList
-import org.gypsumturn.platform.InstanceListing
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.InstanceList
+import org.gypsumturn.ports.InstanceListing
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 import org.slf4j.LoggerFactory
 
 /** Asks for reboots and finds out when they are done. Used by one thread. */
--- a/control/src/test/kotlin/org/gypsumturn/control/fleet/FleetUpkeepTest.kt
+++ b/control/src/test/kotlin/org/gypsumturn/control/fleet/FleetUpkeepTest.kt
@@ -13,8 +13,8 @@
 import org.gypsumturn.model.WaveId
 import org.gypsumturn.model.WaveState
 import org.gypsumturn.peer.ChangeOutcome
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.TableFault
 
 class FleetUpkeepTest : AnnotationSpec() {
     private val wave = WaveId("w")
--- a/control/src/test/kotlin/org/gypsumturn/control/job/OwnerTakeoverTest.kt
+++ b/control/src/test/kotlin/org/gypsumturn/control/job/OwnerTakeoverTest.kt
@@ -32,9 +32,9 @@
 import org.gypsumturn.model.RegionId
 import org.gypsumturn.model.TeamId
 import org.gypsumturn.model.ViewVersion
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.FakeWorkerTasks
-import org.gypsumturn.platform.fake.TaskScript
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.FakeWorkerTasks
+import org.gypsumturn.ports.fake.TaskScript
 import org.gypsumturn.view.NodeBeat
 import org.gypsumturn.view.NodeBeats
 
--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryNode.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryNode.kt
@@ -22,8 +22,8 @@
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.NodeRole
 import org.gypsumturn.peer.NodeActivity
-import org.gypsumturn.platform.InstanceList
-import org.gypsumturn.platform.TableStore
+import org.gypsumturn.ports.InstanceList
+import org.gypsumturn.ports.TableStore
 import org.gypsumturn.request.SlotReport
 import org.gypsumturn.runtime.trace.Tracing
 import org.gypsumturn.view.Readiness
--- a/entry/src/main/kotlin/org/gypsumturn/entry/EntryProgram.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/EntryProgram.kt
@@ -12,7 +12,7 @@
 import org.gypsumturn.peer.ViewKeeper
 import org.gypsumturn.peer.ViewSettings
 import org.gypsumturn.peer.toAddress
-import org.gypsumturn.platform.grpc.PlatformClient
+import org.gypsumturn.ports.grpc.PlatformClient
 import org.gypsumturn.request.SlotReport
 import org.gypsumturn.runtime.metrics.Metrics
 import org.gypsumturn.runtime.settings.Settings
--- a/entry/src/main/kotlin/org/gypsumturn/entry/LeavingWatch.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/LeavingWatch.kt
@@ -5,8 +5,8 @@
 
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.InstanceList
-import org.gypsumturn.platform.ListedState
+import org.gypsumturn.ports.InstanceList
+import org.gypsumturn.ports.ListedState
 import org.gypsumturn.runtime.duty.Duty
 
 /** At each look, calls [onLeaving] for each instance that the list shows as leaving, on a thread of its own. */
--- a/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/KeyedRows.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/dispatch/KeyedRows.kt
@@ -8,7 +8,7 @@
 import org.gypsumturn.entry.ledger.IntentState
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.RowKey
+import org.gypsumturn.ports.RowKey
 
 /** Rows of keyed requests. */
 internal object KeyedRows {
--- a/entry/src/main/kotlin/org/gypsumturn/entry/ledger/GroupCommitter.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/ledger/GroupCommitter.kt
@@ -7,13 +7,13 @@
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 
 /** Writes [value], or removes the row if it is null, provided that the row still has the revision [expected]. */
 internal data class RowWrite(val key: RowKey, val expected: Revision, val value: String?)
--- a/entry/src/main/kotlin/org/gypsumturn/entry/ledger/IntentLedger.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/ledger/IntentLedger.kt
@@ -7,9 +7,9 @@
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
 import org.gypsumturn.request.IntentOutcome
 
 /**
--- a/entry/src/main/kotlin/org/gypsumturn/entry/ledger/IntentRow.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/ledger/IntentRow.kt
@@ -11,7 +11,7 @@
 import org.gypsumturn.model.IdempotencyKey
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.ServiceId
-import org.gypsumturn.platform.RowKey
+import org.gypsumturn.ports.RowKey
 import java.security.MessageDigest
 import java.util.Base64
 
--- a/entry/src/main/kotlin/org/gypsumturn/entry/ledger/LedgerDuty.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/ledger/LedgerDuty.kt
@@ -3,7 +3,7 @@
 package org.gypsumturn.entry.ledger
 
 import org.gypsumturn.entry.EntryMetrics
-import org.gypsumturn.platform.TableStore
+import org.gypsumturn.ports.TableStore
 import org.gypsumturn.runtime.duty.Duty
 
 /**
--- a/entry/src/main/kotlin/org/gypsumturn/entry/ledger/LedgerOrder.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/ledger/LedgerOrder.kt
@@ -3,7 +3,7 @@
 package org.gypsumturn.entry.ledger
 
 import org.gypsumturn.entry.http.HttpAnswer
-import org.gypsumturn.platform.RowKey
+import org.gypsumturn.ports.RowKey
 import org.gypsumturn.request.IntentOutcome
 
 /**
--- a/entry/src/main/kotlin/org/gypsumturn/entry/ledger/RepeatQueue.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/ledger/RepeatQueue.kt
@@ -3,8 +3,8 @@
 package org.gypsumturn.entry.ledger
 
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.TableStore
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.TableStore
 
 /** A repeat and the row that was found for it; null if it has waited long enough. */
 internal class SeenRepeat(val order: LedgerOrder.Intent, val row: Row?)
--- a/entry/src/main/kotlin/org/gypsumturn/entry/ledger/RetentionSweep.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/ledger/RetentionSweep.kt
@@ -3,8 +3,8 @@
 package org.gypsumturn.entry.ledger
 
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
 
 /**
  * Sweeps the rows of all keyed requests. Not thread-safe; blocks on [table].
--- a/entry/src/test/kotlin/org/gypsumturn/entry/EntryProgramTest.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/EntryProgramTest.kt
@@ -11,8 +11,8 @@
 import org.gypsumturn.model.ViewVersion
 import org.gypsumturn.model.valueOrNull
 import org.gypsumturn.peer.GrpcPort
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.grpc.PlatformServices
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.grpc.PlatformServices
 import org.gypsumturn.runtime.metrics.Metrics
 import org.gypsumturn.runtime.settings.HostAndPort
 import org.gypsumturn.runtime.settings.SettingsResult
--- a/entry/src/test/kotlin/org/gypsumturn/entry/Fixture.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/Fixture.kt
@@ -32,10 +32,10 @@
 import org.gypsumturn.model.TeamId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.ViewVersion
-import org.gypsumturn.platform.InstanceList
-import org.gypsumturn.platform.InstanceListing
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.fake.FakeTableStore
+import org.gypsumturn.ports.InstanceList
+import org.gypsumturn.ports.InstanceListing
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.fake.FakeTableStore
 import org.gypsumturn.request.DispatchSettings
 import org.gypsumturn.runtime.settings.HostAndPort
 import org.gypsumturn.runtime.trace.Tracing
--- a/entry/src/test/kotlin/org/gypsumturn/entry/JobDeskTest.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/JobDeskTest.kt
@@ -3,8 +3,8 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.TableFault
 
 class JobDeskTest : AnnotationSpec() {
     private fun job(id: String, pool: String = "plans", payload: String = "nest") =
--- a/entry/src/test/kotlin/org/gypsumturn/entry/KeyedRequestTest.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/KeyedRequestTest.kt
@@ -9,8 +9,8 @@
 import org.gypsumturn.model.IdempotencyKey
 import org.gypsumturn.model.ServiceId
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.TableFault
 import org.gypsumturn.view.Readiness
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
--- a/entry/src/test/kotlin/org/gypsumturn/entry/ledger/IntentLedgerTest.kt
+++ b/entry/src/test/kotlin/org/gypsumturn/entry/ledger/IntentLedgerTest.kt
@@ -9,9 +9,9 @@
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.ServiceId
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.TableFault
 import org.gypsumturn.request.IntentOutcome
 
 /** The ledger in virtual time. */
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/AcceptGroup.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/AcceptGroup.kt
@@ -10,11 +10,11 @@
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.failureOrNull
 import org.gypsumturn.model.map
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 
 /** Accepts [specs] together; what was accepted before, or conflicts, is sorted out by reading the rows. */
 internal class AcceptGroup(
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/HeldJob.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/HeldJob.kt
@@ -10,7 +10,7 @@
 import org.gypsumturn.placement.Transition
 import org.gypsumturn.placement.after
 import org.gypsumturn.placement.isHeld
-import org.gypsumturn.platform.TaskKey
+import org.gypsumturn.ports.TaskKey
 
 /** An event and the time at which the owner learned of it. */
 internal data class TimedEvent(val event: JobEvent, val atMillis: Long)
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/Inbox.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/Inbox.kt
@@ -7,10 +7,10 @@
 import org.gypsumturn.model.JobRecord
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Write
 
 /** A notice whose jobs are in memory; its row can go. */
 internal class HandledNotice(val key: RowKey, val pool: OwnedPool) {
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobAcceptance.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobAcceptance.kt
@@ -12,7 +12,7 @@
 import org.gypsumturn.model.TeamId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.map
-import org.gypsumturn.platform.TableStore
+import org.gypsumturn.ports.TableStore
 
 /** A job that is recorded. [repeated] tells that the same job had been accepted before. */
 public data class AcceptedJob(public val id: JobId, public val repeated: Boolean)
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobCancellation.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobCancellation.kt
@@ -15,13 +15,13 @@
 import org.gypsumturn.placement.JobEvent
 import org.gypsumturn.placement.Transition
 import org.gypsumturn.placement.after
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 
 /** Cancels jobs straight in the table, each write conditional on the row that it read. */
 internal class JobCancellation(private val table: TableStore) {
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobListing.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobListing.kt
@@ -8,9 +8,9 @@
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.isFinal
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
 
 /** Pages through the open and the ended jobs of a pool in one order of ids. */
 internal class JobListing(private val table: TableStore) {
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwner.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobOwner.kt
@@ -14,9 +14,9 @@
 import org.gypsumturn.placement.JobEvent
 import org.gypsumturn.placement.WorkerCapacity
 import org.gypsumturn.placement.isHeld
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.TaskKey
-import org.gypsumturn.platform.WorkerTasks
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.TaskKey
+import org.gypsumturn.ports.WorkerTasks
 
 /** Counts of what an owner holds, for metrics. */
 public data class JobOwnerCounts(
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobRows.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobRows.kt
@@ -14,7 +14,7 @@
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.TeamId
 import org.gypsumturn.placement.bucketOf
-import org.gypsumturn.platform.RowKey
+import org.gypsumturn.ports.RowKey
 
 /** Holder of a pool's jobs. A writer whose epoch is not the recorded one has lost the pool. */
 @Serializable
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobWriter.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobWriter.kt
@@ -6,11 +6,11 @@
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.isFinal
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
 
 /** What the writer tells of its results. */
 internal interface WriteListener {
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/OwnedPool.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/OwnedPool.kt
@@ -13,9 +13,9 @@
 import org.gypsumturn.placement.WaitingJob
 import org.gypsumturn.placement.WorkerCapacity
 import org.gypsumturn.placement.isHeld
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TaskKey
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TaskKey
 
 /** A pool that this process owns under [epoch]. */
 internal class OwnedPool(val id: PoolId, val epoch: Epoch, private val fence: Revision, val scheduler: PoolScheduler) {
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/OwnerState.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/OwnerState.kt
@@ -10,7 +10,7 @@
 import org.gypsumturn.placement.JobEvent
 import org.gypsumturn.placement.SizeLearner
 import org.gypsumturn.placement.TeamLedger
-import org.gypsumturn.platform.TaskKey
+import org.gypsumturn.ports.TaskKey
 
 /** State of one owner. It belongs to the owner's thread. */
 internal class OwnerState(val settings: JobOwnerSettings) {
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/PoolOwnership.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/PoolOwnership.kt
@@ -14,12 +14,12 @@
 import org.gypsumturn.placement.PoolScheduler
 import org.gypsumturn.placement.bucketOf
 import org.gypsumturn.placement.ownerOfBucket
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 
 /** Claims, loads and gives up pools. */
 internal class PoolOwnership(
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/Retention.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/Retention.kt
@@ -4,10 +4,10 @@
 
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 
 /** Walks through the ended jobs of the owned pools. */
 internal class Retention(
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/TaskSupervisor.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/TaskSupervisor.kt
@@ -8,12 +8,12 @@
 import org.gypsumturn.placement.JobEvent
 import org.gypsumturn.placement.RunningAction
 import org.gypsumturn.placement.isHeld
-import org.gypsumturn.platform.StartOutcome
-import org.gypsumturn.platform.TaskAction
-import org.gypsumturn.platform.TaskReport
-import org.gypsumturn.platform.TaskStart
-import org.gypsumturn.platform.TaskState
-import org.gypsumturn.platform.WorkerTasks
+import org.gypsumturn.ports.StartOutcome
+import org.gypsumturn.ports.TaskAction
+import org.gypsumturn.ports.TaskReport
+import org.gypsumturn.ports.TaskStart
+import org.gypsumturn.ports.TaskState
+import org.gypsumturn.ports.WorkerTasks
 
 /** Runs independent calls and returns once all have ended; a program may run them on several threads. */
 public typealias ParallelCalls = (List<() -> Unit>) -> Unit
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/TeamUsage.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/TeamUsage.kt
@@ -8,10 +8,10 @@
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.model.TeamId
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 
 /** Exchanges the usage of teams with quotas. */
 internal class TeamUsage(
--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/WorkerExchange.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/WorkerExchange.kt
@@ -6,10 +6,10 @@
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.placement.JobAction
-import org.gypsumturn.platform.TaskAction
-import org.gypsumturn.platform.TaskKey
-import org.gypsumturn.platform.WorkerReport
-import org.gypsumturn.platform.WorkerTasks
+import org.gypsumturn.ports.TaskAction
+import org.gypsumturn.ports.TaskKey
+import org.gypsumturn.ports.WorkerReport
+import org.gypsumturn.ports.WorkerTasks
 
 /** An action on a task. */
 internal data class TaskOrder(val task: TaskKey, val action: TaskAction)
--- a/jobs/src/test/kotlin/org/gypsumturn/jobs/JobAcceptanceTest.kt
+++ b/jobs/src/test/kotlin/org/gypsumturn/jobs/JobAcceptanceTest.kt
@@ -10,8 +10,8 @@
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.failureOrNull
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.TableFault
 
 class JobAcceptanceTest : AnnotationSpec() {
     private class Fixture {
--- a/jobs/src/test/kotlin/org/gypsumturn/jobs/JobOwnerTest.kt
+++ b/jobs/src/test/kotlin/org/gypsumturn/jobs/JobOwnerTest.kt
@@ -17,11 +17,11 @@
 import org.gypsumturn.model.Team
 import org.gypsumturn.model.TeamId
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.FakeWorkerTasks
-import org.gypsumturn.platform.fake.TableFault
-import org.gypsumturn.platform.fake.TaskScript
-import org.gypsumturn.platform.fake.WorkerFault
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.FakeWorkerTasks
+import org.gypsumturn.ports.fake.TableFault
+import org.gypsumturn.ports.fake.TaskScript
+import org.gypsumturn.ports.fake.WorkerFault
 
 class JobOwnerTest : AnnotationSpec() {
     private class Fixture {
--- a/peer/src/test/kotlin/org/gypsumturn/peer/CutOffTable.kt
+++ b/peer/src/test/kotlin/org/gypsumturn/peer/CutOffTable.kt
@@ -3,11 +3,11 @@
 import org.gypsumturn.model.Failure
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
 import java.util.concurrent.atomic.AtomicBoolean
 
 /** A table that one node cannot reach while [cut] is set. */
--- a/peer/src/test/kotlin/org/gypsumturn/peer/ViewSpreadTest.kt
+++ b/peer/src/test/kotlin/org/gypsumturn/peer/ViewSpreadTest.kt
@@ -18,8 +18,8 @@
 import org.gypsumturn.model.PoolRole
 import org.gypsumturn.model.RegionId
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.TableFault
 import org.gypsumturn.runtime.settings.HostAndPort
 import org.gypsumturn.view.NodeBeats
 import org.gypsumturn.view.ViewLog
--- a/platform-fake/src/main/kotlin/org/gypsumturn/platform/fake/FakeInstanceList.kt
+++ b/ports-fake/src/main/kotlin/org/gypsumturn/ports/fake/FakeInstanceList.kt
@@ -1,15 +1,15 @@
 // An in-memory instance list that lags behind the truth, and reboots instances in virtual or real time.
 
-package org.gypsumturn.platform.fake
+package org.gypsumturn.ports.fake
 
 import org.gypsumturn.model.Failure
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.InstanceList
-import org.gypsumturn.platform.InstanceListing
-import org.gypsumturn.platform.ListedInstance
-import org.gypsumturn.platform.ListedState
+import org.gypsumturn.ports.InstanceList
+import org.gypsumturn.ports.InstanceListing
+import org.gypsumturn.ports.ListedInstance
+import org.gypsumturn.ports.ListedState
 
 /** What the list knows of one instance from [sinceMillis] on; null where it is gone. */
 private data class Seen(val sinceMillis: Long, val instance: ListedInstance?)
--- a/platform-fake/src/main/kotlin/org/gypsumturn/platform/fake/FakeObjectStore.kt
+++ b/ports-fake/src/main/kotlin/org/gypsumturn/ports/fake/FakeObjectStore.kt
@@ -1,12 +1,12 @@
 // An in-memory object store that fails on demand in the same ways as the table.
 
-package org.gypsumturn.platform.fake
+package org.gypsumturn.ports.fake
 
 import org.gypsumturn.model.Failure
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.ObjectName
-import org.gypsumturn.platform.ObjectStore
+import org.gypsumturn.ports.ObjectName
+import org.gypsumturn.ports.ObjectStore
 
 /**
  * An object store in memory. Thread-safe.
--- a/platform-fake/src/main/kotlin/org/gypsumturn/platform/fake/FakeTableStore.kt
+++ b/ports-fake/src/main/kotlin/org/gypsumturn/ports/fake/FakeTableStore.kt
@@ -1,17 +1,17 @@
 // An in-memory table that keeps the contract of the platform's table service and fails on demand.
 
-package org.gypsumturn.platform.fake
+package org.gypsumturn.ports.fake
 
 import org.gypsumturn.model.Failure
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 import java.util.TreeMap
 
 /** What the table does to the next call. */
--- a/platform-fake/src/main/kotlin/org/gypsumturn/platform/fake/FakeWorkerTasks.kt
+++ b/ports-fake/src/main/kotlin/org/gypsumturn/ports/fake/FakeWorkerTasks.kt
@@ -1,7 +1,7 @@
 // In-memory workers that keep the contract of the workers' task interface and fail on demand. They live in the
 // caller's time: a task's end and the lapse of its lease are worked out when a worker is next asked.
 
-package org.gypsumturn.platform.fake
+package org.gypsumturn.ports.fake
 
 import org.gypsumturn.model.Capacity
 import org.gypsumturn.model.Failure
@@ -9,14 +9,14 @@
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.StartOutcome
-import org.gypsumturn.platform.TaskAction
-import org.gypsumturn.platform.TaskKey
-import org.gypsumturn.platform.TaskReport
-import org.gypsumturn.platform.TaskStart
-import org.gypsumturn.platform.TaskState
-import org.gypsumturn.platform.WorkerReport
-import org.gypsumturn.platform.WorkerTasks
+import org.gypsumturn.ports.StartOutcome
+import org.gypsumturn.ports.TaskAction
+import org.gypsumturn.ports.TaskKey
+import org.gypsumturn.ports.TaskReport
+import org.gypsumturn.ports.TaskStart
+import org.gypsumturn.ports.TaskState
+import org.gypsumturn.ports.WorkerReport
+import org.gypsumturn.ports.WorkerTasks
 
 /** What a task does: it runs for [runMillis], uses [usage], and then finishes or fails. */
 public data class TaskScript(
--- a/platform-fake/src/test/kotlin/org/gypsumturn/platform/fake/FakeInstanceListTest.kt
+++ b/ports-fake/src/test/kotlin/org/gypsumturn/ports/fake/FakeInstanceListTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumturn.platform.fake
+package org.gypsumturn.ports.fake
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
@@ -12,9 +12,9 @@
 import org.gypsumturn.model.RegionId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.ListedInstance
-import org.gypsumturn.platform.ListedState
-import org.gypsumturn.platform.ObjectName
+import org.gypsumturn.ports.ListedInstance
+import org.gypsumturn.ports.ListedState
+import org.gypsumturn.ports.ObjectName
 
 class FakeInstanceListTest : AnnotationSpec() {
     private val id = InstanceId("plans-1")
--- a/platform-fake/src/test/kotlin/org/gypsumturn/platform/fake/FakeTableStoreTest.kt
+++ b/ports-fake/src/test/kotlin/org/gypsumturn/ports/fake/FakeTableStoreTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumturn.platform.fake
+package org.gypsumturn.ports.fake
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
@@ -6,11 +6,11 @@
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 
 class FakeTableStoreTest : AnnotationSpec() {
     private val key = RowKey("a/1")
--- a/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/GrpcInstanceList.kt
+++ b/ports-grpc/src/main/kotlin/org/gypsumturn/ports/grpc/GrpcInstanceList.kt
@@ -1,12 +1,12 @@
 // The instance list port over gRPC.
 
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.map
-import org.gypsumturn.platform.InstanceList
-import org.gypsumturn.platform.InstanceListing
+import org.gypsumturn.ports.InstanceList
+import org.gypsumturn.ports.InstanceListing
 import org.gypsumturn.schema.platform.InstancesGrpc
 import org.gypsumturn.schema.platform.ListRequest
 import org.gypsumturn.schema.platform.RebootRequest
--- a/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/GrpcObjectStore.kt
+++ b/ports-grpc/src/main/kotlin/org/gypsumturn/ports/grpc/GrpcObjectStore.kt
@@ -1,12 +1,12 @@
 // The object store port over gRPC.
 
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import com.google.protobuf.ByteString
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.map
-import org.gypsumturn.platform.ObjectName
-import org.gypsumturn.platform.ObjectStore
+import org.gypsumturn.ports.ObjectName
+import org.gypsumturn.ports.ObjectStore
 import org.gypsumturn.schema.platform.GetObjectRequest
 import org.gypsumturn.schema.platform.ObjectsGrpc
 import org.gypsumturn.schema.platform.PutObjectRequest
--- a/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/GrpcTableStore.kt
+++ b/ports-grpc/src/main/kotlin/org/gypsumturn/ports/grpc/GrpcTableStore.kt
@@ -1,15 +1,15 @@
 // The table port over gRPC.
 
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.map
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
 import org.gypsumturn.schema.platform.ReadRequest
 import org.gypsumturn.schema.platform.ScanRequest
 import org.gypsumturn.schema.platform.TableGrpc
--- a/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/GrpcWorkerTasks.kt
+++ b/ports-grpc/src/main/kotlin/org/gypsumturn/ports/grpc/GrpcWorkerTasks.kt
@@ -1,16 +1,16 @@
 // The workers' task interface over gRPC.
 
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.map
-import org.gypsumturn.platform.StartOutcome
-import org.gypsumturn.platform.TaskAction
-import org.gypsumturn.platform.TaskKey
-import org.gypsumturn.platform.TaskStart
-import org.gypsumturn.platform.WorkerReport
-import org.gypsumturn.platform.WorkerTasks
+import org.gypsumturn.ports.StartOutcome
+import org.gypsumturn.ports.TaskAction
+import org.gypsumturn.ports.TaskKey
+import org.gypsumturn.ports.TaskStart
+import org.gypsumturn.ports.WorkerReport
+import org.gypsumturn.ports.WorkerTasks
 import org.gypsumturn.schema.platform.ActRequest
 import org.gypsumturn.schema.platform.ForgetRequest
 import org.gypsumturn.schema.platform.RenewTasksRequest
--- a/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/Messages.kt
+++ b/ports-grpc/src/main/kotlin/org/gypsumturn/ports/grpc/Messages.kt
@@ -1,6 +1,6 @@
 // Conversion between the messages of the platform's schema and the types of the ports.
 
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import org.gypsumturn.model.Address
 import org.gypsumturn.model.Capacity
@@ -12,18 +12,18 @@
 import org.gypsumturn.model.RackId
 import org.gypsumturn.model.RegionId
 import org.gypsumturn.model.Revision
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.ListedInstance
-import org.gypsumturn.platform.ListedState
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TaskKey
-import org.gypsumturn.platform.TaskReport
-import org.gypsumturn.platform.TaskStart
-import org.gypsumturn.platform.TaskState
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.WorkerReport
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.ListedInstance
+import org.gypsumturn.ports.ListedState
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TaskKey
+import org.gypsumturn.ports.TaskReport
+import org.gypsumturn.ports.TaskStart
+import org.gypsumturn.ports.TaskState
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.WorkerReport
+import org.gypsumturn.ports.Write
 import org.gypsumturn.schema.platform.CommitCondition
 import org.gypsumturn.schema.platform.CommitRequest
 import org.gypsumturn.schema.platform.CommitWrite
--- a/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/PlatformChannel.kt
+++ b/ports-grpc/src/main/kotlin/org/gypsumturn/ports/grpc/PlatformChannel.kt
@@ -1,7 +1,7 @@
 // The connection to the platform, and the translation of its failures into verdicts. A channel on which a call missed
 // its deadline is replaced, since something on the path may have lost track of the connection.
 
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import io.grpc.ManagedChannel
 import io.grpc.Status
--- a/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/PlatformClient.kt
+++ b/ports-grpc/src/main/kotlin/org/gypsumturn/ports/grpc/PlatformClient.kt
@@ -1,12 +1,12 @@
 // Client of the platform: the four ports over gRPC.
 
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import org.gypsumturn.model.Address
-import org.gypsumturn.platform.InstanceList
-import org.gypsumturn.platform.ObjectStore
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.WorkerTasks
+import org.gypsumturn.ports.InstanceList
+import org.gypsumturn.ports.ObjectStore
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.WorkerTasks
 
 /**
  * The platform at [address]. Thread-safe; it connects on the first call and again whenever it has to.
--- a/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/PlatformServices.kt
+++ b/ports-grpc/src/main/kotlin/org/gypsumturn/ports/grpc/PlatformServices.kt
@@ -1,6 +1,6 @@
 // The server side of the platform's schema over any implementation of the ports: for the stand-in and for tests.
 
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import com.google.protobuf.ByteString
 import io.grpc.BindableService
@@ -10,15 +10,15 @@
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.InstanceList
-import org.gypsumturn.platform.ObjectName
-import org.gypsumturn.platform.ObjectStore
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.TaskAction
-import org.gypsumturn.platform.WorkerTasks
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.InstanceList
+import org.gypsumturn.ports.ObjectName
+import org.gypsumturn.ports.ObjectStore
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.TaskAction
+import org.gypsumturn.ports.WorkerTasks
 import org.gypsumturn.schema.platform.ActReply
 import org.gypsumturn.schema.platform.ActRequest
 import org.gypsumturn.schema.platform.CommitReply
--- a/platform-grpc/src/main/kotlin/org/gypsumturn/platform/grpc/SendTracker.kt
+++ b/ports-grpc/src/main/kotlin/org/gypsumturn/ports/grpc/SendTracker.kt
@@ -1,7 +1,7 @@
 // Tells whether a gRPC call can have reached the other side. A call that was never handed to a connection was certainly
 // not run, whatever its status says.
 
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import io.grpc.CallOptions
 import io.grpc.Channel
--- a/platform-grpc/src/test/kotlin/org/gypsumturn/platform/grpc/PlatformClientTest.kt
+++ b/ports-grpc/src/test/kotlin/org/gypsumturn/ports/grpc/PlatformClientTest.kt
@@ -1,4 +1,4 @@
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import io.grpc.Server
 import io.grpc.Status
@@ -11,15 +11,15 @@
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.ObjectName
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
-import org.gypsumturn.platform.fake.FakeObjectStore
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.ObjectName
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
+import org.gypsumturn.ports.fake.FakeObjectStore
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.TableFault
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
--- a/platform-grpc/src/test/kotlin/org/gypsumturn/platform/grpc/SilentProxy.kt
+++ b/ports-grpc/src/test/kotlin/org/gypsumturn/ports/grpc/SilentProxy.kt
@@ -1,6 +1,6 @@
 // A TCP proxy for tests that can lose track of its open connections: bytes vanish, and no end learns of it.
 
-package org.gypsumturn.platform.grpc
+package org.gypsumturn.ports.grpc
 
 import java.io.IOException
 import java.net.InetAddress
--- a/standin/src/main/kotlin/org/gypsumturn/standin/InstanceGroups.kt
+++ b/standin/src/main/kotlin/org/gypsumturn/standin/InstanceGroups.kt
@@ -8,8 +8,8 @@
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.RackId
 import org.gypsumturn.model.RegionId
-import org.gypsumturn.platform.ListedInstance
-import org.gypsumturn.platform.ListedState
+import org.gypsumturn.ports.ListedInstance
+import org.gypsumturn.ports.ListedState
 
 /** A simulated instance before it has a port. */
 internal data class PlannedInstance(val id: InstanceId, val domain: FailureDomain)
--- a/standin/src/main/kotlin/org/gypsumturn/standin/Standin.kt
+++ b/standin/src/main/kotlin/org/gypsumturn/standin/Standin.kt
@@ -16,10 +16,10 @@
 import org.apache.commons.rng.simple.RandomSource
 import org.gypsumturn.model.Address
 import org.gypsumturn.model.InstanceId
-import org.gypsumturn.platform.fake.FakeInstanceList
-import org.gypsumturn.platform.fake.FakeObjectStore
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.grpc.PlatformServices
+import org.gypsumturn.ports.fake.FakeInstanceList
+import org.gypsumturn.ports.fake.FakeObjectStore
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.grpc.PlatformServices
 import org.gypsumturn.runtime.trace.Tracing
 import org.gypsumturn.standin.fault.Faults
 import org.gypsumturn.standin.fault.FaultsService
--- a/standin/src/main/kotlin/org/gypsumturn/standin/fault/Faults.kt
+++ b/standin/src/main/kotlin/org/gypsumturn/standin/fault/Faults.kt
@@ -4,7 +4,7 @@
 
 import org.apache.commons.rng.UniformRandomProvider
 import org.gypsumturn.model.InstanceId
-import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.ports.fake.TableFault
 import java.util.concurrent.ConcurrentHashMap
 
 /** A fault of an instance; [text] is its name in the schema. */
--- a/standin/src/main/kotlin/org/gypsumturn/standin/fault/SlowTableStore.kt
+++ b/standin/src/main/kotlin/org/gypsumturn/standin/fault/SlowTableStore.kt
@@ -3,11 +3,11 @@
 package org.gypsumturn.standin.fault
 
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
 
 internal class SlowTableStore(private val table: TableStore, private val delay: () -> Unit) : TableStore {
     override fun read(keys: List<RowKey>, timeoutMillis: Long): Verdict<List<Row>> {
--- a/standin/src/main/kotlin/org/gypsumturn/standin/worker/SimulatedTask.kt
+++ b/standin/src/main/kotlin/org/gypsumturn/standin/worker/SimulatedTask.kt
@@ -3,11 +3,11 @@
 package org.gypsumturn.standin.worker
 
 import org.gypsumturn.model.Capacity
-import org.gypsumturn.platform.TaskAction
-import org.gypsumturn.platform.TaskKey
-import org.gypsumturn.platform.TaskReport
-import org.gypsumturn.platform.TaskStart
-import org.gypsumturn.platform.TaskState
+import org.gypsumturn.ports.TaskAction
+import org.gypsumturn.ports.TaskKey
+import org.gypsumturn.ports.TaskReport
+import org.gypsumturn.ports.TaskStart
+import org.gypsumturn.ports.TaskState
 import org.gypsumturn.standin.fault.InstanceFault
 import org.gypsumturn.standin.fault.SLOW_FACTOR
 
--- a/standin/src/test/kotlin/org/gypsumturn/standin/StandinTest.kt
+++ b/standin/src/test/kotlin/org/gypsumturn/standin/StandinTest.kt
@@ -15,9 +15,9 @@
 import org.gypsumturn.model.RegionId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.ListedState
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.grpc.PlatformClient
+import org.gypsumturn.ports.ListedState
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.grpc.PlatformClient
 import org.gypsumturn.runtime.settings.NamedCount
 import org.gypsumturn.runtime.trace.Tracing
 import org.gypsumturn.schema.platform.ExecutionsRequest
--- a/standin/src/test/kotlin/org/gypsumturn/standin/worker/SimulatedWorkersTest.kt
+++ b/standin/src/test/kotlin/org/gypsumturn/standin/worker/SimulatedWorkersTest.kt
@@ -9,11 +9,11 @@
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.StartOutcome
-import org.gypsumturn.platform.TaskAction
-import org.gypsumturn.platform.TaskKey
-import org.gypsumturn.platform.TaskStart
-import org.gypsumturn.platform.TaskState
+import org.gypsumturn.ports.StartOutcome
+import org.gypsumturn.ports.TaskAction
+import org.gypsumturn.ports.TaskKey
+import org.gypsumturn.ports.TaskStart
+import org.gypsumturn.ports.TaskState
 import org.gypsumturn.standin.ExecutionLog
 import org.gypsumturn.standin.fault.InstanceFault
 
--- a/view/src/main/kotlin/org/gypsumturn/view/NodeBeat.kt
+++ b/view/src/main/kotlin/org/gypsumturn/view/NodeBeat.kt
@@ -14,10 +14,10 @@
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.ViewVersion
 import org.gypsumturn.model.map
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 
 /** Requests that wait and run at one node for a pool, and all that have [finished] since the node started. */
 @Serializable
--- a/view/src/main/kotlin/org/gypsumturn/view/ViewLog.kt
+++ b/view/src/main/kotlin/org/gypsumturn/view/ViewLog.kt
@@ -15,13 +15,13 @@
 import org.gypsumturn.model.ViewVersion
 import org.gypsumturn.model.map
 import org.gypsumturn.model.valueOr
-import org.gypsumturn.platform.CommitOutcome
-import org.gypsumturn.platform.Condition
-import org.gypsumturn.platform.Row
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.TableStore
-import org.gypsumturn.platform.Transaction
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.CommitOutcome
+import org.gypsumturn.ports.Condition
+import org.gypsumturn.ports.Row
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.TableStore
+import org.gypsumturn.ports.Transaction
+import org.gypsumturn.ports.Write
 
 /** A view and the revision of the head row that goes with it. */
 public data class LoggedView(public val view: FleetView, public val headRevision: Revision)
--- a/view/src/main/kotlin/org/gypsumturn/view/ViewRows.kt
+++ b/view/src/main/kotlin/org/gypsumturn/view/ViewRows.kt
@@ -9,8 +9,8 @@
 import org.gypsumturn.model.Mutation
 import org.gypsumturn.model.OperationId
 import org.gypsumturn.model.ViewVersion
-import org.gypsumturn.platform.RowKey
-import org.gypsumturn.platform.Write
+import org.gypsumturn.ports.RowKey
+import org.gypsumturn.ports.Write
 
 /** Content of the head row. */
 @Serializable
--- a/view/src/test/kotlin/org/gypsumturn/view/ViewLogTest.kt
+++ b/view/src/test/kotlin/org/gypsumturn/view/ViewLogTest.kt
@@ -15,8 +15,8 @@
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.ViewVersion
 import org.gypsumturn.model.valueOrNull
-import org.gypsumturn.platform.fake.FakeTableStore
-import org.gypsumturn.platform.fake.TableFault
+import org.gypsumturn.ports.fake.FakeTableStore
+import org.gypsumturn.ports.fake.TableFault
 
 class ViewLogTest : AnnotationSpec() {
     private val empty = LoggedView(FleetView(), Revision.ABSENT)
