--- /dev/null
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -0,0 +1,358 @@
+// Scheduler of the holder of the control lease: learns of jobs, executors and reports, and decides what runs where. It
+// does no I/O. Orders gather until they are taken; their answers come back as events.
+
+package org.gypsumturn.batch.schedule
+
+import org.gypsumturn.batch.model.BatchJob
+import org.gypsumturn.batch.model.ExecutorRecord
+import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.model.OrderAnswer
+import org.gypsumturn.batch.model.Queue
+import org.gypsumturn.batch.model.QueueId
+import org.gypsumturn.batch.model.RunId
+import org.gypsumturn.batch.port.LookAnswer
+import org.gypsumturn.batch.state.ExecutorState
+import org.gypsumturn.batch.state.JobState
+import org.gypsumturn.batch.state.Occurrence
+import org.gypsumturn.batch.state.ProgressRecord
+import org.gypsumturn.batch.state.Run
+import org.gypsumturn.batch.state.RunPhase
+import org.gypsumturn.batch.state.applyProgress
+import org.gypsumturn.batch.state.progressOf
+import org.gypsumturn.model.Epoch
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.JobId
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+
+/** A change of a job's progress that is to be stored under [serial]. */
+public class ProgressChange(
+    public val job: JobState,
+    public val serial: Long,
+    public val revision: Revision,
+    public val record: ProgressRecord,
+)
+
+/** The scheduler of one holder, from its takeover on. */
+public class BatchScheduler(
+    private val settings: SchedulerSettings,
+    private val epoch: Epoch,
+    private val log: DecisionLog,
+) {
+    private val jobsById = HashMap<JobId, JobState>()
+    private val changed = LinkedHashSet<JobState>()
+    private val book = ExecutorBook(settings, epoch, log)
+    private val recovery = Recovery()
+    private val ends = RunEnds(this, book, log)
+    private val starter = TaskStarter(settings, epoch, book, log)
+    private var configuration: FleetConfiguration? = null
+    private var serial = 0L
+    private var placedMillis = 0L
+    private var needsPlacement = true
+
+    init {
+        ends.maxFailures = { job -> configuration?.queue(job.job.queue)?.maxAttempts ?: Int.MAX_VALUE }
+    }
+
+    /** Jobs that have not ended. */
+    public val active: MutableSet<JobState> = LinkedHashSet()
+
+    /** Executors by id. */
+    public val executors: Map<InstanceId, ExecutorState> get() = book.executors
+
+    /** Whether an executor refused an order because another holder has a higher epoch. */
+    public val fencedOff: Boolean get() = book.fencedOff
+
+    /** Whether tasks that an earlier holder may have started can be started again. */
+    public val recovered: Boolean get() = recovery.over
+
+    /** The job [id], or null where it is not known. */
+    public fun job(id: JobId): JobState? = jobsById[id]
+
+    /** All jobs that are kept, ended ones included. */
+    public val jobs: Collection<JobState> get() = jobsById.values
+
+    /** Jobs of [queue] without a timetable of which no task has been started. */
+    public fun pending(queue: QueueId): Int = active.count { it.job.queue == queue && it.phase == JobPhase.QUEUED }
+
+    /** Puts [configuration] in force. */
+    public fun configure(configuration: FleetConfiguration) {
+        this.configuration = configuration
+        needsPlacement = true
+    }
+
+    /** An executor's entry as it stands in the store. */
+    public fun listed(nowMillis: Long, record: ExecutorRecord) {
+        book.listed(record)?.let { ends.lifetimeEnded(nowMillis, it) }
+        needsPlacement = true
+    }
+
+    /** An executor's entry is gone from the store. */
+    public fun unlisted(nowMillis: Long, id: InstanceId) {
+        book.unlisted(nowMillis, id)
+    }
+
+    /** The platform knows that [id] does not run any more. */
+    public fun gone(nowMillis: Long, id: InstanceId) {
+        recovery.seen(id)
+        val executor = book.executors[id] ?: return
+        log("executor gone", arrayOf("executor" to id, "runs" to executor.runs.size))
+        ends.lifetimeEnded(nowMillis, executor)
+        book.drop(executor)
+    }
+
+    /**
+     * Earlier holders may have ordered [ids]; until each was seen, or [untilMillis], their tasks stay where they are.
+     */
+    public fun recoverFrom(ids: Collection<InstanceId>, untilMillis: Long) {
+        recovery.begin(ids, untilMillis)
+    }
+
+    /** A job was accepted; [fresh] tells that no earlier holder can have started any of it. */
+    public fun accept(nowMillis: Long, job: BatchJob, progress: ProgressRecord?, revision: Revision, fresh: Boolean) {
+        if (job.id in jobsById) return
+        val first = if (fresh) 1L else epoch.value * SchedulerSettings.ATTEMPTS_PER_EPOCH + 1
+        val state = JobState(job, nowMillis, first)
+        state.revision = revision
+        jobsById[job.id] = state
+        progress?.let { applyProgress(state, it, nowMillis) }
+        if (state.phase.ended) {
+            state.endedMillis = nowMillis
+            return
+        }
+        if (job.repeats == 0 && 0 !in state.occurrences) state.begin(0, nowMillis)
+        active += state
+        needsPlacement = true
+        if (fresh) log("job queued", arrayOf("job" to job.id, "queue" to job.queue, "steps" to job.steps.size))
+    }
+
+    /** A job's cancellation was stored. */
+    public fun cancel(nowMillis: Long, id: JobId) {
+        val job = jobsById[id] ?: return
+        if (job.phase.ended) return
+        end(nowMillis, job, JobPhase.CANCELLED)
+    }
+
+    /** Marks the progress of [job] as changed; the serial under which it will be stored. */
+    internal fun changed(job: JobState): Long {
+        job.changeSerial = ++serial
+        changed += job
+        return job.changeSerial
+    }
+
+    /** Ends [job] and stops what runs of it. */
+    internal fun end(nowMillis: Long, job: JobState, phase: JobPhase) {
+        log("job ended", arrayOf("job" to job.job.id, "phase" to phase))
+        job.phase = phase
+        job.endedMillis = nowMillis
+        active -= job
+        changed(job)
+        job.runs().forEach { stop(it, "job ended") }
+        needsPlacement = true
+    }
+
+    /** Stops [run]; its room is free once the executor lists its end. */
+    public fun stop(run: Run, reason: String) {
+        if (run.phase == RunPhase.STOPPING) return
+        log("task stopped", arrayOf("task" to run.id.task, "executor" to run.executor.record.id, "reason" to reason))
+        run.phase = RunPhase.STOPPING
+        book.order(Order.Stop(run.executor.target, run.id))
+    }
+
+    /** Changes the share at which [run] works. */
+    public fun pace(run: Run, percent: Int) {
+        if (run.pacePercent == percent) return
+        run.pacePercent = percent
+        book.order(Order.Pace(run.executor.target, run, percent))
+    }
+
+    /** An executor answered a look, or did not. */
+    public fun looked(nowMillis: Long, id: InstanceId, verdict: Verdict<LookAnswer>) {
+        val executor = book.executors[id] ?: return
+        when (val sight = book.looked(nowMillis, executor, verdict)) {
+            is Sight.Report -> {
+                if (sight.reborn) ends.lifetimeEnded(nowMillis, executor)
+                recovery.seen(id)
+                ends.handle(nowMillis, executor, sight.report)
+                needsPlacement = true
+            }
+
+            Sight.Gone -> gone(nowMillis, id)
+
+            Sight.Nothing -> Unit
+        }
+    }
+
+    /** An executor answered a start, or did not. */
+    public fun startAnswered(nowMillis: Long, run: Run, verdict: Verdict<OrderAnswer>) {
+        if (run.executor.runs[run.id] !== run) return
+        when (starter.answered(nowMillis, run, verdict)) {
+            StartResult.STARTED -> started(run)
+            StartResult.NOT_STARTED -> notStarted(nowMillis, run)
+            StartResult.EXECUTOR_GONE -> gone(nowMillis, run.executor.record.id)
+            StartResult.OPEN -> Unit
+        }
+    }
+
+    /** An executor answered a stop, or did not. */
+    public fun stopAnswered(nowMillis: Long, id: InstanceId, run: RunId, verdict: Verdict<OrderAnswer>) {
+        val executor = book.executors[id] ?: return
+        val known = executor.runs[run]
+        if (verdict !is Verdict.Ran) {
+            book.failed(nowMillis, executor, "stop")
+            known?.stopRetryMillis = nowMillis + SchedulerSettings.RETRY_MILLIS
+            return
+        }
+        val answer = verdict.value
+        if (answer is OrderAnswer.Done) {
+            known?.stopConfirmedClockMillis = answer.clockMillis
+        } else if (known != null && answer is OrderAnswer.Refused) {
+            book.refused(nowMillis, executor, answer.reason)
+            known.stopRetryMillis = nowMillis + SchedulerSettings.RETRY_MILLIS
+        }
+    }
+
+    /** An executor answered a change of a run's pace, or did not; then the change is decided anew. */
+    public fun paceAnswered(run: Run, percent: Int, verdict: Verdict<OrderAnswer>) {
+        val done = (verdict as? Verdict.Ran)?.value is OrderAnswer.Done
+        if (!done && run.pacePercent == percent) run.pacePercent = UNKNOWN_PACE
+    }
+
+    /** A job's progress was stored. */
+    public fun stored(change: ProgressChange, revision: Revision) {
+        change.job.revision = revision
+        change.job.storedSerial = maxOf(change.job.storedSerial, change.serial)
+        if (change.record.phase.ended) change.job.shownPhase = change.record.phase
+    }
+
+    /** Takes at most [limit] changes that are to be stored. */
+    public fun takeChanges(limit: Int): List<ProgressChange> {
+        val taken = changed.take(limit)
+        changed -= taken.toSet()
+        return taken.map { ProgressChange(it, it.changeSerial, it.revision, progressOf(it)) }
+    }
+
+    /** Puts changes back whose storing failed; [revisionOf] corrects what is stored of a job. */
+    public fun giveBack(changes: List<ProgressChange>, revisionOf: (JobId) -> Revision?) {
+        changes.forEach { change ->
+            revisionOf(change.job.job.id)?.let { change.job.revision = it }
+            if (change.job.storedSerial < change.job.changeSerial) changed += change.job
+        }
+    }
+
+    /** Whether there are changes to store. */
+    public val hasChanges: Boolean get() = changed.isNotEmpty()
+
+    /** Drops ended jobs whose state needs not be kept any more, at most [limit] of them. */
+    public fun takeExpired(nowMillis: Long, limit: Int): List<JobState> {
+        val keptMillis = settings.statusSeconds * MILLIS_PER_SECOND + EXPIRY_SLACK_MILLIS
+        val expired = jobsById.values.asSequence()
+            .filter { it.phase.ended && it.storedSerial >= it.changeSerial && nowMillis - it.endedMillis > keptMillis }
+            .take(limit)
+            .toList()
+        expired.forEach { jobsById.remove(it.job.id) }
+        return expired
+    }
+
+    /** The store answers again after an outage; entries that lapsed meanwhile may come back for a while. */
+    public fun storeRegained(nowMillis: Long) {
+        book.storeRegained(nowMillis)
+    }
+
+    /**
+     * Does what is due, and returns the orders that have gathered. [wallMillis] is the time of day. Without a valid
+     * lease ([mayOrder]) executors are looked at and nothing else is ordered; [extendLeases] tells whether what runs
+     * may go on.
+     */
+    public fun work(nowMillis: Long, wallMillis: Long, mayOrder: Boolean, extendLeases: Boolean): List<Order> {
+        if (recovery.check(nowMillis)) {
+            log("recovery over", arrayOf("epoch" to epoch, "active" to active.size))
+            needsPlacement = true
+        }
+        beginDue(nowMillis, wallMillis)
+        book.lapsed(nowMillis).forEach { executor ->
+            recovery.seen(executor.record.id)
+            ends.lapsed(nowMillis, executor)
+            needsPlacement = true
+        }
+        if (mayOrder) {
+            retryStops(nowMillis)
+            if (needsPlacement || nowMillis - placedMillis > PLACEMENT_INTERVAL_MILLIS) place(nowMillis)
+        }
+        book.look(nowMillis, extendLeases)
+        return book.takeOrders(mayOrder)
+    }
+
+    private fun place(nowMillis: Long) {
+        needsPlacement = false
+        placedMillis = nowMillis
+        val current = configuration ?: return
+        val waiting = HashMap<PoolId, MutableList<OpenStep>>()
+        active.filter { it.firstAttempt == 1L || recovery.over }.forEach { job ->
+            val queue = current.queue(job.job.queue) ?: return@forEach
+            val steps = job.occurrences.values.flatMap { waitingSteps(nowMillis, queue, it) }
+            if (steps.isNotEmpty()) waiting.getOrPut(queue.pool) { ArrayList() } += steps
+        }
+        waiting.forEach { (pool, steps) -> starter.placePool(nowMillis, pool, steps) }
+    }
+
+    private fun waitingSteps(nowMillis: Long, queue: Queue, occurrence: Occurrence): List<OpenStep> =
+        occurrence.openSteps()
+            .filter { step -> step.tasks.any { it.waits(nowMillis) } }
+            .map { OpenStep(queue, occurrence, it) }
+
+    private fun started(run: Run) {
+        val job = run.task.step.job
+        if (job.phase == JobPhase.QUEUED) job.phase = JobPhase.RUNNING
+        if (job.shownPhase == JobPhase.QUEUED) job.shownPhase = JobPhase.RUNNING
+        if (job.phase.ended) stop(run, "job ended")
+    }
+
+    private fun notStarted(nowMillis: Long, run: Run) {
+        ends.remove(nowMillis, run)
+        needsPlacement = true
+    }
+
+    private fun beginDue(nowMillis: Long, wallMillis: Long) {
+        for (job in active) {
+            if (job.job.repeats == 0) continue
+            val next = maxOf(
+                job.occurrences.keys.maxOrNull() ?: -1,
+                job.completedOccurrences.maxOrNull() ?: -1,
+            ) + 1
+            if (next >= job.job.occurrences) continue
+            val dueWall = job.job.startAtMillis + next * job.job.intervalMillis
+            if (dueWall <= wallMillis) {
+                job.begin(next, nowMillis + dueWall - wallMillis)
+                needsPlacement = true
+            }
+        }
+    }
+
+    private fun retryStops(nowMillis: Long) {
+        for (executor in book.executors.values) {
+            for (run in executor.runs.values) {
+                val retry = run.stopRetryMillis
+                if (run.phase == RunPhase.STOPPING && retry != null && retry <= nowMillis) {
+                    run.stopRetryMillis = null
+                    book.order(Order.Stop(executor.target, run.id))
+                }
+            }
+        }
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000L
+
+        /** Pace of a run that may or may not have been changed. */
+        const val UNKNOWN_PACE = -1
+
+        /** Time beyond the promised one for which an ended job is kept. */
+        const val EXPIRY_SLACK_MILLIS = 30_000L
+
+        /** Longest time between two placements: executors become usable again by time alone. */
+        const val PLACEMENT_INTERVAL_MILLIS = 100L
+    }
+}
--- /dev/null
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -0,0 +1,173 @@
+// Starts of tasks: which waiting tasks of a pool get room, and what the executors' answers to the starts mean.
+
+package org.gypsumturn.batch.schedule
+
+import org.gypsumturn.batch.model.OrderAnswer
+import org.gypsumturn.batch.model.Queue
+import org.gypsumturn.batch.model.RefusalReason
+import org.gypsumturn.batch.model.RunId
+import org.gypsumturn.batch.model.Size
+import org.gypsumturn.batch.port.StartOrder
+import org.gypsumturn.batch.state.ExecutorState
+import org.gypsumturn.batch.state.Occurrence
+import org.gypsumturn.batch.state.Run
+import org.gypsumturn.batch.state.RunPhase
+import org.gypsumturn.batch.state.StepState
+import org.gypsumturn.batch.state.Task
+import org.gypsumturn.model.Epoch
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.Verdict
+
+/** A step with tasks that wait. */
+internal class OpenStep(val queue: Queue, val occurrence: Occurrence, val step: StepState)
+
+/** What became of a start. */
+internal enum class StartResult { STARTED, NOT_STARTED, EXECUTOR_GONE, OPEN }
+
+/** Starts tasks on executors of [book]. */
+internal class TaskStarter(
+    private val settings: SchedulerSettings,
+    private val epoch: Epoch,
+    private val book: ExecutorBook,
+    private val log: DecisionLog,
+    private val rank: StepRank = rankBySlack,
+) {
+    /** Gives room of [pool] to the waiting tasks of [steps]. */
+    fun placePool(nowMillis: Long, pool: PoolId, steps: List<OpenStep>) {
+        val candidates = book.executors.values.filter {
+            it.record.pool == pool && it.usable(nowMillis) && it.fullUntilMillis <= nowMillis
+        }
+        if (candidates.isEmpty()) return
+        val unfit = ArrayList<Size>()
+        steps.sortedBy { rank(nowMillis, it.queue, it.occurrence, it.step) }.forEach { open ->
+            val room = open.step.room
+            if (unfit.none { it.fitsInto(room) }) placeStep(nowMillis, open.step, candidates, unfit)
+        }
+    }
+
+    private fun placeStep(
+        nowMillis: Long,
+        step: StepState,
+        candidates: List<ExecutorState>,
+        unfit: MutableList<Size>,
+    ) {
+        val waiting = step.tasks.filter { it.waits(nowMillis) }
+        if (step.step.gang) {
+            placeGang(nowMillis, step, waiting, candidates)
+            return
+        }
+        for (task in waiting) {
+            val executor = chooseExecutor(step, candidates)
+            if (executor == null) {
+                if (step.step.requiredLabel.isEmpty() && step.step.maxPerExecutor == 0) unfit += step.room
+                return
+            }
+            start(nowMillis, task, executor, nextAttempt(task))
+        }
+    }
+
+    /** Starts all members of a gang or none. */
+    private fun placeGang(nowMillis: Long, step: StepState, waiting: List<Task>, candidates: List<ExecutorState>) {
+        if (waiting.size != step.tasks.size) return
+        val groups = if (step.step.sameRack) candidates.groupBy { it.record.rack }.values else listOf(candidates)
+        val plan = groups.firstNotNullOfOrNull { gangPlan(step, it) } ?: gangPlan(step, candidates) ?: return
+        val attempt = waiting.maxOf { nextAttempt(it) }
+        waiting.forEachIndexed { index, task -> start(nowMillis, task, plan[index], attempt) }
+    }
+
+    private fun gangPlan(step: StepState, candidates: List<ExecutorState>): List<ExecutorState>? {
+        val free = HashMap<ExecutorState, Size>()
+        val counts = HashMap<ExecutorState, Int>()
+        val limit = step.step.maxPerExecutor
+        return step.tasks.map {
+            val allowed = candidates.filter { limit == 0 || (counts[it] ?: 0) + step.runsOn(it) < limit }
+            val executor = chooseExecutor(step, allowed) { free[it] ?: it.free } ?: return null
+            free[executor] = (free[executor] ?: executor.free) - step.room
+            counts.merge(executor, 1, Int::plus)
+            executor
+        }
+    }
+
+    private fun nextAttempt(task: Task): Long = maxOf(task.attempt + 1, task.step.job.firstAttempt)
+
+    /** Starts [task] on [executor]. */
+    fun start(nowMillis: Long, task: Task, executor: ExecutorState, attempt: Long) {
+        val run = Run(RunId(task.name, attempt), task, executor, nowMillis)
+        task.attempt = attempt
+        task.runs += run
+        executor.add(run)
+        send(nowMillis, run)
+        log(
+            "task started",
+            arrayOf(
+                "task" to task.name,
+                "attempt" to attempt,
+                "executor" to executor.record.id,
+                "free_cpu" to executor.free.cpuMillis,
+                "waited_ms" to nowMillis - maxOf(task.idleSinceMillis, task.step.job.acceptedMillis),
+            ),
+        )
+    }
+
+    private fun send(nowMillis: Long, run: Run) {
+        val executor = run.executor
+        val leaseEnd = executor.leaseEnd(nowMillis, settings.leaseMillis) ?: return
+        executor.leaseSent(leaseEnd)
+        val spec = run.task.step.job.job.spec
+        val order = StartOrder(run.id, spec, leaseEnd, epoch, run.task.checkpoint, null)
+        book.order(Order.Start(executor.target, run, order))
+    }
+
+    /** Takes the answer to a start in. */
+    fun answered(nowMillis: Long, run: Run, verdict: Verdict<OrderAnswer>): StartResult = when (verdict) {
+        is Verdict.Ran -> when (val answer = verdict.value) {
+            is OrderAnswer.Done -> confirmed(run, answer)
+            is OrderAnswer.Refused -> refused(nowMillis, run, answer)
+        }
+
+        is Verdict.NotRun -> {
+            book.failed(nowMillis, run.executor, "start")
+            if (run.unansweredStarts == 0) StartResult.NOT_STARTED else StartResult.OPEN
+        }
+
+        is Verdict.MayHaveRun -> unanswered(nowMillis, run)
+    }
+
+    private fun confirmed(run: Run, answer: OrderAnswer.Done): StartResult {
+        run.confirmedClockMillis = answer.clockMillis ?: Long.MIN_VALUE
+        if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
+        return StartResult.STARTED
+    }
+
+    private fun refused(nowMillis: Long, run: Run, answer: OrderAnswer.Refused): StartResult {
+        val executor = run.executor
+        log(
+            "start refused",
+            arrayOf("task" to run.id.task, "executor" to executor.record.id, "reason" to answer.reason),
+        )
+        book.refused(nowMillis, executor, answer.reason)
+        answer.clockMillis?.let { executor.noteClock(nowMillis, it) }
+        when (answer.reason) {
+            RefusalReason.OTHER_INSTANCE -> return StartResult.EXECUTOR_GONE
+            RefusalReason.NO_ROOM -> executor.fullUntilMillis = nowMillis + SchedulerSettings.FULL_MILLIS
+            RefusalReason.INVALID -> run.task.notBeforeMillis = nowMillis + SchedulerSettings.UNHEALTHY_MILLIS
+            else -> Unit
+        }
+        return StartResult.NOT_STARTED
+    }
+
+    /** Asks again for the same run, which changes nothing if it is there. */
+    private fun unanswered(nowMillis: Long, run: Run): StartResult {
+        run.unansweredStarts++
+        log(
+            "start unanswered",
+            arrayOf("task" to run.id.task, "executor" to run.executor.record.id, "tries" to run.unansweredStarts),
+        )
+        if (run.unansweredStarts >= SchedulerSettings.START_TRIES) {
+            book.failed(nowMillis, run.executor, "start")
+        } else if (run.phase == RunPhase.STARTING) {
+            send(nowMillis, run)
+        }
+        return StartResult.OPEN
+    }
+}
--- /dev/null
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -0,0 +1,273 @@
+// A fleet of executors in virtual time, driven by the orders of a scheduler. It follows the executors' rules: room,
+// leases, fences, ends that are listed until they are acknowledged; and it notes every breach of the users' promises.
+
+package org.gypsumturn.batch
+
+import org.gypsumturn.batch.model.BatchJob
+import org.gypsumturn.batch.model.CallerLimits
+import org.gypsumturn.batch.model.ExecutorRecord
+import org.gypsumturn.batch.model.ExecutorReport
+import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.model.Lifetime
+import org.gypsumturn.batch.model.ListedEnd
+import org.gypsumturn.batch.model.ListedRun
+import org.gypsumturn.batch.model.OrderAnswer
+import org.gypsumturn.batch.model.PoolRecord
+import org.gypsumturn.batch.model.Queue
+import org.gypsumturn.batch.model.RefusalReason
+import org.gypsumturn.batch.model.RunEnd
+import org.gypsumturn.batch.model.RunId
+import org.gypsumturn.batch.model.Size
+import org.gypsumturn.batch.model.Step
+import org.gypsumturn.batch.model.TaskName
+import org.gypsumturn.batch.model.queueId
+import org.gypsumturn.batch.port.LookAnswer
+import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.batch.schedule.Order
+import org.gypsumturn.batch.schedule.SchedulerSettings
+import org.gypsumturn.model.DataCentreId
+import org.gypsumturn.model.Epoch
+import org.gypsumturn.model.Failure
+import org.gypsumturn.model.FailureKind
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.JobId
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+
+internal val POOL = PoolId("render")
+internal const val HOST = "shop.example"
+
+internal fun queue(
+    name: String = "quick",
+    pool: PoolId = POOL,
+    priority: Int = 0,
+    maxAttempts: Int = 2,
+    stretch: Double = 1.6,
+): Queue = Queue(queueId(HOST, "/$name/"), HOST, "/$name/", pool, priority, maxAttempts, stretch, 600, 3_000, null)
+
+internal fun configuration(vararg queues: Queue, version: Long = 1): FleetConfiguration {
+    val pools = queues.map { it.pool }.distinct().map { PoolRecord(it, true, false, "/health") }
+    return FleetConfiguration(version, queues.toList(), pools.associateBy { it.id }, CallerLimits(262_144))
+}
+
+internal fun job(number: Int, vararg steps: Step, queue: String = "quick"): BatchJob =
+    BatchJob(JobId("%016x".format(number)), HOST, "/$queue/", "spec", steps.toList())
+
+internal fun step(
+    count: Int = 1,
+    cpuMillis: Long = 1_000,
+    estimateMillis: Long = 1_000,
+    after: List<Int> = emptyList(),
+): Step = Step(count, Size(cpuMillis, 100, 0), estimateMillis, after)
+
+internal val TEST_SETTINGS = SchedulerSettings(5_000, 6_000, 900, 3_000, 250, 120, 2.0)
+
+/** One executor of the virtual fleet. */
+internal class VirtualExecutor(val id: InstanceId, val pool: PoolId, val capacity: Size, val labels: Set<String>) {
+    class VirtualRun(val id: RunId, val startedMillis: Long, val size: Size, var stoppingAt: Long? = null)
+
+    val runs = LinkedHashMap<RunId, VirtualRun>()
+    val ends = ArrayList<ListedEnd>()
+    var born = 1L
+    var endNumber = 0L
+    var fence = 0L
+    var leaseEndMillis = 0L
+
+    /** Whether calls reach it, and whether its answers come back. */
+    var reachable = true
+    var answers = true
+
+    /** How long a run on it takes, times the task's own duration. */
+    var slowness = 1.0
+    var failsAll = false
+
+    val used: Size get() = runs.values.fold(Size.NONE) { sum, run -> sum + run.size }
+
+    fun record(draining: Boolean = false) =
+        ExecutorRecord(id, Lifetime(born), pool, "10.0.0.1:1", DataCentreId("a"), capacity, labels, draining, null)
+}
+
+/** Drives [scheduler] in steps of a few milliseconds. */
+internal class VirtualFleet(
+    executors: Int,
+    capacity: Size = Size(16_000, 32_000, 0),
+    var configuration: FleetConfiguration = configuration(queue()),
+    pool: PoolId = POOL,
+) {
+    var nowMillis = 1_000L
+    val executors = LinkedHashMap<InstanceId, VirtualExecutor>()
+    val durationMillis = HashMap<JobId, (TaskName) -> Long>()
+    val doomed = HashSet<JobId>()
+    val starts = ArrayList<RunId>()
+    val breaches = ArrayList<String>()
+    val completedMillis = HashMap<JobId, Long>()
+    val log = ArrayList<String>()
+    private val doneTasks = HashSet<TaskName>()
+    private val events = java.util.PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
+    private val sizes = HashMap<JobId, BatchJob>()
+    private var revision = 100L
+    var scheduler = newScheduler(1)
+
+    init {
+        repeat(executors) { add("x$it", capacity, pool) }
+    }
+
+    fun newScheduler(epoch: Long): BatchScheduler {
+        val fresh = BatchScheduler(TEST_SETTINGS, Epoch(epoch)) { event, fields -> log += "$event ${fields.toList()}" }
+        fresh.configure(configuration)
+        return fresh
+    }
+
+    fun add(name: String, capacity: Size, pool: PoolId = POOL, labels: Set<String> = emptySet()): VirtualExecutor {
+        val executor = VirtualExecutor(InstanceId(name), pool, capacity, labels)
+        executors[executor.id] = executor
+        scheduler.listed(nowMillis, executor.record())
+        return executor
+    }
+
+    fun submit(job: BatchJob, durationMillis: (TaskName) -> Long = { 1_000 }) {
+        sizes[job.id] = job
+        this.durationMillis[job.id] = durationMillis
+        scheduler.accept(nowMillis, job, null, Revision.ABSENT, true)
+    }
+
+    /** Makes a new holder take over with what is stored. */
+    fun takeOver(epoch: Long) {
+        val old = scheduler
+        scheduler = newScheduler(epoch)
+        executors.values.forEach { scheduler.listed(nowMillis, it.record()) }
+        old.jobs.forEach { state ->
+            val stored = org.gypsumturn.batch.state.progressOf(state)
+            scheduler.accept(nowMillis, state.job, stored, state.revision, false)
+        }
+        scheduler.recoverFrom(executors.keys, nowMillis + 10_000)
+    }
+
+    fun run(forMillis: Long, everyMillis: Long = 5, each: () -> Unit = {}) {
+        val end = nowMillis + forMillis
+        while (nowMillis < end) {
+            nowMillis += everyMillis
+            while (events.isNotEmpty() && events.peek().first <= nowMillis) events.poll().second()
+            executors.values.forEach(::advance)
+            scheduler.work(nowMillis, nowMillis, true, true).forEach(::carry)
+            store()
+            scheduler.jobs.filter { it.shownPhase == JobPhase.COMPLETED }
+                .forEach { completedMillis.putIfAbsent(it.job.id, nowMillis) }
+            each()
+        }
+    }
+
+    private fun store() {
+        scheduler.takeChanges(100).forEach { scheduler.stored(it, Revision(++revision)) }
+    }
+
+    private fun after(millis: Long, action: () -> Unit) {
+        events += (nowMillis + millis) to action
+    }
+
+    private fun advance(executor: VirtualExecutor) {
+        if (nowMillis > executor.leaseEndMillis) {
+            executor.runs.values.toList().forEach { end(executor, it, RunEnd.LAPSED) }
+        }
+        executor.runs.values.toList().forEach { run ->
+            val stopping = run.stoppingAt
+            val duration = durationMillis.getValue(run.id.task.job)(run.id.task) * executor.slowness
+            val over = nowMillis - run.startedMillis >= duration
+            when {
+                stopping != null && nowMillis >= stopping -> end(executor, run, RunEnd.STOPPED)
+                over && (executor.failsAll || run.id.task.job in doomed) -> end(executor, run, RunEnd.FAILED)
+                over -> end(executor, run, RunEnd.DONE)
+            }
+        }
+    }
+
+    private fun end(executor: VirtualExecutor, run: VirtualExecutor.VirtualRun, how: RunEnd) {
+        executor.runs.remove(run.id)
+        executor.ends += ListedEnd(++executor.endNumber, run.id, how, "")
+    }
+
+    private fun carry(order: Order) {
+        val executor = executors[order.target.id]
+        when (order) {
+            is Order.Start -> call(executor, { start(it, order) }) { scheduler.startAnswered(nowMillis, order.run, it) }
+
+            is Order.Stop -> call(executor, { stop(it, order.run) }) {
+                scheduler.stopAnswered(nowMillis, order.target.id, order.run, it)
+            }
+
+            is Order.Look -> call(executor, { look(it, order) }) { scheduler.looked(nowMillis, order.target.id, it) }
+
+            is Order.Pace, is Order.Forget -> Unit
+        }
+    }
+
+    private fun <T> call(executor: VirtualExecutor?, act: (VirtualExecutor) -> T, answered: (Verdict<T>) -> Unit) {
+        if (executor == null || !executor.reachable) {
+            after(300) { answered(Verdict.NotRun(Failure(FailureKind.UNREACHABLE, "no path"))) }
+            return
+        }
+        after(1) {
+            val answer = act(executor)
+            if (executor.answers) {
+                after(1) { answered(Verdict.Ran(answer)) }
+            } else {
+                after(300) { answered(Verdict.MayHaveRun(Failure(FailureKind.TIMEOUT, "no answer"))) }
+            }
+        }
+    }
+
+    private fun start(executor: VirtualExecutor, order: Order.Start): OrderAnswer {
+        val id = order.order.run
+        if (id in executor.runs) return OrderAnswer.Done(nowMillis)
+        val size = sizes.getValue(id.task.job).steps[id.task.step].size
+        val reason = when {
+            order.order.epoch.value < executor.fence -> RefusalReason.FENCED
+            order.order.leaseEndMillis < nowMillis -> RefusalReason.LATE
+            !(executor.used + size).fitsInto(executor.capacity) -> RefusalReason.NO_ROOM
+            else -> null
+        }
+        if (reason != null) return OrderAnswer.Refused(reason, nowMillis)
+        executor.fence = order.order.epoch.value
+        executor.leaseEndMillis = maxOf(executor.leaseEndMillis, order.order.leaseEndMillis)
+        checkStart(id)
+        executor.runs[id] = VirtualExecutor.VirtualRun(id, nowMillis, size)
+        return OrderAnswer.Done(nowMillis)
+    }
+
+    private fun checkStart(id: RunId) {
+        starts += id
+        val job = sizes.getValue(id.task.job)
+        if (id.task in doneTasks) breaches += "$id starts though it is done"
+        val step = job.steps[id.task.step]
+        val twice = executors.values.any { other -> other.runs.keys.any { it.task == id.task } }
+        if (twice && !step.speculative) breaches += "$id runs twice"
+        step.after.forEach { before ->
+            repeat(job.steps[before].count) { index ->
+                val name = TaskName(job.id, id.task.occurrence, before, index)
+                if (name !in doneTasks) breaches += "$id starts before $name is done"
+            }
+        }
+    }
+
+    private fun stop(executor: VirtualExecutor, id: RunId): OrderAnswer {
+        executor.runs[id]?.let { it.stoppingAt = it.stoppingAt ?: (nowMillis + 200) }
+        return OrderAnswer.Done(nowMillis)
+    }
+
+    private fun look(executor: VirtualExecutor, order: Order.Look): LookAnswer {
+        if (order.order.epoch.value < executor.fence) return LookAnswer.Refused(RefusalReason.FENCED)
+        executor.fence = order.order.epoch.value
+        order.order.leaseEndMillis?.let { executor.leaseEndMillis = maxOf(executor.leaseEndMillis, it) }
+        executor.ends.removeAll { it.number <= order.order.acknowledged }
+        // An end counts from when it is listed; one that was never seen before its lease lapsed does not.
+        executor.ends.filter { it.end == RunEnd.DONE }.forEach { doneTasks += it.run.task }
+        val running = executor.runs.values.map { run ->
+            val duration = durationMillis.getValue(run.id.task.job)(run.id.task) * executor.slowness
+            val percent = ((nowMillis - run.startedMillis) * 100 / duration).toInt().coerceIn(0, 99)
+            ListedRun(run.id, "", percent, 0)
+        }
+        return LookAnswer.Seen(ExecutorReport(nowMillis, Lifetime(executor.born), running, executor.ends.toList()))
+    }
+}
--- /dev/null
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
@@ -0,0 +1,162 @@
+package org.gypsumturn.batch.schedule
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.gypsumturn.batch.VirtualFleet
+import org.gypsumturn.batch.job
+import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.step
+import org.gypsumturn.model.InstanceId
+
+class BatchSchedulerTest : AnnotationSpec() {
+    private val first = InstanceId("x0")
+
+    @Test
+    fun `runs the steps of a job in their order and completes it`() {
+        val fleet = VirtualFleet(2)
+        val job = job(1, step(count = 3), step(count = 2, after = listOf(0)), step(after = listOf(1)))
+        fleet.submit(job)
+        fleet.run(6_000)
+        fleet.scheduler.job(job.id)?.shownPhase shouldBe JobPhase.COMPLETED
+        fleet.starts shouldHaveSize 6
+        fleet.starts.all { it.attempt == 1L } shouldBe true
+        fleet.breaches.shouldBeEmpty()
+    }
+
+    @Test
+    fun `starts a job within a few milliseconds where room is free`() {
+        val fleet = VirtualFleet(2)
+        fleet.run(100)
+        val begunMillis = fleet.nowMillis
+        fleet.submit(job(1, step()))
+        fleet.run(100) { if (fleet.starts.isEmpty()) (fleet.nowMillis - begunMillis) shouldBeLessThan 20L }
+        fleet.starts shouldHaveSize 1
+    }
+
+    @Test
+    fun `never sends an executor more than its room`() {
+        val fleet = VirtualFleet(2)
+        repeat(20) { fleet.submit(job(it, step(count = 8, cpuMillis = 3_000))) }
+        fleet.run(30_000)
+        fleet.scheduler.active.shouldBeEmpty()
+        fleet.log.none { "NO_ROOM" in it } shouldBe true
+        fleet.breaches.shouldBeEmpty()
+    }
+
+    @Test
+    fun `a job whose task fails as often as allowed has failed and its other tasks are stopped`() {
+        val fleet = VirtualFleet(2)
+        val job = job(1, step(count = 4))
+        fleet.submit(job)
+        fleet.doomed += job.id
+        fleet.run(10_000)
+        fleet.scheduler.job(job.id)?.shownPhase shouldBe JobPhase.FAILED
+        fleet.executors.values.all { it.runs.isEmpty() } shouldBe true
+    }
+
+    @Test
+    fun `a cancelled job is stopped and nothing of it is started again`() {
+        val fleet = VirtualFleet(1)
+        val job = job(1, step(count = 30, cpuMillis = 4_000))
+        fleet.submit(job)
+        fleet.run(500)
+        fleet.scheduler.cancel(fleet.nowMillis, job.id)
+        val started = fleet.starts.size
+        fleet.run(5_000)
+        fleet.starts shouldHaveSize started
+        fleet.executors.values.all { it.runs.isEmpty() } shouldBe true
+        fleet.scheduler.job(job.id)?.shownPhase shouldBe JobPhase.CANCELLED
+    }
+
+    @Test
+    fun `work of a silent executor starts elsewhere only when its lease has lapsed there`() {
+        val fleet = VirtualFleet(2)
+        fleet.submit(job(1, step(count = 8, cpuMillis = 4_000))) { 4_000 }
+        fleet.run(500)
+        val cut = fleet.executors.getValue(first)
+        cut.runs.isEmpty() shouldBe false
+        cut.reachable = false
+        val cutMillis = fleet.nowMillis
+        var again = 0L
+        fleet.run(20_000) { if (again == 0L && fleet.starts.any { it.attempt > 1 }) again = fleet.nowMillis }
+        fleet.breaches.shouldBeEmpty()
+        (again - cutMillis) shouldBeGreaterThanOrEqual 4_000L
+        fleet.scheduler.active.shouldBeEmpty()
+    }
+
+    @Test
+    fun `work of an executor that started anew starts elsewhere at once`() {
+        val fleet = VirtualFleet(2)
+        fleet.submit(job(1, step(count = 8, cpuMillis = 4_000))) { 4_000 }
+        fleet.run(500)
+        val crashed = fleet.executors.getValue(first)
+        crashed.runs.clear()
+        crashed.born++
+        crashed.endNumber = 0
+        crashed.ends.clear()
+        fleet.run(1_000)
+        fleet.starts.count { it.attempt > 1 } shouldBe 4
+        fleet.breaches.shouldBeEmpty()
+    }
+
+    @Test
+    fun `a start without an answer is asked for again and runs once`() {
+        val fleet = VirtualFleet(1)
+        fleet.run(100)
+        fleet.executors.getValue(first).answers = false
+        fleet.submit(job(1, step()))
+        fleet.run(400)
+        fleet.executors.getValue(first).answers = true
+        fleet.run(8_000)
+        fleet.starts shouldHaveSize 1
+        fleet.scheduler.active.shouldBeEmpty()
+        fleet.breaches.shouldBeEmpty()
+    }
+
+    @Test
+    fun `a new holder goes on with what runs and starts nothing twice`() {
+        val fleet = VirtualFleet(3)
+        repeat(10) { fleet.submit(job(it, step(count = 4, cpuMillis = 2_000), step(after = listOf(0)))) }
+        fleet.run(700)
+        fleet.takeOver(2)
+        fleet.run(20_000)
+        fleet.scheduler.active.shouldBeEmpty()
+        fleet.breaches.shouldBeEmpty()
+    }
+
+    @Test
+    fun `a new holder that cannot see an executor leaves its tasks alone until they have lapsed`() {
+        val fleet = VirtualFleet(3)
+        repeat(6) { fleet.submit(job(it, step(count = 4, cpuMillis = 2_000))) { 6_000 } }
+        fleet.run(700)
+        fleet.executors.getValue(first).reachable = false
+        fleet.takeOver(2)
+        fleet.run(30_000)
+        fleet.scheduler.active.shouldBeEmpty()
+        fleet.breaches.shouldBeEmpty()
+    }
+
+    @Test
+    fun `without a valid lease nothing is started and what runs goes on`() {
+        val fleet = VirtualFleet(1)
+        fleet.run(100)
+        fleet.submit(job(1, step()))
+        fleet.scheduler.work(fleet.nowMillis, fleet.nowMillis, false, true).none { it is Order.Start } shouldBe true
+        fleet.run(2_000)
+        fleet.scheduler.active.shouldBeEmpty()
+    }
+
+    @Test
+    fun `a drained executor gets nothing new`() {
+        val fleet = VirtualFleet(2)
+        fleet.run(100)
+        fleet.scheduler.listed(fleet.nowMillis, fleet.executors.getValue(first).record(draining = true))
+        repeat(5) { fleet.submit(job(it, step(count = 4, cpuMillis = 2_000))) }
+        fleet.run(4_000)
+        fleet.executors.getValue(first).endNumber shouldBe 0
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/gypsumturn/node/ConfigurationKeeper.kt
@@ -0,0 +1,110 @@
+// Follows the operator's rows, so that each node has the newest configuration in force soon after it was written, and
+// never an older one after a newer.
+
+package org.gypsumturn.node
+
+import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.UpkeepWave
+import org.gypsumturn.batch.port.FleetNews
+import org.gypsumturn.batch.port.FleetNewsFeed
+import org.gypsumturn.batch.port.FleetNewsPage
+import org.gypsumturn.batch.port.NewsKind
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.failureOrNull
+
+/** Schedules a function on the thread that owns the caller, after a delay in milliseconds. */
+public typealias Later = (delayMillis: Long, action: () -> Unit) -> Unit
+
+/** Keeps the configuration; [later] runs its retries on the thread that calls [start]. */
+public class ConfigurationKeeper(
+    private val news: FleetNewsFeed,
+    private val later: Later,
+    private val onConfiguration: (FleetConfiguration) -> Unit,
+    private val onWave: (UpkeepWave) -> Unit,
+) {
+    /** The configuration in force; null before the first. */
+    @Volatile
+    public var current: FleetConfiguration? = null
+        private set
+
+    /** When the store last confirmed that nothing newer is known, in steady milliseconds. */
+    @Volatile
+    public var confirmedMillis: Long = Long.MIN_VALUE / 2
+        private set
+
+    private var storeLost = false
+
+    /** Begins to read. */
+    public fun start() {
+        readAll()
+    }
+
+    private fun readAll() {
+        news.readAll(NewsKind.OPERATOR, CALL_TIMEOUT_MILLIS) { take(it, ::readAll) }
+    }
+
+    private fun follow(after: Revision) {
+        news.follow(NewsKind.OPERATOR, after, WAIT_MILLIS, WAIT_MILLIS + WAIT_TIMEOUT_MILLIS) { verdict ->
+            take(verdict) { follow(after) }
+        }
+    }
+
+    private fun take(verdict: Verdict<FleetNewsPage>, again: () -> Unit) {
+        if (verdict !is Verdict.Ran) {
+            if (!storeLost) logEvent("store lost", "by" to "configuration", "why" to verdict.failureOrNull()?.message)
+            storeLost = true
+            later(RETRY_MILLIS, again)
+            return
+        }
+        if (storeLost) logEvent("store regained", "by" to "configuration")
+        storeLost = false
+        val page = verdict.value
+        val found = page.news
+        if (found == null) {
+            logEvent("history discarded", "table" to NewsKind.OPERATOR)
+            readAll()
+            return
+        }
+        confirmedMillis = NodeClock.steadyMillis()
+        found.forEach(::adopt)
+        // Without a configuration the first one may be written at any moment.
+        follow(page.revision)
+    }
+
+    private fun adopt(news: FleetNews) {
+        when (news) {
+            is FleetNews.Configured -> adopt(news.configuration)
+            is FleetNews.WaveRequested -> onWave(news.wave)
+            is FleetNews.Unreadable -> logEvent("row unreadable", "key" to news.key, "why" to news.reason)
+            else -> Unit
+        }
+    }
+
+    private fun adopt(configuration: FleetConfiguration) {
+        val before = current
+        if (before != null && configuration.version <= before.version) return
+        current = configuration
+        logEvent(
+            "configuration in force",
+            "version" to configuration.version,
+            "before" to before?.version,
+            "queues" to configuration.queues.size,
+        )
+        onConfiguration(configuration)
+    }
+
+    private companion object {
+        /** How long a call waits for a change; bounds how late a silent connection is noticed. */
+        const val WAIT_MILLIS = 1_000L
+
+        /** Time beyond the wait after which the connection is given up: a slow store answers within it. */
+        const val WAIT_TIMEOUT_MILLIS = 700L
+
+        /** Time for a read of everything. */
+        const val CALL_TIMEOUT_MILLIS = 1_500L
+
+        /** Pause between two tries. */
+        const val RETRY_MILLIS = 100L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -0,0 +1,294 @@
+// What the holder of the control lease does for as long as it holds it: reads what is stored, follows jobs and
+// executors, schedules, stores progress, and drops what has expired.
+
+package org.gypsumturn.node
+
+import org.gypsumturn.batch.lease.ControlLease
+import org.gypsumturn.batch.lease.Instants
+import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.QueueId
+import org.gypsumturn.batch.model.UpkeepWave
+import org.gypsumturn.batch.port.ExecutorCalls
+import org.gypsumturn.batch.port.FleetNews
+import org.gypsumturn.batch.port.FleetNewsFeed
+import org.gypsumturn.batch.port.FleetNewsPage
+import org.gypsumturn.batch.port.NewsKind
+import org.gypsumturn.batch.port.RowChanges
+import org.gypsumturn.batch.port.RowStore
+import org.gypsumturn.batch.port.RowTransaction
+import org.gypsumturn.batch.port.RowWrite
+import org.gypsumturn.batch.port.StoredRow
+import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.batch.schedule.SchedulerSettings
+import org.gypsumturn.batch.state.JobRows
+import org.gypsumturn.batch.state.JobState
+import org.gypsumturn.batch.state.ProgressRecord
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.JobId
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.failureOrNull
+
+/** What a session talks to. */
+public class SessionPorts(
+    public val store: RowStore,
+    public val news: FleetNewsFeed,
+    public val executors: ExecutorCalls,
+)
+
+/** One term of holding the lease. */
+public class HolderSession(
+    private val lease: ControlLease,
+    private val settings: SchedulerSettings,
+    private val ports: SessionPorts,
+    private val post: Post,
+    private val later: Later,
+) {
+    private val epoch = lease.epoch
+    private val claimRevision = lease.ownerRevision
+    private val scheduler = BatchScheduler(settings, epoch, eventLog)
+    private val carrier = OrderCarrier(scheduler, ports.executors, epoch, post)
+    private val writer = ProgressWriter(scheduler, lease, ports.store, post)
+    private val reader = TakeoverReader(ports.store, post, later, ::jobsRead)
+    private var jobsLoaded = false
+    private var executorsLoaded = false
+    private var ready = false
+    private var closed = false
+    private var storeLost = false
+    private var sweptMillis = 0L
+
+    /** Whether another process has taken the lease over. */
+    public val fencedOff: Boolean get() = writer.fencedOff || scheduler.fencedOff
+
+    /** Begins to read. */
+    public fun start() {
+        reader.start()
+        readExecutors()
+    }
+
+    /** Ends the session; answers that are still under way are passed over. */
+    public fun close() {
+        closed = true
+        reader.cancelled = true
+    }
+
+    /** Puts [configuration] in force. */
+    public fun configured(configuration: FleetConfiguration) {
+        scheduler.configure(configuration)
+    }
+
+    /** A wave was asked for. */
+    public fun waveRequested(wave: UpkeepWave) {
+        logEvent("wave requested", "wave" to wave.number, "machines" to wave.machines.size)
+    }
+
+    /** The state of a job as it may be shown; null while not everything is read. */
+    public fun jobState(id: JobId): HolderAnswer? {
+        if (!ready) return null
+        return scheduler.job(id)?.let { HolderAnswer.State(it.shownPhase) } ?: HolderAnswer.NoJob
+    }
+
+    /** Jobs of [queue] of which nothing was started; null while not everything is read. */
+    public fun pendingJobs(queue: QueueId): Int? = if (ready) scheduler.pending(queue) else null
+
+    /** Does what is due at [now]. */
+    public fun work(now: Instants) {
+        if (!ready || closed) return
+        val mayOrder = lease.valid(now)
+        val extend = lease.overdueMillis(now) < EXTENSION_MILLIS
+        scheduler.work(now.steadyMillis, now.wallMillis, mayOrder, extend).forEach(carrier::carry)
+        if (mayOrder) {
+            writer.work(now.steadyMillis)
+            sweep(now.steadyMillis)
+        }
+    }
+
+    private fun jobsRead(stored: StoredJobs) {
+        val nowMillis = NodeClock.steadyMillis()
+        val progress = stored.progressRows.associateBy { it.address.key }
+        stored.jobRows.forEach { row -> takeJobRow(nowMillis, row, progress[row.address.key]) }
+        logEvent(
+            "jobs read",
+            "epoch" to epoch,
+            "jobs" to scheduler.jobs.size,
+            "active" to scheduler.active.size,
+            "revision" to stored.jobsRevision,
+        )
+        jobsLoaded = true
+        followJobs(stored.jobsRevision)
+        readyIfLoaded()
+    }
+
+    private fun takeJobRow(nowMillis: Long, row: StoredRow, progress: StoredRow?) {
+        val value = row.value ?: return
+        val cancelled = JobRows.cancelledJob(row.address)
+        if (cancelled != null) {
+            scheduler.cancel(nowMillis, cancelled)
+            return
+        }
+        try {
+            val record = progress?.value?.let { ProgressRecord.decode(it) }
+            val revision = progress?.revision ?: Revision.ABSENT
+            scheduler.accept(nowMillis, JobRows.decode(value), record, revision, row.revision > claimRevision)
+        } catch (e: IllegalArgumentException) {
+            logEvent("row unreadable", "key" to row.address.key, "why" to e.message)
+        }
+    }
+
+    private fun followJobs(after: Revision) {
+        ports.store.follow(JobRows.TABLE, after, WAIT_MILLIS, WAIT_MILLIS + WAIT_TIMEOUT_MILLIS) { verdict ->
+            post { if (!closed) jobsChanged(after, verdict) }
+        }
+    }
+
+    private fun jobsChanged(after: Revision, verdict: Verdict<RowChanges>) {
+        noteStore(verdict)
+        when (val changes = (verdict as? Verdict.Ran)?.value) {
+            is RowChanges.Known -> {
+                val nowMillis = NodeClock.steadyMillis()
+                // A cancellation may lie in the same answer as its job, and after it.
+                changes.rows.forEach { takeJobRow(nowMillis, it, null) }
+                followJobs(changes.revision)
+            }
+
+            RowChanges.Discarded -> {
+                logEvent("history discarded", "table" to JobRows.TABLE)
+                TakeoverReader(ports.store, post, later, ::jobsReadAgain).start()
+            }
+
+            null -> later(RETRY_MILLIS) { if (!closed) followJobs(after) }
+        }
+    }
+
+    private fun jobsReadAgain(stored: StoredJobs) {
+        val nowMillis = NodeClock.steadyMillis()
+        stored.jobRows.forEach { takeJobRow(nowMillis, it, null) }
+        followJobs(stored.jobsRevision)
+    }
+
+    private fun readExecutors() {
+        ports.news.readAll(NewsKind.EXECUTORS, CALL_TIMEOUT_MILLIS) { verdict ->
+            post { if (!closed) executorsRead(verdict) }
+        }
+    }
+
+    private fun executorsRead(verdict: Verdict<FleetNewsPage>) {
+        noteStore(verdict)
+        val page = (verdict as? Verdict.Ran)?.value
+        if (page == null) {
+            later(RETRY_MILLIS) { if (!closed) readExecutors() }
+            return
+        }
+        val news = page.news.orEmpty()
+        val listed = news.mapNotNullTo(HashSet<InstanceId>()) { (it as? FleetNews.ExecutorListed)?.executor?.id }
+        val nowMillis = NodeClock.steadyMillis()
+        scheduler.executors.keys.filter { it !in listed }.forEach { scheduler.unlisted(nowMillis, it) }
+        news.forEach(::takeExecutor)
+        executorsLoaded = true
+        followExecutors(page.revision)
+        readyIfLoaded()
+    }
+
+    private fun followExecutors(after: Revision) {
+        ports.news.follow(NewsKind.EXECUTORS, after, WAIT_MILLIS, WAIT_MILLIS + WAIT_TIMEOUT_MILLIS) { verdict ->
+            post { if (!closed) executorsChanged(after, verdict) }
+        }
+    }
+
+    private fun executorsChanged(after: Revision, verdict: Verdict<FleetNewsPage>) {
+        noteStore(verdict)
+        val page = (verdict as? Verdict.Ran)?.value
+        when {
+            page == null -> later(RETRY_MILLIS) { if (!closed) followExecutors(after) }
+
+            page.news == null -> {
+                logEvent("history discarded", "table" to NewsKind.EXECUTORS)
+                readExecutors()
+            }
+
+            else -> {
+                page.news.orEmpty().forEach(::takeExecutor)
+                later(LIST_PAUSE_MILLIS) { if (!closed) followExecutors(page.revision) }
+            }
+        }
+    }
+
+    private fun takeExecutor(news: FleetNews) {
+        val nowMillis = NodeClock.steadyMillis()
+        when (news) {
+            is FleetNews.ExecutorListed -> scheduler.listed(nowMillis, news.executor)
+            is FleetNews.ExecutorUnlisted -> scheduler.unlisted(nowMillis, news.id)
+            is FleetNews.Unreadable -> logEvent("row unreadable", "key" to news.key, "why" to news.reason)
+            else -> Unit
+        }
+    }
+
+    private fun noteStore(verdict: Verdict<*>) {
+        val failure = verdict.failureOrNull()
+        if (failure != null && !storeLost) logEvent("store lost", "by" to "holder", "why" to failure.message)
+        if (failure == null && storeLost) {
+            logEvent("store regained", "by" to "holder")
+            scheduler.storeRegained(NodeClock.steadyMillis())
+        }
+        storeLost = failure != null
+    }
+
+    private fun readyIfLoaded() {
+        if (ready || !jobsLoaded || !executorsLoaded) return
+        ready = true
+        val waitMillis = settings.maxLeaseMillis + EXTENSION_MILLIS
+        if (scheduler.active.isNotEmpty()) {
+            scheduler.recoverFrom(scheduler.executors.keys, NodeClock.steadyMillis() + waitMillis)
+        }
+        logEvent("session ready", "epoch" to epoch, "executors" to scheduler.executors.size)
+    }
+
+    /** Removes the rows of jobs whose end is old. */
+    private fun sweep(nowMillis: Long) {
+        if (nowMillis - sweptMillis < SWEEP_MILLIS) return
+        sweptMillis = nowMillis
+        scheduler.takeExpired(nowMillis, SWEEP_JOBS).groupBy {
+            JobRows.partition(it.job.id)
+        }.values.forEach(::removeRows)
+    }
+
+    private fun removeRows(jobs: List<JobState>) {
+        val jobRows = jobs.flatMap { listOf(JobRows.job(it.job.id), JobRows.cancellation(it.job.id)) }
+        val progressRows = jobs.map { JobRows.progress(it.job.id) }
+        listOf(jobRows, progressRows).forEach { rows ->
+            val transaction = RowTransaction(emptyList(), rows.map { RowWrite(it, null) })
+            ports.store.transact(transaction, CALL_TIMEOUT_MILLIS) { verdict ->
+                // Rows that stay are removed by the next holder, which reads them as ended jobs.
+                verdict.failureOrNull()?.let { logEvent("rows not removed", "rows" to rows.size, "why" to it.message) }
+            }
+        }
+    }
+
+    private companion object {
+        /** How long a call waits for changes. */
+        const val WAIT_MILLIS = 1_000L
+
+        /** Time beyond the wait after which the connection is given up. */
+        const val WAIT_TIMEOUT_MILLIS = 700L
+
+        /** Longest wait for a read or a removal. */
+        const val CALL_TIMEOUT_MILLIS = 1_500L
+
+        /** Pause after a failed call. */
+        const val RETRY_MILLIS = 100L
+
+        /** Pause between two looks at the executors' entries, which change with each heartbeat. */
+        const val LIST_PAUSE_MILLIS = 250L
+
+        /**
+         * How long leases of what runs are extended after the control lease has lapsed: a short outage of the store.
+         */
+        const val EXTENSION_MILLIS = 4_000L
+
+        /** Time between two removals of expired rows. */
+        const val SWEEP_MILLIS = 2_000L
+
+        /** Jobs whose rows are removed at once. */
+        const val SWEEP_JOBS = 40
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/gypsumturn/node/LeaseDuty.kt
@@ -0,0 +1,257 @@
+// Competes for the control lease and keeps it. While this process holds it, a session schedules; when it is lost or
+// given up, the session is dropped. Everything here runs on the control duty's thread.
+
+package org.gypsumturn.node
+
+import org.gypsumturn.batch.lease.ControlLease
+import org.gypsumturn.batch.lease.ControlRows
+import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.QueueId
+import org.gypsumturn.batch.model.UpkeepWave
+import org.gypsumturn.batch.port.RowChanges
+import org.gypsumturn.batch.port.RowPage
+import org.gypsumturn.batch.port.RowStore
+import org.gypsumturn.batch.port.RowTransaction
+import org.gypsumturn.batch.port.TransactionOutcome
+import org.gypsumturn.model.JobId
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.failureOrNull
+import org.gypsumturn.transport.Endpoint
+
+/** Hands an action to the control duty's thread. */
+public typealias Post = (action: () -> Unit) -> Unit
+
+/** Starts a session for the holder of [lease]. */
+public typealias SessionFactory = (lease: ControlLease) -> HolderSession
+
+/** Keeps the lease for one process. */
+public class LeaseDuty(
+    private val lease: ControlLease,
+    private val store: RowStore,
+    private val claimDelayMillis: Long,
+    private val post: Post,
+    private val newSession: SessionFactory,
+) : HolderState {
+    private var session: HolderSession? = null
+    private var configuration: FleetConfiguration? = null
+    private val waves = LinkedHashMap<Long, UpkeepWave>()
+    private var reading = false
+    private var writing = false
+    private var followAfter: Revision? = null
+    private var claimableSinceMillis: Long? = null
+    private var retryAtMillis = 0L
+    private var releasing = false
+    private var released: (() -> Unit)? = null
+
+    /** Where the holder is, for other threads. */
+    @Volatile
+    public var holder: HolderAddress = HolderAddress.Unknown
+        private set
+
+    /** The configuration has changed. */
+    public fun configured(configuration: FleetConfiguration) {
+        this.configuration = configuration
+        session?.configured(configuration)
+    }
+
+    /** A wave was asked for. */
+    public fun waveRequested(wave: UpkeepWave) {
+        if (waves.put(wave.number, wave) == wave) return
+        session?.waveRequested(wave)
+    }
+
+    /** Gives the lease up, if it is held, and calls [done]. */
+    public fun release(done: () -> Unit) {
+        releasing = true
+        released = done
+        if (!lease.held) finishRelease()
+    }
+
+    /** Does what is due. Called after each event and at short intervals. */
+    public fun work() {
+        val now = NodeClock.instants()
+        if (now.steadyMillis >= retryAtMillis) {
+            when {
+                lease.held -> if (!writing && (releasing || lease.renewalDue(now))) renew()
+                !releasing -> compete(now.steadyMillis)
+            }
+        }
+        session?.work(now)
+        if (session?.fencedOff == true) drop("fenced off")
+        showHolder()
+    }
+
+    private fun compete(nowMillis: Long) {
+        if (writing) return
+        if (!lease.claimable()) {
+            claimableSinceMillis = null
+            follow()
+            return
+        }
+        val since = claimableSinceMillis ?: nowMillis.also { claimableSinceMillis = it }
+        if (nowMillis - since >= claimDelayMillis) claim() else follow()
+    }
+
+    private fun follow() {
+        if (reading) return
+        reading = true
+        val after = followAfter
+        if (after == null) {
+            val read = { page: Verdict<RowPage> -> post { rowsRead(page) } }
+            store.read(ControlRows.LEASE_TABLE, ControlRows.PARTITION, null, PAGE_ROWS, CALL_TIMEOUT_MILLIS, read)
+        } else {
+            val timeoutMillis = FOLLOW_WAIT_MILLIS + FOLLOW_TIMEOUT_MILLIS
+            store.follow(ControlRows.LEASE_TABLE, after, FOLLOW_WAIT_MILLIS, timeoutMillis) { changes ->
+                post { rowsChanged(changes) }
+            }
+        }
+    }
+
+    private fun rowsRead(verdict: Verdict<RowPage>) {
+        reading = false
+        if (verdict is Verdict.Ran) {
+            lease.observe(verdict.value.rows, verdict.value.storeMillis)
+            followAfter = verdict.value.revision
+        } else {
+            pause(RETRY_MILLIS)
+        }
+    }
+
+    private fun rowsChanged(verdict: Verdict<RowChanges>) {
+        reading = false
+        val changes = (verdict as? Verdict.Ran)?.value
+        when (changes) {
+            is RowChanges.Known -> {
+                lease.observe(changes.rows, changes.storeMillis)
+                followAfter = changes.revision
+            }
+
+            RowChanges.Discarded -> followAfter = null
+
+            null -> pause(RETRY_MILLIS)
+        }
+    }
+
+    private fun claim() {
+        writing = true
+        val sent = NodeClock.instants()
+        logEvent(
+            "lease claim",
+            "epoch" to lease.epoch.next(),
+            "from" to lease.owner?.node,
+            "silent_ms" to lease.silentMillis,
+        )
+        transact(lease.claim()) { verdict ->
+            when (val outcome = (verdict as? Verdict.Ran)?.value) {
+                is TransactionOutcome.Committed -> {
+                    lease.claimed(outcome, sent)
+                    begin()
+                }
+
+                is TransactionOutcome.Conflict -> lease.conflicted(outcome)
+
+                null -> pause(RETRY_MILLIS)
+            }
+            // An unanswered claim may have taken effect; reading the rows tells.
+            followAfter = null
+            claimableSinceMillis = null
+        }
+    }
+
+    private fun begin() {
+        logEvent("lease held", "epoch" to lease.epoch)
+        val begun = newSession(lease)
+        session = begun
+        configuration?.let(begun::configured)
+        waves.values.forEach(begun::waveRequested)
+        begun.start()
+    }
+
+    private fun renew() {
+        writing = true
+        val sent = NodeClock.instants()
+        val releasingNow = releasing
+        transact(lease.renew(releasingNow)) { verdict ->
+            when (val outcome = (verdict as? Verdict.Ran)?.value) {
+                is TransactionOutcome.Committed -> {
+                    lease.renewed(outcome, sent)
+                    if (releasingNow) finishRelease()
+                }
+
+                is TransactionOutcome.Conflict -> lease.conflicted(outcome)
+
+                null -> {
+                    logEvent("lease not renewed", "epoch" to lease.epoch, "why" to verdict.failureOrNull()?.message)
+                    pause(RETRY_MILLIS)
+                }
+            }
+            if (!lease.held && session != null) drop("taken over")
+        }
+    }
+
+    private fun transact(transaction: RowTransaction, done: (Verdict<TransactionOutcome>) -> Unit) {
+        store.transact(transaction, WRITE_TIMEOUT_MILLIS) { verdict ->
+            post {
+                writing = false
+                done(verdict)
+            }
+        }
+    }
+
+    private fun finishRelease() {
+        if (session != null) drop("released")
+        val done = released ?: return
+        released = null
+        done()
+    }
+
+    private fun drop(why: String) {
+        logEvent("lease lost", "epoch" to lease.epoch, "why" to why)
+        session?.close()
+        session = null
+        followAfter = null
+    }
+
+    private fun pause(millis: Long) {
+        retryAtMillis = NodeClock.steadyMillis() + millis
+    }
+
+    private fun showHolder() {
+        val owner = lease.owner
+        val address = owner?.peerAddress?.let(Endpoint::parse)
+        holder = when {
+            lease.held -> if (session == null) HolderAddress.Unknown else HolderAddress.Self
+            address == null -> HolderAddress.Unknown
+            else -> HolderAddress.Peer(address)
+        }
+    }
+
+    override fun jobState(id: JobId, reply: (HolderAnswer?) -> Unit) {
+        post { reply(session?.jobState(id)) }
+    }
+
+    override fun pendingJobs(queue: QueueId, reply: (Int?) -> Unit) {
+        post { reply(session?.pendingJobs(queue)) }
+    }
+
+    private companion object {
+        /** How long a look at the lease waits for a change; the answer's clock shows how long the holder is silent. */
+        const val FOLLOW_WAIT_MILLIS = 400L
+
+        /** Time beyond the wait after which a look has failed. */
+        const val FOLLOW_TIMEOUT_MILLIS = 800L
+
+        /** Longest wait for a write; a slow store takes above a second. */
+        const val WRITE_TIMEOUT_MILLIS = 1_500L
+
+        /** Longest wait for a read. */
+        const val CALL_TIMEOUT_MILLIS = 1_000L
+
+        /** Pause after a failed call. */
+        const val RETRY_MILLIS = 150L
+
+        /** The table holds two rows. */
+        const val PAGE_ROWS = 10
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -0,0 +1,159 @@
+// Wiring of a node: ports, threads, start and graceful end.
+
+package org.gypsumturn.node
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import org.gypsumturn.batch.lease.ControlLease
+import org.gypsumturn.batch.lease.LeaseTimes
+import org.gypsumturn.batch.schedule.SchedulerSettings
+import org.gypsumturn.platform.CallerIngress
+import org.gypsumturn.platform.PlatformExecutorCalls
+import org.gypsumturn.platform.PlatformNewsFeed
+import org.gypsumturn.platform.PlatformRowStore
+import org.gypsumturn.runtime.duty.Duty
+import org.gypsumturn.runtime.metrics.Metrics
+import org.gypsumturn.runtime.settings.HostAndPort
+import org.gypsumturn.runtime.settings.Settings
+import org.gypsumturn.transport.Endpoint
+import org.gypsumturn.transport.HttpClient
+import org.gypsumturn.transport.HttpClientLimits
+import org.gypsumturn.transport.HttpServer
+import org.slf4j.LoggerFactory
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+/** A node with checked [settings]. */
+public class NodeProgram(private val settings: Settings) {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop: EventLoop = group.next()
+    private val storeClient = HttpClient(loop, STORE_LIMITS)
+    private val executorClient = HttpClient(loop, EXECUTOR_LIMITS)
+    private val peerClient = HttpClient(loop, PEER_LIMITS)
+    private val store = PlatformRowStore(storeClient, settings[NodeSettings.storeAddress].toEndpoint())
+    private val news = PlatformNewsFeed(store)
+    private val metrics = Metrics()
+    private val nodeName = settings[NodeSettings.nodeName]
+    private val peerEndpoint = Endpoint(settings[NodeSettings.host], settings[NodeSettings.peerPort].toInt())
+    private val lease =
+        ControlLease(nodeName, "$nodeName/${NodeClock.wallMillis()}", peerEndpoint.toString(), LEASE_TIMES)
+    private val control: Duty<() -> Unit> =
+        Duty("control", CONTROL_RING, CONTROL_IDLE_MILLIS, { it() }) { leaseDuty.work() }
+    private val post: Post = { action ->
+        if (!control.offer(action)) log.error("the control duty's ring is full; an event was dropped")
+    }
+    private val leaseDuty: LeaseDuty =
+        LeaseDuty(lease, store, claimDelayMillis(), post) {
+            HolderSession(it, schedulerSettings(), ports(), post, laterOnControl)
+        }
+    private val laterOnControl: Later = { delayMillis, action ->
+        loop.schedule({ post(action) }, delayMillis, TimeUnit.MILLISECONDS)
+    }
+    private val laterOnLoop: Later = { delayMillis, action ->
+        loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS)
+    }
+    private val configuration =
+        ConfigurationKeeper(
+            news,
+            laterOnLoop,
+            { configuration -> post { leaseDuty.configured(configuration) } },
+            { wave -> post { leaseDuty.waveRequested(wave) } },
+        )
+    private val peers = PeerCalls(peerClient, leaseDuty) { leaseDuty.holder }
+    private val desk = JobDesk({ configuration.current }, store, peers, laterOnLoop, DeskMetrics(metrics.registry))
+    private val ingress = CallerIngress(desk) { !ending && configuration.current != null }
+    private val callers =
+        HttpServer(loop, settings[NodeSettings.callerAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handle)
+    private val readiness =
+        HttpServer(loop, settings[NodeSettings.readyAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handleReady)
+    private val peerServer = HttpServer(loop, peerEndpoint, MAX_BODY_BYTES, peers::handle)
+
+    @Volatile
+    private var ending = false
+
+    /** Starts everything. */
+    public fun start() {
+        logEvent("start", "node" to nodeName, "data_centre" to settings[NodeSettings.dataCentre])
+        control.start()
+        loop.execute { configuration.start() }
+        listOf(callers, readiness, peerServer).forEach { it.start() }
+    }
+
+    /** Stops taking new work, gives the lease up, answers what was asked, and returns before the grace is over. */
+    public fun end() {
+        if (ending) return
+        ending = true
+        logEvent("stop", "node" to nodeName, "under_way" to callers.underWay)
+        callers.drain()
+        val released = CountDownLatch(1)
+        post { leaseDuty.release(released::countDown) }
+        val graceMillis = (settings[NodeSettings.graceSeconds] * MILLIS_PER_SECOND).toLong()
+        val endMillis = NodeClock.steadyMillis() + graceMillis * ANSWERING_PART / WHOLE
+        released.await(graceMillis / 2, TimeUnit.MILLISECONDS)
+        val quietMillis = NodeClock.steadyMillis() + ROTATION_MILLIS
+        while (NodeClock.steadyMillis() < endMillis) {
+            if (callers.underWay == 0 && NodeClock.steadyMillis() >= quietMillis) break
+            Thread.sleep(POLL_MILLIS)
+        }
+        logEvent("stopped", "node" to nodeName, "under_way" to callers.underWay)
+        callers.close()
+    }
+
+    private fun ports() = SessionPorts(store, news, PlatformExecutorCalls(executorClient))
+
+    private fun schedulerSettings(): SchedulerSettings {
+        val maxLeaseMillis = settings[NodeSettings.maxLeaseMillis]
+        return SchedulerSettings(
+            minOf(RUN_LEASE_MILLIS, maxLeaseMillis),
+            maxLeaseMillis,
+            settings[NodeSettings.stopMillis],
+            settings[NodeSettings.gangTimeoutMillis],
+            settings[NodeSettings.earlyMillis],
+            settings[NodeSettings.statusSeconds],
+            settings[NodeSettings.remoteFactor],
+        )
+    }
+
+    /** Weak machines leave the lease to stronger ones for a moment; the name spreads equals. */
+    private fun claimDelayMillis(): Long {
+        val weakness = (1.0 - settings[NodeSettings.coreShare]).coerceIn(0.0, 1.0)
+        return (weakness * WEAK_DELAY_MILLIS).toLong() + Math.floorMod(nodeName.hashCode(), SPREAD_MILLIS)
+    }
+
+    private fun HostAndPort.toEndpoint() = Endpoint(host, port)
+
+    private companion object {
+        val log = LoggerFactory.getLogger(NodeProgram::class.java)
+
+        /** Calls to the store: few at once, large answers. */
+        val STORE_LIMITS = HttpClientLimits(8, 500, 10_000, 4_000_000)
+
+        /** Calls to executors: two lanes, each with connections for a burst of starts. */
+        val EXECUTOR_LIMITS = HttpClientLimits(4, 300, 10_000, 4_000_000)
+
+        /** Calls to other nodes. */
+        val PEER_LIMITS = HttpClientLimits(4, 300, 10_000, 100_000)
+
+        /** The store's outages are seconds long; a claim after three leaves time within the leases of what runs. */
+        val LEASE_TIMES = LeaseTimes(lapseMillis = 3_000, renewMillis = 600, marginMillis = 150)
+
+        /** Lease of what runs: outlives a takeover, and lets work on a dead executor go elsewhere soon. */
+        const val RUN_LEASE_MILLIS = 5_000L
+
+        const val CONTROL_RING = 65_536
+        const val CONTROL_IDLE_MILLIS = 20L
+        const val MAX_BODY_BYTES = 1_048_576
+        const val MILLIS_PER_SECOND = 1_000
+        const val WEAK_DELAY_MILLIS = 400
+        const val SPREAD_MILLIS = 150
+        const val POLL_MILLIS = 50L
+
+        /** The balancer takes a node out after two misses of a check each second. */
+        const val ROTATION_MILLIS = 2_500L
+
+        /** Part of the grace, in [WHOLE]ths, in which callers are answered. */
+        const val ANSWERING_PART = 8
+        const val WHOLE = 10
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/gypsumturn/node/OrderCarrier.kt
@@ -0,0 +1,54 @@
+// Carries the scheduler's orders out and hands the answers back.
+
+package org.gypsumturn.node
+
+import org.gypsumturn.batch.port.ExecutorCalls
+import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.batch.schedule.Order
+import org.gypsumturn.batch.schedule.SchedulerSettings
+import org.gypsumturn.model.Epoch
+
+/** Sends orders of [scheduler] to [executors]. */
+public class OrderCarrier(
+    private val scheduler: BatchScheduler,
+    private val executors: ExecutorCalls,
+    private val epoch: Epoch,
+    private val post: Post,
+) {
+    /** Carries [order] out. */
+    public fun carry(order: Order) {
+        when (order) {
+            is Order.Start -> start(order)
+            is Order.Stop -> stop(order)
+            is Order.Pace -> pace(order)
+            is Order.Look -> look(order)
+            is Order.Forget -> executors.forget(order.target)
+        }
+    }
+
+    private fun start(order: Order.Start) {
+        executors.start(order.target, order.order, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
+            post { scheduler.startAnswered(NodeClock.steadyMillis(), order.run, verdict) }
+        }
+    }
+
+    private fun stop(order: Order.Stop) {
+        executors.stop(order.target, order.run, epoch, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
+            post { scheduler.stopAnswered(NodeClock.steadyMillis(), order.target.id, order.run, verdict) }
+        }
+    }
+
+    private fun pace(order: Order.Pace) {
+        val timeoutMillis = SchedulerSettings.ORDER_TIMEOUT_MILLIS
+        executors.pace(order.target, order.run.id, order.percent, epoch, timeoutMillis) { verdict ->
+            post { scheduler.paceAnswered(order.run, order.percent, verdict) }
+        }
+    }
+
+    private fun look(order: Order.Look) {
+        val timeoutMillis = (order.order.waitMillis ?: 0) + SchedulerSettings.LOOK_TIMEOUT_MILLIS
+        executors.look(order.target, order.order, timeoutMillis) { verdict ->
+            post { scheduler.looked(NodeClock.steadyMillis(), order.target.id, verdict) }
+        }
+    }
+}
