Take machines down for upkeep and move them as the queues turn

Change: the holder of the lease reads the platform's list of machines, lays upkeep into quiet pools within cap and the steps' may-miss, and moves machines to pools whose backlog needs them. Machines that are off have no executor to tell their return by: they count as down for the time of an upkeep. Ruled out: a longer reserve at the end of the wave; the machines that are off filled the cap until the end, and the list showed them up all the while.

--- /dev/null
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/DemandReader.kt
@@ -0,0 +1,47 @@
+// Demand of each pool, read from the scheduler's jobs and executors.
+
+package org.gypsumturn.batch.machines
+
+import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.batch.state.JobState
+import org.gypsumturn.model.PoolId
+
+/** Sum of what runs, waits and stands in a pool. */
+private class DemandSum {
+    var heldCpuMillis = 0.0
+    var backlogCpuMillis = 0.0
+    var leastMachines = 0
+
+    fun demand() = PoolDemand(heldCpuMillis, backlogCpuMillis, leastMachines)
+}
+
+/** Demand of the pools that [configuration] sends work to. */
+public fun demandOf(scheduler: BatchScheduler, configuration: FleetConfiguration): Map<PoolId, PoolDemand> {
+    val sums = configuration.workingPools.associateWith { DemandSum() }
+    scheduler.executors.values.forEach { executor ->
+        sums[executor.record.pool]?.let { it.heldCpuMillis += executor.used.cpuMillis }
+    }
+    scheduler.active.forEach { job ->
+        val queue = configuration.queue(job.job.queue) ?: return@forEach
+        sums[queue.pool]?.let { addJob(it, job) }
+    }
+    return sums.mapValues { it.value.demand() }
+}
+
+private fun addJob(sum: DemandSum, job: JobState) {
+    for (occurrence in job.occurrences.values) {
+        for (state in occurrence.steps) {
+            val step = state.step
+            if (step.longRunning) {
+                if (step.maxPerExecutor > 0) {
+                    val least = (step.count + step.maxPerExecutor - 1) / step.maxPerExecutor
+                    sum.leastMachines = maxOf(sum.leastMachines, least)
+                }
+                continue
+            }
+            val waiting = state.tasks.count { !it.done && it.runs.isEmpty() }
+            sum.backlogCpuMillis += waiting.toDouble() * step.size.cpuMillis * step.estimateMillis
+        }
+    }
+}
--- /dev/null
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineBook.kt
@@ -0,0 +1,80 @@
+// Machines as the platform lists them, and the orders for them that are under way. A machine that was ordered down counts
+// as down until the list shows it up again with another executor.
+
+package org.gypsumturn.batch.machines
+
+import org.gypsumturn.batch.model.MachineId
+import org.gypsumturn.batch.model.MachineRecord
+import org.gypsumturn.batch.model.MachineState
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.PoolId
+
+/** Stages of an order. */
+internal enum class OrderStage { SENT, OPEN, CARRIED_OUT }
+
+/** An order that is under way. */
+internal class MachineTask(val order: MachineOrder, val sinceMillis: Long) {
+    var stage = OrderStage.SENT
+
+    /** When an order whose outcome is open is sent again. */
+    var retryMillis = 0L
+
+    /** When the platform said that it is carried out. */
+    var carriedOutMillis = 0L
+}
+
+/** All machines. */
+internal class MachineBook(private val times: MachineTimes) {
+    private var machines: Map<MachineId, MachineRecord> = emptyMap()
+    val tasks = HashMap<MachineId, MachineTask>()
+
+    /** When the list was last read; null before. */
+    var listedMillis: Long? = null
+        private set
+
+    val all: Collection<MachineRecord> get() = machines.values
+
+    fun machine(id: MachineId): MachineRecord? = machines[id]
+
+    /** The machine that [executor] runs on. */
+    fun machineOf(executor: InstanceId): MachineRecord? = machines.values.firstOrNull { it.executor == executor }
+
+    /** Takes a whole list in; returns the orders that it shows to be over. */
+    fun listed(nowMillis: Long, list: List<MachineRecord>): List<MachineOrder> {
+        machines = list.associateBy { it.id }
+        listedMillis = nowMillis
+        val over = tasks.values.filter { task ->
+            val machine = machines[task.order.machine]
+            machine == null || task.stage == OrderStage.CARRIED_OUT && isBack(nowMillis, machine, task)
+        }
+        over.forEach { tasks.remove(it.order.machine) }
+        return over.map { it.order }
+    }
+
+    private fun isBack(nowMillis: Long, machine: MachineRecord, task: MachineTask): Boolean {
+        if (machine.state != MachineState.UP) return false
+        val order = task.order
+        return when {
+            order is MachineOrder.Move -> machine.pool == order.pool && machine.executor != order.executor
+
+            order.executor != null -> machine.executor != order.executor
+
+            // A machine that is off has no executor to tell by; the list may lag behind the order.
+            else -> nowMillis - task.carriedOutMillis >= times.upkeepMillis + LIST_LAG_MILLIS
+        }
+    }
+
+    /** Machines that are in [pool] or on their way to it. */
+    fun assigned(pool: PoolId): List<MachineRecord> = machines.values.filter { machine ->
+        val order = tasks[machine.id]?.order
+        machine.state != MachineState.DOWN && if (order is MachineOrder.Move) order.pool == pool else machine.pool == pool
+    }
+
+    /** Machines of [wave] that are down, or may be, for their upkeep. */
+    fun downFor(wave: Long): Int = tasks.values.count { (it.order as? MachineOrder.Upkeep)?.wave == wave }
+
+    private companion object {
+        /** How far the list may lag behind an order. */
+        const val LIST_LAG_MILLIS = 500L
+    }
+}
--- a/batch/src/main/kotlin/org/gypsumturn/batch/model/BatchJob.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/model/BatchJob.kt
@@ -67,7 +67,22 @@
     public val tailTargetMillis: Long = 0,
     public val fills: Boolean = false,
     public val mayMiss: Int = 0,
-)
+) {
+    /** The step in a few words, for the log. */
+    public fun describe(): String = buildString {
+        append("$count x ${size.cpuMillis}m/${size.memoryMb}M ${estimateMillis}ms")
+        if (after.isNotEmpty()) append(" after $after")
+        if (gang) append(" gang")
+        if (sameRack) append(" same-rack")
+        if (requiredLabel.isNotEmpty()) append(" label $requiredLabel")
+        if (affinityRack.isNotEmpty()) append(" near $affinityRack")
+        if (maxPerExecutor > 0) append(" max $maxPerExecutor")
+        if (checkpointing) append(" saves")
+        if (speculative) append(" speculative")
+        if (longRunning) append(" long-running, may miss $mayMiss, target ${tailTargetMillis}ms")
+        if (fills) append(" fills")
+    }
+}
 
 /**
  * A job as it was submitted.
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -125,7 +125,7 @@
         if (job.repeats == 0 && 0 !in state.occurrences) state.begin(0, nowMillis)
         active += state
         needsPlacement = true
-        if (fresh) log("job queued", arrayOf("job" to job.id, "queue" to job.queue, "steps" to job.steps.size))
+        if (fresh) log("job queued", arrayOf("job" to job.id, "queue" to job.queue, "steps" to job.steps.map { it.describe() }))
     }
 
     /** A job's cancellation was stored. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorBook.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorBook.kt
@@ -5,6 +5,7 @@
 
 import org.gypsumturn.batch.model.ExecutorRecord
 import org.gypsumturn.batch.model.ExecutorReport
+import org.gypsumturn.batch.model.Lifetime
 import org.gypsumturn.batch.model.RefusalReason
 import org.gypsumturn.batch.port.LookAnswer
 import org.gypsumturn.batch.port.LookOrder
@@ -33,6 +34,9 @@
 ) {
     val executors = HashMap<InstanceId, ExecutorState>()
     private val orders = ArrayList<Order>()
+
+    /** Lifetimes that have ended, whose entries may stand in the store a little longer. */
+    private val departed = HashMap<InstanceId, Lifetime>()
     private var settledMillis = Long.MIN_VALUE
 
     var fencedOff = false
@@ -58,6 +62,7 @@
     /** Notes an entry; returns the executor if its runs belong to an earlier lifetime and are gone. */
     fun listed(record: ExecutorRecord): ExecutorState? {
         val known = executors[record.id]
+        if (departed[record.id]?.let { record.lifetime.startedAtMillis <= it.startedAtMillis } == true) return null
         if (known == null) {
             executors[record.id] = ExecutorState(record)
             log(
@@ -83,6 +88,7 @@
     }
 
     fun unlisted(nowMillis: Long, id: InstanceId) {
+        departed.remove(id)
         val known = executors[id] ?: return
         if (!known.listed) return
         known.listed = false
@@ -94,6 +100,7 @@
     /** Forgets [executor], on which nothing runs any more. */
     fun drop(executor: ExecutorState) {
         executors.remove(executor.record.id)
+        if (executor.listed) departed[executor.record.id] = executor.lifetime ?: executor.record.lifetime
         orders += Order.Forget(executor.target)
     }
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -35,6 +35,9 @@
 
     public var lastLookMillis: Long = 0
 
+    /** Whether its machine is about to be moved or taken down, so that it gets nothing new. */
+    public var cordoned: Boolean = false
+
     /** Not given new work before this time. */
     public var avoidUntilMillis: Long = 0
 
@@ -67,7 +70,7 @@
 
     /** Whether new work may be sent to it. */
     public fun usable(nowMillis: Long): Boolean = (listed || nowMillis < presumedUntilMillis) && fenced &&
-        !record.draining && unreachableSinceMillis == null && avoidUntilMillis <= nowMillis && clockMillis != null
+        !record.draining && !cordoned && unreachableSinceMillis == null && avoidUntilMillis <= nowMillis && clockMillis != null
 
     /** Notes a run that may be there. */
     public fun add(run: Run) {
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -5,6 +5,7 @@
 
 import org.gypsumturn.batch.lease.ControlLease
 import org.gypsumturn.batch.lease.Instants
+import org.gypsumturn.batch.machines.MachineTimes
 import org.gypsumturn.batch.model.FleetConfiguration
 import org.gypsumturn.batch.model.QueueId
 import org.gypsumturn.batch.model.UpkeepWave
@@ -12,6 +13,7 @@
 import org.gypsumturn.batch.port.FleetNews
 import org.gypsumturn.batch.port.FleetNewsFeed
 import org.gypsumturn.batch.port.FleetNewsPage
+import org.gypsumturn.batch.port.MachineControl
 import org.gypsumturn.batch.port.NewsKind
 import org.gypsumturn.batch.port.RowChanges
 import org.gypsumturn.batch.port.RowStore
@@ -34,12 +36,14 @@
     public val store: RowStore,
     public val news: FleetNewsFeed,
     public val executors: ExecutorCalls,
+    public val machines: MachineControl?,
 )
 
 /** One term of holding the lease. */
 public class HolderSession(
     private val lease: ControlLease,
     private val settings: SchedulerSettings,
+    machineTimes: MachineTimes,
     private val ports: SessionPorts,
     private val post: Post,
     private val later: Later,
@@ -50,6 +54,10 @@
     private val carrier = OrderCarrier(scheduler, ports.executors, epoch, post)
     private val writer = ProgressWriter(scheduler, lease, ports.store, post)
     private val reader = TakeoverReader(ports.store, post, later, ::jobsRead)
+    private val machines =
+        ports.machines?.let { MachineDuty(scheduler, lease, machineTimes, ports.store, ports.news, it, post) }
+    private val waves = LinkedHashMap<Long, UpkeepWave>()
+    private var configuration: FleetConfiguration? = null
     private var jobsLoaded = false
     private var executorsLoaded = false
     private var ready = false
@@ -69,17 +77,20 @@
     /** Ends the session; answers that are still under way are passed over. */
     public fun close() {
         closed = true
+        machines?.close()
         reader.cancelled = true
     }
 
     /** Puts [configuration] in force. */
     public fun configured(configuration: FleetConfiguration) {
+        this.configuration = configuration
         scheduler.configure(configuration)
     }
 
     /** A wave was asked for. */
     public fun waveRequested(wave: UpkeepWave) {
-        logEvent("wave requested", "wave" to wave.number, "machines" to wave.machines.size)
+        waves[wave.number] = wave
+        if (ready) machines?.waveRequested(wave)
     }
 
     /** The state of a job as it may be shown; null while not everything is read. */
@@ -99,6 +110,7 @@
         scheduler.work(now.steadyMillis, now.wallMillis, mayOrder, extend).forEach(carrier::carry)
         if (mayOrder) {
             writer.work(now.steadyMillis)
+            configuration?.let { machines?.work(now.steadyMillis, it) }
             sweep(now.steadyMillis)
         }
     }
@@ -114,6 +126,7 @@
             "active" to scheduler.active.size,
             "revision" to stored.jobsRevision,
         )
+        machines?.wavesStored(stored.waveRows)
         jobsLoaded = true
         followJobs(stored.jobsRevision)
         readyIfLoaded()
@@ -240,6 +253,7 @@
         if (scheduler.active.isNotEmpty()) {
             scheduler.recoverFrom(scheduler.executors.keys, NodeClock.steadyMillis() + waitMillis)
         }
+        waves.values.forEach { machines?.waveRequested(it) }
         logEvent("session ready", "epoch" to epoch, "executors" to scheduler.executors.size)
     }
 
--- /dev/null
+++ b/node/src/main/kotlin/org/gypsumturn/node/MachineDuty.kt
@@ -0,0 +1,174 @@
+// Reads the platform's list of machines, carries orders for machines out, and stores and shows the state of waves.
+
+package org.gypsumturn.node
+
+import org.gypsumturn.batch.lease.ControlLease
+import org.gypsumturn.batch.lease.ControlRows
+import org.gypsumturn.batch.machines.MachineKeeper
+import org.gypsumturn.batch.machines.MachineOrder
+import org.gypsumturn.batch.machines.MachineTimes
+import org.gypsumturn.batch.machines.SizingPolicy
+import org.gypsumturn.batch.machines.WaveReport
+import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.MachineRecord
+import org.gypsumturn.batch.model.UpkeepWave
+import org.gypsumturn.batch.port.FleetNewsFeed
+import org.gypsumturn.batch.port.MachineAnswer
+import org.gypsumturn.batch.port.MachineControl
+import org.gypsumturn.batch.port.MachinePage
+import org.gypsumturn.batch.port.RowCondition
+import org.gypsumturn.batch.port.RowStore
+import org.gypsumturn.batch.port.RowTransaction
+import org.gypsumturn.batch.port.RowWrite
+import org.gypsumturn.batch.port.StoredRow
+import org.gypsumturn.batch.port.TransactionOutcome
+import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.failureOrNull
+
+/** Keeps the machines for the holder of [lease]; its state belongs to the control duty's thread. */
+public class MachineDuty(
+    scheduler: BatchScheduler,
+    private val lease: ControlLease,
+    times: MachineTimes,
+    private val store: RowStore,
+    private val news: FleetNewsFeed,
+    private val machines: MachineControl,
+    private val post: Post,
+) {
+    private val keeper = MachineKeeper(times, POLICY, NodeClock.steadyMillis(), scheduler, eventLog)
+    private val epoch = lease.epoch
+    private val earlier = HashMap<Long, WaveReport>()
+    private val shown = HashMap<Long, Boolean>()
+    private var listing = false
+    private var listedMillis = Long.MIN_VALUE / 2
+    private var decidedMillis = Long.MIN_VALUE / 2
+    private var reporting = false
+    private var listLost = false
+    private var closed = false
+
+    /** Passes over answers that are still under way. */
+    public fun close() {
+        closed = true
+    }
+
+    /** What earlier holders have stored of waves. */
+    public fun wavesStored(rows: List<StoredRow>) {
+        rows.forEach { row ->
+            val number = row.address.key.toLongOrNull()
+            val value = row.value
+            if (number != null && value != null) earlier[number] = WaveRows.decode(number, value)
+        }
+    }
+
+    /** A wave was asked for. */
+    public fun waveRequested(wave: UpkeepWave) {
+        val report = earlier[wave.number]
+        if (report?.completed == true) {
+            show(report)
+        } else {
+            keeper.waveRequested(NodeClock.steadyMillis(), wave, report?.done.orEmpty())
+        }
+    }
+
+    /** Does what is due. */
+    public fun work(nowMillis: Long, configuration: FleetConfiguration) {
+        if (!listing && nowMillis - listedMillis >= keeper.listIntervalMillis()) list(nowMillis)
+        if (nowMillis - decidedMillis >= DECIDE_MILLIS) {
+            decidedMillis = nowMillis
+            keeper.decide(nowMillis, configuration).forEach(::carry)
+        }
+        if (!reporting) keeper.takeReports().forEach(::storeReport)
+    }
+
+    private fun list(nowMillis: Long) {
+        listing = true
+        listedMillis = nowMillis
+        readPage(null, ArrayList())
+    }
+
+    private fun readPage(page: String?, into: MutableList<MachineRecord>) {
+        machines.list(page, LIST_TIMEOUT_MILLIS) { verdict -> post { if (!closed) pageRead(verdict, into) } }
+    }
+
+    private fun pageRead(verdict: Verdict<MachinePage>, into: MutableList<MachineRecord>) {
+        val page = (verdict as? Verdict.Ran)?.value
+        noteList(page == null, verdict)
+        if (page == null) {
+            listing = false
+            return
+        }
+        into += page.machines
+        if (page.nextPage != null) {
+            readPage(page.nextPage, into)
+        } else {
+            listing = false
+            keeper.listed(NodeClock.steadyMillis(), into)
+        }
+    }
+
+    private fun noteList(lost: Boolean, verdict: Verdict<*>) {
+        if (lost && !listLost) logEvent("machine list lost", "why" to verdict.failureOrNull()?.message)
+        if (!lost && listLost) logEvent("machine list regained")
+        listLost = lost
+    }
+
+    private fun carry(order: MachineOrder) {
+        val done = { verdict: Verdict<MachineAnswer> ->
+            post { if (!closed) keeper.answered(NodeClock.steadyMillis(), order, verdict) }
+        }
+        when (order) {
+            is MachineOrder.Upkeep -> machines.upkeep(order.machine, order.wave, epoch, ORDER_TIMEOUT_MILLIS, done)
+            is MachineOrder.Move -> machines.move(order.machine, order.pool, epoch, ORDER_TIMEOUT_MILLIS, done)
+        }
+    }
+
+    /** Stores what is done of a wave before it is shown. */
+    private fun storeReport(report: WaveReport) {
+        reporting = true
+        val owner = RowCondition(ControlRows.OWNER, lease.ownerRevision)
+        val write = RowWrite(WaveRows.address(report.number), WaveRows.encode(report))
+        store.transact(RowTransaction(listOf(owner), listOf(write)), WRITE_TIMEOUT_MILLIS) { verdict ->
+            post {
+                reporting = false
+                when ((verdict as? Verdict.Ran)?.value) {
+                    is TransactionOutcome.Committed -> show(report)
+
+                    // Another holder has taken over and goes on from what is stored.
+                    is TransactionOutcome.Conflict -> Unit
+
+                    null -> keeper.giveBack(report)
+                }
+            }
+        }
+    }
+
+    private fun show(report: WaveReport) {
+        if (closed || shown[report.number] == report.completed) return
+        shown[report.number] = report.completed
+        news.publishWave(report.number, report.completed, WRITE_TIMEOUT_MILLIS) { verdict ->
+            post {
+                verdict.failureOrNull()?.let { failure ->
+                    logEvent("wave not shown", "wave" to report.number, "why" to failure.message)
+                    shown -= report.number
+                    keeper.giveBack(report)
+                }
+            }
+        }
+    }
+
+    private companion object {
+        /** Work that waits is to be done in about the time that quick jobs have beside their own run time. */
+        val POLICY = SizingPolicy(clearMillis = 1_200.0, idleMillis = 1_500)
+
+        /** Time between two decisions. */
+        const val DECIDE_MILLIS = 100L
+
+        /** Longest wait for a page of the list, and for an order. */
+        const val LIST_TIMEOUT_MILLIS = 800L
+        const val ORDER_TIMEOUT_MILLIS = 800L
+
+        /** Longest wait for a write. */
+        const val WRITE_TIMEOUT_MILLIS = 1_500L
+    }
+}
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -7,9 +7,12 @@
 import io.netty.channel.nio.NioIoHandler
 import org.gypsumturn.batch.lease.ControlLease
 import org.gypsumturn.batch.lease.LeaseTimes
+import org.gypsumturn.batch.machines.MachineTimes
 import org.gypsumturn.batch.schedule.SchedulerSettings
+import org.gypsumturn.model.NodeId
 import org.gypsumturn.platform.CallerIngress
 import org.gypsumturn.platform.PlatformExecutorCalls
+import org.gypsumturn.platform.PlatformMachineControl
 import org.gypsumturn.platform.PlatformNewsFeed
 import org.gypsumturn.platform.PlatformRowStore
 import org.gypsumturn.runtime.duty.Duty
@@ -44,8 +47,8 @@
         if (!control.offer(action)) log.error("the control duty's ring is full; an event was dropped")
     }
     private val leaseDuty: LeaseDuty =
-        LeaseDuty(lease, store, claimDelayMillis(), post) {
-            HolderSession(it, schedulerSettings(), ports(), post, laterOnControl)
+        LeaseDuty(lease, store, claimDelayMillis(), post) { held ->
+            HolderSession(held, schedulerSettings(), machineTimes(), ports(), post, laterOnControl)
         }
     private val laterOnControl: Later = { delayMillis, action ->
         loop.schedule({ post(action) }, delayMillis, TimeUnit.MILLISECONDS)
@@ -100,7 +103,18 @@
         callers.close()
     }
 
-    private fun ports() = SessionPorts(store, news, PlatformExecutorCalls(executorClient))
+    private fun ports(): SessionPorts {
+        val machines = Endpoint.parse(settings[NodeSettings.machinesAddress])?.let {
+            PlatformMachineControl(peerClient, it, NodeId(nodeName))
+        }
+        return SessionPorts(store, news, PlatformExecutorCalls(executorClient), machines)
+    }
+
+    private fun machineTimes() = MachineTimes(
+        (settings[NodeSettings.moveSeconds] * MILLIS_PER_SECOND).toLong(),
+        (settings[NodeSettings.upkeepSeconds] * MILLIS_PER_SECOND).toLong(),
+        settings[NodeSettings.orderLeaseMillis] + HANDOVER_SLACK_MILLIS,
+    )
 
     private fun schedulerSettings(): SchedulerSettings {
         val maxLeaseMillis = settings[NodeSettings.maxLeaseMillis]
@@ -141,6 +155,9 @@
         /** Lease of what runs: outlives a takeover, and lets work on a dead executor go elsewhere soon. */
         const val RUN_LEASE_MILLIS = 5_000L
 
+        /** Beyond the distance between two holders' orders: an earlier order may be under way for a while. */
+        const val HANDOVER_SLACK_MILLIS = 500L
+
         const val CONTROL_RING = 65_536
         const val CONTROL_IDLE_MILLIS = 20L
         const val MAX_BODY_BYTES = 1_048_576
--- a/node/src/main/kotlin/org/gypsumturn/node/TakeoverReader.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/TakeoverReader.kt
@@ -11,10 +11,11 @@
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.failureOrNull
 
-/** Everything that is stored about jobs; changes after [jobsRevision] are not in it. */
+/** Everything that is stored about jobs and waves; changes after [jobsRevision] are not in it. */
 public class StoredJobs(
     public val jobRows: List<StoredRow>,
     public val progressRows: List<StoredRow>,
+    public val waveRows: List<StoredRow>,
     public val jobsRevision: Revision,
 )
 
@@ -27,8 +28,9 @@
 ) {
     private val jobRows = ArrayList<StoredRow>()
     private val progressRows = ArrayList<StoredRow>()
+    private val waveRows = ArrayList<StoredRow>()
     private var jobsRevision = Revision(Long.MAX_VALUE)
-    private var open = JobRows.PARTITIONS + 1
+    private var open = JobRows.PARTITIONS + 2
 
     /** Set when the result is not wanted any more. */
     public var cancelled: Boolean = false
@@ -41,6 +43,7 @@
             }
         }
         readPartition(JobRows.PROGRESS_TABLE, ControlRows.PARTITION, null, progressRows) { }
+        readPartition(WaveRows.TABLE, ControlRows.PARTITION, null, waveRows) { }
     }
 
     private fun readPartition(
@@ -78,7 +81,7 @@
             return
         }
         open--
-        if (open == 0) done(StoredJobs(jobRows, progressRows, jobsRevision))
+        if (open == 0) done(StoredJobs(jobRows, progressRows, waveRows, jobsRevision))
     }
 
     private companion object {
