Judge executors by their record, and evacuate machines that are due

Cause 1: executors that fail, hang or are slow were used like any other. They are passed over for a while now; runs that make no progress, or far less than others of their step elsewhere, are copied or stopped and started anew. Cordoned machines no longer count for the size of a pool, and long-running tasks leave one after the other (MachineKeeperTest, both fail without the change). Ruled out: room (most of it was free) and the order of work.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineKeeper.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineKeeper.kt
@@ -101,15 +101,19 @@
             )
             val chosen = planUpkeep(nowMillis, state, view, times.upkeepMillis)
             state.cordonedMillis.keys.forEach { cordon(it) }
+            state.cordonedMillis.keys.mapNotNull { executorOf(it) }.flatMap(::runsToEvacuate).forEach { run ->
+                scheduler.stop(run, "its machine is due for upkeep")
+            }
             chosen.map { MachineOrder.Upkeep(it.id, it.executor, state.wave.number) }
         }
     }
 
     private fun cordon(id: MachineId) {
-        val executor = book.machine(id)?.executor ?: return
-        scheduler.executors[executor]?.cordoned = true
+        executorOf(id)?.cordoned = true
     }
 
+    private fun executorOf(id: MachineId): ExecutorState? = book.machine(id)?.executor?.let { scheduler.executors[it] }
+
     /** Machines that [pool] can lose at once: a third, but one in any case. Pools without work can lose all. */
     private fun poolRoom(pool: PoolId): Int {
         val machines = book.all.filter { it.pool == pool }
@@ -130,7 +134,7 @@
 
     private fun sizedPools(configuration: FleetConfiguration): List<SizedPool> =
         demandOf(scheduler, configuration).map { (pool, demand) ->
-            val assigned = book.assigned(pool)
+            val assigned = book.assigned(pool).filter { executorOf(it.id)?.cordoned != true }
             val cpu = assigned.maxOfOrNull { it.capacity.cpuMillis } ?: book.all.maxOfOrNull { it.capacity.cpuMillis }
             SizedPool(pool, assigned.size, cpu ?: 0, demand, idleMachines(assigned))
         }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/UpkeepPlan.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/UpkeepPlan.kt
@@ -32,8 +32,7 @@
 
     val endMillis: Long get() = begunMillis + wave.durationMillis
 
-    fun left(isThere: (MachineId) -> Boolean): List<MachineId> =
-        wave.machines.filter { it !in done && isThere(it) }
+    fun left(isThere: (MachineId) -> Boolean): List<MachineId> = wave.machines.filter { it !in done && isThere(it) }
 }
 
 /** Whether a long-running task is at work. */
@@ -46,6 +45,19 @@
         runs.size + awayElsewhere(step, runs) <= allowedAway(step)
     }
 
+/**
+ * Long-running tasks on [executor] to stop now, so that they go on elsewhere: where more of a step are on it than may be
+ * away at once, one after the other.
+ */
+internal fun runsToEvacuate(executor: ExecutorState): List<Run> {
+    val groups = executor.runs.values.filter { it.task.step.step.longRunning }.groupBy { it.task.step }
+    return groups.mapNotNull { (step, runs) ->
+        val away = step.tasks.count { !atWork(it) }
+        val tooMany = runs.size + awayElsewhere(step, runs) > allowedAway(step)
+        runs.firstOrNull { it.phase == RunPhase.RUNNING }.takeIf { tooMany && away < allowedAway(step) }
+    }
+}
+
 private fun awayElsewhere(step: StepState, runs: List<Run>): Int {
     val here = runs.mapTo(HashSet()) { it.task }
     return step.tasks.count { it !in here && !atWork(it) }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -45,11 +45,13 @@
     private val changed = LinkedHashSet<JobState>()
     private val book = ExecutorBook(settings, epoch, log)
     private val recovery = Recovery()
-    private val ends = RunEnds(this, book, log)
+    private val judge = ExecutorJudge(book, log)
+    private val ends = RunEnds(this, book, judge, log)
     private val starter = TaskStarter(settings, epoch, book, log)
     private var configuration: FleetConfiguration? = null
     private var serial = 0L
     private var placedMillis = 0L
+    private var judgedMillis = 0L
     private var needsPlacement = true
 
     init {
@@ -100,7 +102,9 @@
         val executor = book.executors[id] ?: return
         log("executor gone", arrayOf("executor" to id, "runs" to executor.runs.size))
         ends.lifetimeEnded(nowMillis, executor)
+        judge.forget(executor)
         book.drop(executor)
+        needsPlacement = true
     }
 
     /**
@@ -125,7 +129,16 @@
         if (job.repeats == 0 && 0 !in state.occurrences) state.begin(0, nowMillis)
         active += state
         needsPlacement = true
-        if (fresh) log("job queued", arrayOf("job" to job.id, "queue" to job.queue, "steps" to job.steps.map { it.describe() }))
+        if (fresh) {
+            log(
+                "job queued",
+                arrayOf(
+                    "job" to job.id,
+                    "queue" to job.queue,
+                    "steps" to job.steps.map { it.describe() },
+                ),
+            )
+        }
     }
 
     /** A job's cancellation was stored. */
@@ -279,6 +292,7 @@
         }
         if (mayOrder) {
             retryStops(nowMillis)
+            if (nowMillis - judgedMillis >= JUDGE_INTERVAL_MILLIS) judgeRuns(nowMillis)
             if (needsPlacement || nowMillis - placedMillis > PLACEMENT_INTERVAL_MILLIS) place(nowMillis)
         }
         book.look(nowMillis, extendLeases)
@@ -331,6 +345,28 @@
         }
     }
 
+    /** Moves runs that lag: a copy is started where the step allows copies, otherwise the run is stopped first. */
+    private fun judgeRuns(nowMillis: Long) {
+        judgedMillis = nowMillis
+        judge.laggards(nowMillis).filter { !it.lagging }.forEach { run ->
+            val task = run.task
+            log(
+                "run lags",
+                arrayOf(
+                    "task" to run.id.task,
+                    "executor" to run.executor.record.id,
+                    "percent" to run.percent,
+                    "elapsed_ms" to nowMillis - run.startedMillis,
+                ),
+            )
+            run.lagging = true
+            needsPlacement = true
+            if (!task.step.step.speculative && !task.step.step.gang && run.id.attempt - task.firstAttempt < MAX_MOVES) {
+                stop(run, "lags")
+            }
+        }
+    }
+
     private fun retryStops(nowMillis: Long) {
         for (executor in book.executors.values) {
             for (run in executor.runs.values) {
@@ -352,6 +388,12 @@
         /** Time beyond the promised one for which an ended job is kept. */
         const val EXPIRY_SLACK_MILLIS = 30_000L
 
+        /** Time between two looks for runs that lag. */
+        const val JUDGE_INTERVAL_MILLIS = 200L
+
+        /** Starts of a task after which it is left where it is, however slow. */
+        const val MAX_MOVES = 3L
+
         /** Longest time between two placements: executors become usable again by time alone. */
         const val PLACEMENT_INTERVAL_MILLIS = 100L
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/Placement.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/Placement.kt
@@ -10,6 +10,12 @@
 /** Score of an executor on another rack than the data, in parts of an executor's processors. */
 private const val REMOTE_PENALTY = 10.0
 
+/**
+ * Score for each task of a long-running step that an executor has already: one lost executor should not take many, but
+ * executors without any are worth more, since they can be given back.
+ */
+private const val LONG_RUNNING_SPREAD = 0.3
+
 /** The best of [candidates] for a task of [step], or null if none has room. */
 public fun chooseExecutor(
     step: StepState,
@@ -42,6 +48,6 @@
     val free = executor.free.cpuMillis / capacity
     val affinity = step.step.affinityRack
     val far = affinity.isNotEmpty() && affinity !in executor.record.labels
-    val spread = if (step.step.longRunning) -2 * free + step.runsOn(executor) else free
-    return spread + if (far) REMOTE_PENALTY else 0.0
+    val spread = if (step.step.longRunning) LONG_RUNNING_SPREAD * step.runsOn(executor) else 0.0
+    return free + spread + if (far) REMOTE_PENALTY else 0.0
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/RunEnds.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/RunEnds.kt
@@ -20,6 +20,7 @@
 internal class RunEnds(
     private val scheduler: BatchScheduler,
     private val book: ExecutorBook,
+    private val judge: ExecutorJudge,
     private val log: DecisionLog,
 ) {
     /** How failures that a job may have in one task are limited; asked with the job. */
@@ -52,13 +53,28 @@
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
         task.idleSinceMillis = nowMillis
         when (end.end) {
-            RunEnd.DONE -> done(nowMillis, task)
-            RunEnd.FAILED -> failed(nowMillis, task, end.run.attempt)
+            RunEnd.DONE -> {
+                judge.done(nowMillis, executor)
+                run?.let { noteTime(nowMillis, it) }
+                done(nowMillis, task)
+            }
+
+            RunEnd.FAILED -> {
+                judge.failed(nowMillis, executor, job.job.id)
+                task.failedOn += executor.record.id
+                failed(nowMillis, task, end.run.attempt)
+            }
+
             else -> Unit
         }
         executor.pendingEnds[end.number] = PendingEnd(job, job.changeSerial)
     }
 
+    private fun noteTime(nowMillis: Long, run: Run) {
+        run.task.step.endedRuns++
+        run.task.step.endedRunMillis += nowMillis - run.startedMillis
+    }
+
     private fun logEnd(executor: ExecutorState, end: ListedEnd) {
         val run = end.run
         log(
@@ -107,6 +123,7 @@
         if (run.percent != row.percent) {
             run.percent = row.percent
             run.progressMillis = nowMillis
+            run.lagging = false
         }
         run.load = row.load
         if (row.checkpoint.isNotEmpty()) run.task.checkpoint = row.checkpoint
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -57,7 +57,7 @@
             return
         }
         for (task in waiting) {
-            val executor = chooseExecutor(step, candidates)
+            val executor = chooseFor(task, candidates)
             if (executor == null) {
                 if (step.step.requiredLabel.isEmpty() && step.step.maxPerExecutor == 0) unfit += step.room
                 return
@@ -66,6 +66,14 @@
         }
     }
 
+    /** Not where a run of the task is in doubt, and where it has failed only if nothing else has room. */
+    private fun chooseFor(task: Task, candidates: List<ExecutorState>): ExecutorState? {
+        if (task.runs.isEmpty() && task.failedOn.isEmpty()) return chooseExecutor(task.step, candidates)
+        val others = candidates.filter { candidate -> task.runs.none { it.executor === candidate } }
+        return chooseExecutor(task.step, others.filter { it.record.id !in task.failedOn })
+            ?: chooseExecutor(task.step, others).takeIf { task.runs.isEmpty() }
+    }
+
     /** Starts all members of a gang or none. */
     private fun placeGang(nowMillis: Long, step: StepState, waiting: List<Task>, candidates: List<ExecutorState>) {
         if (waiting.size != step.tasks.size) return
@@ -88,7 +96,7 @@
         }
     }
 
-    private fun nextAttempt(task: Task): Long = maxOf(task.attempt + 1, task.step.job.firstAttempt)
+    private fun nextAttempt(task: Task): Long = maxOf(task.attempt + 1, task.firstAttempt)
 
     /** Starts [task] on [executor]. */
     fun start(nowMillis: Long, task: Task, executor: ExecutorState, attempt: Long) {
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -70,7 +70,8 @@
 
     /** Whether new work may be sent to it. */
     public fun usable(nowMillis: Long): Boolean = (listed || nowMillis < presumedUntilMillis) && fenced &&
-        !record.draining && !cordoned && unreachableSinceMillis == null && avoidUntilMillis <= nowMillis && clockMillis != null
+        !record.draining && !cordoned && unreachableSinceMillis == null && avoidUntilMillis <= nowMillis &&
+        clockMillis != null
 
     /** Notes a run that may be there. */
     public fun add(run: Run) {
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -9,6 +9,7 @@
 import org.gypsumturn.batch.model.Size
 import org.gypsumturn.batch.model.Step
 import org.gypsumturn.batch.model.TaskName
+import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.Revision
 
 /** Where a run stands from the scheduler's point of view. */
@@ -47,6 +48,12 @@
     /** Starts sent without an answer. */
     public var unansweredStarts: Int = 0
 
+    /** Whether it makes no progress, or far less than it should. */
+    public var lagging: Boolean = false
+
+    /** Whether a copy of it should be started, if its step allows copies. */
+    public val doubtful: Boolean get() = lagging || executor.unreachableSinceMillis != null
+
     /** Room that the run takes. */
     public val size: Size get() = task.step.room
 
@@ -69,16 +76,25 @@
 
     public var checkpoint: String = ""
 
+    /** Executors on which it failed; others go first. */
+    public val failedOn: MutableSet<InstanceId> = HashSet(0)
+
     /** Not started before this time. */
     public var notBeforeMillis: Long = 0
 
     /** When the task last was at work, or became ready. */
     public var idleSinceMillis: Long = 0
 
+    /** The attempt with which its numbers begin. */
+    public val firstAttempt: Long get() = step.job.firstAttempt
+
     public val name: TaskName get() = TaskName(step.job.job.id, step.occurrence, step.index, index)
 
-    /** Whether the task waits for a start. */
-    public fun waits(nowMillis: Long): Boolean = !done && runs.isEmpty() && notBeforeMillis <= nowMillis
+    /** Whether the task waits for a start, or for a copy of a run that is in doubt. */
+    public fun waits(nowMillis: Long): Boolean =
+        !done && notBeforeMillis <= nowMillis && (runs.isEmpty() || wantsCopy())
+
+    private fun wantsCopy() = step.step.speculative && runs.size == 1 && runs.single().doubtful
 }
 
 /** A step of one occurrence. */
@@ -93,6 +109,10 @@
     /** Tasks that have ended well. */
     public var doneCount: Int = 0
 
+    /** Runs that have ended well, and the sum of their times. */
+    public var endedRuns: Int = 0
+    public var endedRunMillis: Long = 0
+
     /** Room that is set aside for one task. Tasks that fill take no processors of their own. */
     public val room: Size = if (step.fills) step.size.copy(cpuMillis = 0) else step.size
 
--- /dev/null
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineKeeperTest.kt
@@ -0,0 +1,187 @@
+package org.gypsumturn.batch.machines
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import org.gypsumturn.batch.POOL
+import org.gypsumturn.batch.VirtualFleet
+import org.gypsumturn.batch.configuration
+import org.gypsumturn.batch.job
+import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.MachineId
+import org.gypsumturn.batch.model.MachineRecord
+import org.gypsumturn.batch.model.MachineState
+import org.gypsumturn.batch.model.PoolRecord
+import org.gypsumturn.batch.model.Size
+import org.gypsumturn.batch.model.UpkeepWave
+import org.gypsumturn.batch.port.MachineAnswer
+import org.gypsumturn.batch.queue
+import org.gypsumturn.batch.step
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.Verdict
+
+private val SPARE = PoolId("off")
+private val CAPACITY = Size(16_000, 32_000, 0)
+
+/** Machines with one executor each, driven by a keeper's orders in the virtual fleet's time. */
+private class VirtualMachines(val fleet: VirtualFleet, spares: Int) {
+    class Machine(val id: MachineId, var pool: PoolId, var executor: InstanceId?) {
+        var state = MachineState.UP
+        var backAtMillis = 0L
+        var target: PoolId? = null
+    }
+
+    val configuration = FleetConfiguration(
+        1,
+        fleet.configuration.queues,
+        fleet.configuration.pools + (SPARE to PoolRecord(SPARE, true, true, "")),
+        fleet.configuration.limits,
+    )
+    val machines = fleet.executors.keys.map { Machine(MachineId("m-$it"), POOL, it) }.toMutableList()
+    val keeper = MachineKeeper(
+        MachineTimes(1_500, 2_000, 0),
+        SizingPolicy(1_200.0, 1_500),
+        0,
+        fleet.scheduler,
+    ) { event, fields -> fleet.log += "$event ${fields.toList()}" }
+    val downMillis = HashMap<MachineId, Long>()
+    var mostDown = 0
+    var moves = 0
+    private var lives = 0
+
+    init {
+        repeat(spares) { machines += Machine(MachineId("spare-$it"), SPARE, null) }
+        fleet.configuration = configuration
+        fleet.scheduler.configure(configuration)
+    }
+
+    fun run(millis: Long, each: () -> Unit = {}) {
+        fleet.run(millis) {
+            if (fleet.nowMillis % 100 == 0L) step()
+            each()
+        }
+    }
+
+    private fun step() {
+        val now = fleet.nowMillis
+        machines.filter { it.state != MachineState.UP && it.backAtMillis <= now }.forEach(::bringBack)
+        keeper.listed(now, machines.map { MachineRecord(it.id, it.pool, it.state, it.executor, emptySet(), CAPACITY) })
+        keeper.decide(now, configuration).forEach { order ->
+            val machine = machines.single { it.id == order.machine }
+            carry(now, machine, order)
+            keeper.answered(now, order, Verdict.Ran(MachineAnswer.DONE))
+        }
+        mostDown = maxOf(mostDown, machines.count { it.state == MachineState.UPKEEP })
+    }
+
+    private fun carry(now: Long, machine: Machine, order: MachineOrder) {
+        machine.executor?.let { id -> fleet.executors.remove(id) }
+        machine.executor = null
+        if (order is MachineOrder.Move) {
+            moves++
+            machine.state = MachineState.MOVING
+            machine.target = order.pool
+            machine.backAtMillis = now + 1_500
+        } else {
+            downMillis[machine.id] = now
+            machine.state = MachineState.UPKEEP
+            machine.backAtMillis = now + 2_000
+        }
+    }
+
+    private fun bringBack(machine: Machine) {
+        machine.state = MachineState.UP
+        machine.pool = machine.target ?: machine.pool
+        machine.target = null
+        if (machine.pool != SPARE) {
+            val name = "life-${lives++}"
+            fleet.add(name, CAPACITY, machine.pool)
+            machine.executor = InstanceId(name)
+        }
+    }
+}
+
+class MachineKeeperTest : AnnotationSpec() {
+    private val watch = step(count = 4, cpuMillis = 1_000).copy(longRunning = true, mayMiss = 1, estimateMillis = 0)
+
+    @Test
+    fun `a wave takes every machine down once, never more than its cap at once`() {
+        val machines = VirtualMachines(VirtualFleet(6), spares = 2)
+        machines.fleet.run(200)
+        val wave = UpkeepWave(1, machines.machines.map { it.id }, 25_000, 3)
+        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet())
+        machines.run(25_000)
+        machines.downMillis.keys shouldBe wave.machines.toSet()
+        machines.mostDown shouldBeLessThanOrEqual 3
+        machines.keeper.takeReports().single().completed shouldBe true
+    }
+
+    @Test
+    fun `machines that are off do not fill the cap for longer than their upkeep takes`() {
+        val machines = VirtualMachines(VirtualFleet(2), spares = 6)
+        machines.fleet.run(200)
+        val wave = UpkeepWave(1, machines.machines.map { it.id }, 12_000, 6)
+        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet())
+        machines.run(10_000)
+        machines.downMillis.keys shouldBe wave.machines.toSet()
+    }
+
+    @Test
+    fun `a wave goes on where an earlier holder left it`() {
+        val machines = VirtualMachines(VirtualFleet(2), spares = 2)
+        machines.fleet.run(200)
+        val all = machines.machines.map { it.id }
+        machines.keeper.waveRequested(machines.fleet.nowMillis, UpkeepWave(1, all, 12_000, 2), all.take(3).toSet())
+        machines.run(6_000)
+        machines.downMillis.keys shouldBe all.drop(3).toSet()
+    }
+
+    @Test
+    fun `long-running tasks that share a machine leave it one after the other before its upkeep`() {
+        val fleet = VirtualFleet(1, configuration = configuration(queue()))
+        val machines = VirtualMachines(fleet, spares = 3)
+        val job = job(1, watch)
+        fleet.submit(job) { Long.MAX_VALUE / 1_000 }
+        machines.run(3_000)
+        val wave = UpkeepWave(1, listOf(machines.machines.first().id), 25_000, 1)
+        machines.keeper.waveRequested(fleet.nowMillis, wave, emptySet())
+        var leastAtWork = 4
+        machines.run(25_000) {
+            leastAtWork = minOf(leastAtWork, fleet.executors.values.sumOf { it.runs.size })
+        }
+        machines.downMillis.size shouldBe 1
+        leastAtWork shouldBe 3
+        fleet.breaches.shouldBeEmpty()
+    }
+
+    @Test
+    fun `a pool whose only machine waits for its upkeep still runs jobs`() {
+        val fleet = VirtualFleet(1)
+        val machines = VirtualMachines(fleet, spares = 2)
+        fleet.submit(job(1, watch)) { Long.MAX_VALUE / 1_000 }
+        machines.run(3_000)
+        val wave = UpkeepWave(1, listOf(machines.machines.first().id), 60_000, 1)
+        machines.keeper.waveRequested(fleet.nowMillis, wave, emptySet())
+        machines.run(300)
+        val quick = job(2, step(count = 9))
+        fleet.submit(quick)
+        machines.run(6_000)
+        (quick.id in fleet.completedMillis) shouldBe true
+    }
+
+    @Test
+    fun `a queue that asks for five times its mean gets the spare machines and gives them back`() {
+        val fleet = VirtualFleet(3)
+        val machines = VirtualMachines(fleet, spares = 6)
+        machines.run(500)
+        repeat(60) { fleet.submit(job(it, step(count = 6, cpuMillis = 1_100))) }
+        machines.run(2_000)
+        machines.machines.count { it.pool == POOL && it.state == MachineState.UP } shouldBe 9
+        machines.run(12_000)
+        fleet.scheduler.active.shouldBeEmpty()
+        machines.machines.count { it.pool == SPARE } shouldBe 8
+        machines.moves shouldBeLessThanOrEqual 14
+    }
+}
