Reach the store through other nodes, and plan a pool's room

A refused call now goes through another node. - each lost answer to a look marked an executor as lost for 300 ms (81 times). It takes two calls in a row now. - after a takeover no task of an earlier job was started for 10 s, since one silent executor held up all pools. Recovery is by pool, leases are no longer extended without the control lease, and a silent executor that no machine has any more is gone. - pools gave their machines back 1.5 s after the start, before their first job. - with four times its load a pool began jobs that then missed their objective. Jobs that do not fit a plan of the pool's room give way at once. Ruled out: priority among queues (one queue of quick jobs a pool).

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/DemandReader.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/DemandReader.kt
@@ -3,8 +3,10 @@
 package org.gypsumturn.batch.machines
 
 import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.Step
 import org.gypsumturn.batch.schedule.BatchScheduler
 import org.gypsumturn.batch.state.JobState
+import org.gypsumturn.batch.state.StepState
 import org.gypsumturn.model.PoolId
 
 /** Sum of what runs, waits and stands in a pool. */
@@ -30,18 +32,18 @@
 }
 
 private fun addJob(sum: DemandSum, job: JobState) {
-    for (occurrence in job.occurrences.values) {
-        for (state in occurrence.steps) {
-            val step = state.step
-            if (step.longRunning) {
-                if (step.maxPerExecutor > 0) {
-                    val least = (step.count + step.maxPerExecutor - 1) / step.maxPerExecutor
-                    sum.leastMachines = maxOf(sum.leastMachines, least)
-                }
-                continue
-            }
-            val waiting = state.tasks.count { !it.done && it.runs.isEmpty() }
-            sum.backlogCpuMillis += waiting.toDouble() * step.size.cpuMillis * step.estimateMillis
-        }
+    job.occurrences.values.flatMap { it.steps }.forEach { state ->
+        if (state.step.longRunning) addStanding(sum, state.step) else addWaiting(sum, state)
     }
 }
+
+private fun addStanding(sum: DemandSum, step: Step) {
+    if (step.maxPerExecutor == 0) return
+    val least = (step.count + step.maxPerExecutor - 1) / step.maxPerExecutor
+    sum.leastMachines = maxOf(sum.leastMachines, least)
+}
+
+private fun addWaiting(sum: DemandSum, state: StepState) {
+    val waiting = state.tasks.count { !it.done && it.runs.isEmpty() }
+    sum.backlogCpuMillis += waiting.toDouble() * state.step.size.cpuMillis * state.step.estimateMillis
+}
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineBook.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineBook.kt
@@ -45,7 +45,7 @@
         listedMillis = nowMillis
         val over = tasks.values.filter { task ->
             val machine = machines[task.order.machine]
-            machine == null || task.stage == OrderStage.CARRIED_OUT && isBack(nowMillis, machine, task)
+            machine == null || (task.stage == OrderStage.CARRIED_OUT && isBack(nowMillis, machine, task))
         }
         over.forEach { tasks.remove(it.order.machine) }
         return over.map { it.order }
@@ -67,7 +67,8 @@
     /** Machines that are in [pool] or on their way to it. */
     fun assigned(pool: PoolId): List<MachineRecord> = machines.values.filter { machine ->
         val order = tasks[machine.id]?.order
-        machine.state != MachineState.DOWN && if (order is MachineOrder.Move) order.pool == pool else machine.pool == pool
+        machine.state != MachineState.DOWN &&
+            if (order is MachineOrder.Move) order.pool == pool else machine.pool == pool
     }
 
     /** Machines of [wave] that are down, or may be, for their upkeep. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineKeeper.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineKeeper.kt
@@ -31,10 +31,17 @@
     private val waves = LinkedHashMap<Long, WaveState>()
     private val idleSince = HashMap<InstanceId, Long>()
     private val reports = LinkedHashMap<Long, WaveReport>()
-
-    /** Whether orders can be given: the list is known, and an earlier holder's last order is old enough. */
-    private fun mayOrder(nowMillis: Long): Boolean =
-        book.listedMillis != null && nowMillis - begunMillis >= times.handoverMillis
+    private val worked = HashSet<PoolId>()
+
+    /**
+     * Whether an order can be given for [machine]: an earlier holder's last order for it is old enough, or there was none,
+     * since its executor has run for longer.
+     */
+    private fun mayOrder(nowMillis: Long, wallMillis: Long, machine: MachineRecord): Boolean {
+        if (nowMillis - begunMillis >= times.handoverMillis) return true
+        val startedMillis = executorOf(machine.id)?.lifetime?.startedAtMillis ?: return false
+        return startedMillis > 0 && wallMillis - startedMillis >= times.handoverMillis + CLOCK_SLACK_MILLIS
+    }
 
     /** A wave was asked for; [done] are the machines that earlier holders have taken down for it. */
     public fun waveRequested(nowMillis: Long, wave: UpkeepWave, done: Set<MachineId>) {
@@ -50,11 +57,25 @@
         book.listed(nowMillis, machines).forEach { order ->
             log("machine back", arrayOf("machine" to order.machine, "order" to order))
         }
-        machines.filter { it.state == MachineState.DOWN }.mapNotNull { it.executor }.forEach { id ->
-            if (scheduler.executors[id]?.unreachableSinceMillis != null) scheduler.gone(nowMillis, id)
+        val down = machines.filter { it.state == MachineState.DOWN }.mapNotNullTo(HashSet()) { it.executor }
+        val present = machines.mapNotNullTo(HashSet()) { it.executor } - down
+        scheduler.executors.values.filter { isGone(nowMillis, it, down, present) }.map { it.record.id }.forEach { id ->
+            scheduler.gone(nowMillis, id)
         }
     }
 
+    /** Whether a silent executor has ended: its machine is down, or no machine has had it for longer than the list lags. */
+    private fun isGone(
+        nowMillis: Long,
+        executor: ExecutorState,
+        down: Set<InstanceId>,
+        present: Set<InstanceId>,
+    ): Boolean {
+        val silentSince = executor.unreachableSinceMillis ?: return false
+        val id = executor.record.id
+        return id in down || (id !in present && nowMillis - silentSince >= ABSENT_MILLIS)
+    }
+
     /** How soon the list should be read again, in milliseconds since the last reading. */
     public fun listIntervalMillis(): Long = when {
         book.tasks.isNotEmpty() -> ORDERS_LIST_MILLIS
@@ -63,13 +84,14 @@
     }
 
     /** Orders to give now. */
-    public fun decide(nowMillis: Long, configuration: FleetConfiguration): List<MachineOrder> {
-        if (!mayOrder(nowMillis)) return emptyList()
+    public fun decide(nowMillis: Long, wallMillis: Long, configuration: FleetConfiguration): List<MachineOrder> {
+        if (book.listedMillis == null) return emptyList()
+        val mayOrder = { id: MachineId -> book.machine(id)?.let { mayOrder(nowMillis, wallMillis, it) } ?: false }
         noteIdle(nowMillis)
         val pools = sizedPools(configuration)
-        val orders = repeated(nowMillis) + upkeeps(nowMillis, pools)
+        val orders = repeated(nowMillis) + upkeeps(nowMillis, pools).filter { mayOrder(it.machine) }
         orders.forEach { begin(nowMillis, it) }
-        val moves = moves(nowMillis, configuration, pools)
+        val moves = moves(nowMillis, configuration, pools).filter { mayOrder(it.machine) }
         moves.forEach { begin(nowMillis, it) }
         finishWaves()
         return orders + moves
@@ -136,14 +158,15 @@
         demandOf(scheduler, configuration).map { (pool, demand) ->
             val assigned = book.assigned(pool).filter { executorOf(it.id)?.cordoned != true }
             val cpu = assigned.maxOfOrNull { it.capacity.cpuMillis } ?: book.all.maxOfOrNull { it.capacity.cpuMillis }
-            SizedPool(pool, assigned.size, cpu ?: 0, demand, idleMachines(assigned))
+            if (demand.backlogCpuMillis > 0) worked += pool
+            SizedPool(pool in worked, pool, assigned.size, cpu ?: 0, demand, idleMachines(assigned))
         }
 
     private fun idleMachines(machines: List<MachineRecord>): List<IdleMachine> = machines.mapNotNull { machine ->
         val since = machine.executor?.let { idleSince[it] }
         val executor = machine.executor?.let { scheduler.executors[it] }
-        if (since == null || executor == null || executor.cordoned || machine.id in book.tasks) return@mapNotNull null
-        IdleMachine(machine, since)
+        val taken = executor?.cordoned != false || machine.id in book.tasks
+        if (since == null || taken) null else IdleMachine(machine, since)
     }
 
     private fun noteIdle(nowMillis: Long) {
@@ -231,6 +254,12 @@
         /** The same while nothing happens. */
         const val CALM_LIST_MILLIS = 2_000L
 
+        /** How far the clocks of two machines may differ, beside a jump. */
+        const val CLOCK_SLACK_MILLIS = 1_500L
+
+        /** An executor that no machine has had for so long has ended; the list lags by less than a second. */
+        const val ABSENT_MILLIS = 1_500L
+
         /** Pause before an order without an answer is sent again. */
         const val RETRY_MILLIS = 300L
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/PoolSizing.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/PoolSizing.kt
@@ -27,11 +27,20 @@
  *
  * @property clearMillis time in which what waits should be done
  * @property idleMillis time after which an idle machine is given back
+ * @property settledMillis time after which an idle machine is taken for another pool before a spare one
  */
-public data class SizingPolicy(public val clearMillis: Double, public val idleMillis: Long)
+public data class SizingPolicy(
+    public val clearMillis: Double,
+    public val idleMillis: Long,
+    public val settledMillis: Long = 1_000,
+)
 
-/** A pool as the sizing sees it. [machines] counts those on their way to it. */
+/**
+ * A pool as the sizing sees it. [machines] counts those on their way to it; [hasWorked] tells that its demand is known, so
+ * that what the operator gave it is not taken away before its first job.
+ */
 public class SizedPool(
+    public val hasWorked: Boolean,
     public val pool: PoolId,
     public val machines: Int,
     public val machineCpuMillis: Long,
@@ -64,18 +73,26 @@
     val moves = LinkedHashMap<MachineId, PoolId>()
     val wanted = pools.associateWith { wantedMachines(it, policy) }
     val free = ArrayDeque(spare)
-    val surplus = pools.flatMap { pool ->
+    val idle = pools.flatMap { pool ->
         pool.idle.sortedBy { it.sinceMillis }.take(maxOf(0, pool.machines - wanted.getValue(pool)))
-    }.sortedBy { it.sinceMillis }
-    val idle = ArrayDeque(surplus)
+    }.sortedBy { it.sinceMillis }.toCollection(ArrayDeque())
     pools.filter { wanted.getValue(it) > it.machines }.sortedByDescending { pressure(it, policy) }.forEach { pool ->
         repeat(wanted.getValue(pool) - pool.machines) {
-            val machine = free.removeFirstOrNull() ?: idle.removeFirstOrNull()?.machine ?: return@forEach
+            // A machine that has been idle elsewhere costs one move and no more machines; a spare one is paid for anew.
+            val settled = idle.firstOrNull()?.takeIf { nowMillis - it.sinceMillis >= policy.settledMillis }
+            val machine = settled?.also { idle.removeFirst() }?.machine
+                ?: free.removeFirstOrNull()
+                ?: idle.removeFirstOrNull()?.machine
+                ?: return@forEach
             moves[machine.id] = pool.pool
         }
     }
     if (sparePool != null) {
-        idle.filter { nowMillis - it.sinceMillis >= policy.idleMillis }.forEach { moves[it.machine.id] = sparePool }
+        val worked = pools.filter { it.hasWorked }.mapTo(HashSet()) { it.pool }
+        idle.filter { it.machine.pool in worked && nowMillis - it.sinceMillis >= policy.idleMillis }.forEach {
+            moves[it.machine.id] =
+                sparePool
+        }
     }
     return moves
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -40,6 +40,7 @@
     private val settings: SchedulerSettings,
     private val epoch: Epoch,
     private val log: DecisionLog,
+    order: StepOrder = orderByPlan,
 ) {
     private val jobsById = HashMap<JobId, JobState>()
     private val changed = LinkedHashSet<JobState>()
@@ -47,7 +48,7 @@
     private val recovery = Recovery()
     private val judge = ExecutorJudge(book, log)
     private val ends = RunEnds(this, book, judge, log)
-    private val starter = TaskStarter(settings, epoch, book, log)
+    private val starter = TaskStarter(settings, epoch, book, log, order)
     private var configuration: FleetConfiguration? = null
     private var serial = 0L
     private var placedMillis = 0L
@@ -108,10 +109,11 @@
     }
 
     /**
-     * Earlier holders may have ordered [ids]; until each was seen, or [untilMillis], their tasks stay where they are.
+     * Earlier holders may have given orders to the present executors; until each of a pool was seen, or [untilMillis],
+     * the pool's tasks stay where they are.
      */
-    public fun recoverFrom(ids: Collection<InstanceId>, untilMillis: Long) {
-        recovery.begin(ids, untilMillis)
+    public fun recover(untilMillis: Long) {
+        recovery.begin(book.executors.mapValues { it.value.record.pool }, untilMillis)
     }
 
     /** A job was accepted; [fresh] tells that no earlier holder can have started any of it. */
@@ -276,12 +278,11 @@
 
     /**
      * Does what is due, and returns the orders that have gathered. [wallMillis] is the time of day. Without a valid
-     * lease ([mayOrder]) executors are looked at and nothing else is ordered; [extendLeases] tells whether what runs
-     * may go on.
+     * lease ([mayOrder]) executors are only looked at; leases of what runs there are not extended.
      */
-    public fun work(nowMillis: Long, wallMillis: Long, mayOrder: Boolean, extendLeases: Boolean): List<Order> {
-        if (recovery.check(nowMillis)) {
-            log("recovery over", arrayOf("epoch" to epoch, "active" to active.size))
+    public fun work(nowMillis: Long, wallMillis: Long, mayOrder: Boolean): List<Order> {
+        recovery.ended(nowMillis).forEach { pool ->
+            log("recovery over", arrayOf("epoch" to epoch, "pool" to pool, "active" to active.size))
             needsPlacement = true
         }
         beginDue(nowMillis, wallMillis)
@@ -295,7 +296,7 @@
             if (nowMillis - judgedMillis >= JUDGE_INTERVAL_MILLIS) judgeRuns(nowMillis)
             if (needsPlacement || nowMillis - placedMillis > PLACEMENT_INTERVAL_MILLIS) place(nowMillis)
         }
-        book.look(nowMillis, extendLeases)
+        book.look(nowMillis, mayOrder)
         return book.takeOrders(mayOrder)
     }
 
@@ -304,8 +305,9 @@
         placedMillis = nowMillis
         val current = configuration ?: return
         val waiting = HashMap<PoolId, MutableList<OpenStep>>()
-        active.filter { it.firstAttempt == 1L || recovery.over }.forEach { job ->
+        active.forEach { job ->
             val queue = current.queue(job.job.queue) ?: return@forEach
+            if (job.firstAttempt > 1 && !recovery.overFor(queue.pool)) return@forEach
             val steps = job.occurrences.values.flatMap { waitingSteps(nowMillis, queue, it) }
             if (steps.isNotEmpty()) waiting.getOrPut(queue.pool) { ArrayList() } += steps
         }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorBook.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorBook.kt
@@ -133,6 +133,8 @@
             log("executor regained", arrayOf("executor" to executor.record.id))
             executor.unreachableSinceMillis = null
         }
+        executor.failedCalls = 0
+        executor.reportMillis = nowMillis
         executor.noteClock(nowMillis, report.clockMillis)
         executor.fenced = true
         return Sight.Report(report, reborn)
@@ -152,9 +154,13 @@
         }
     }
 
-    /** Notes that a call to [executor] failed. */
+    /**
+     * Notes that a call to [executor] failed. One lost answer is followed by a short look; the executor counts as lost if
+     * that fails too.
+     */
     fun failed(nowMillis: Long, executor: ExecutorState, call: String) {
-        if (executor.unreachableSinceMillis != null) return
+        executor.failedCalls++
+        if (executor.unreachableSinceMillis != null || executor.failedCalls < LOST_CALLS) return
         executor.unreachableSinceMillis = nowMillis
         log(
             "executor lost",
@@ -183,7 +189,7 @@
 
     private fun nextLookMillis(executor: ExecutorState): Long = when {
         executor.unreachableSinceMillis != null -> executor.lastLookMillis + SchedulerSettings.RETRY_MILLIS
-        !executor.fenced -> 0
+        !executor.fenced || executor.failedCalls > 0 -> 0
         executor.pendingEnds.isNotEmpty() -> executor.lastLookMillis + SchedulerSettings.LOOK_GAP_MILLIS
         executor.runs.isNotEmpty() || executor.forgettable() > executor.acknowledged -> 0
         else -> executor.lastLookMillis + SchedulerSettings.IDLE_LOOK_MILLIS
@@ -191,8 +197,9 @@
 
     private fun lookAt(nowMillis: Long, executor: ExecutorState, extendLeases: Boolean) {
         val reachable = executor.unreachableSinceMillis == null
-        val busy = reachable && executor.fenced && executor.runs.isNotEmpty()
-        val leaseEnd = if (busy && extendLeases) executor.leaseEnd(nowMillis, settings.leaseMillis) else null
+        val extend = reachable && executor.fenced && executor.runs.isNotEmpty()
+        val busy = extend && executor.failedCalls == 0
+        val leaseEnd = if (extend && extendLeases) executor.leaseEnd(nowMillis, settings.leaseMillis) else null
         leaseEnd?.let(executor::leaseSent)
         executor.acknowledged = executor.forgettable()
         executor.looking = true
@@ -200,4 +207,9 @@
         val wait = if (busy) SchedulerSettings.LOOK_WAIT_MILLIS else null
         orders += Order.Look(executor.target, LookOrder(epoch, executor.acknowledged, leaseEnd, wait))
     }
+
+    private companion object {
+        /** Calls without an answer in a row that make an executor count as lost. */
+        const val LOST_CALLS = 2
+    }
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorJudge.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorJudge.kt
@@ -44,8 +44,8 @@
         val found = ArrayList<Run>()
         book.executors.values.filter { it.unreachableSinceMillis == null }.forEach { executor ->
             val runs = executor.runs.values.filter { it.phase == RunPhase.RUNNING && !it.task.step.step.longRunning }
-            val standing = runs.filter { standsStill(nowMillis, it) }
-            val slow = runs.filter { isSlow(nowMillis, it) }
+            val standing = runs.filter { standsStill(it) }
+            val slow = runs.filter { isSlow(it) }
             if (standing.isNotEmpty()) {
                 avoid(
                     nowMillis,
@@ -60,18 +60,19 @@
         return found
     }
 
-    private fun standsStill(nowMillis: Long, run: Run): Boolean {
+    /** Whether reports over a while have shown no progress; time without reports says nothing. */
+    private fun standsStill(run: Run): Boolean {
         val limit = maxOf(STANDING_MILLIS, run.task.step.step.estimateMillis * STANDING_PART / WHOLE)
-        return nowMillis - run.progressMillis > limit
+        return run.executor.reportMillis - run.progressMillis > limit
     }
 
     /**
      * Whether the run, at its pace so far, takes several times what others of its step took elsewhere. Declared times are
      * too far off to judge by, but for runs that take many times theirs.
      */
-    private fun isSlow(nowMillis: Long, run: Run): Boolean {
+    private fun isSlow(run: Run): Boolean {
         val total = projectedMillis(run) ?: return false
-        val left = total - (nowMillis - run.startedMillis)
+        val left = total - (run.progressMillis - run.startedMillis)
         val usual = usualMillis(run)
         val estimate = maxOf(run.task.step.step.estimateMillis, MIN_ESTIMATE_MILLIS)
         val limit = if (usual != null) usual * SLOW_FACTOR else estimate * UNKNOWN_SLOW_FACTOR
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
@@ -27,7 +27,7 @@
         public const val LOOK_WAIT_MILLIS: Long = 600
 
         /** Time beyond its wait after which a look has failed: several round trips and a slow executor. */
-        public const val LOOK_TIMEOUT_MILLIS: Long = 500
+        public const val LOOK_TIMEOUT_MILLIS: Long = 300
 
         /** Pause between two looks while ends wait to be stored. */
         public const val LOOK_GAP_MILLIS: Long = 40
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -3,13 +3,11 @@
 package org.gypsumturn.batch.schedule
 
 import org.gypsumturn.batch.model.OrderAnswer
-import org.gypsumturn.batch.model.Queue
 import org.gypsumturn.batch.model.RefusalReason
 import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.model.Size
 import org.gypsumturn.batch.port.StartOrder
 import org.gypsumturn.batch.state.ExecutorState
-import org.gypsumturn.batch.state.Occurrence
 import org.gypsumturn.batch.state.Run
 import org.gypsumturn.batch.state.RunPhase
 import org.gypsumturn.batch.state.StepState
@@ -18,9 +16,6 @@
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Verdict
 
-/** A step with tasks that wait. */
-internal class OpenStep(val queue: Queue, val occurrence: Occurrence, val step: StepState)
-
 /** What became of a start. */
 internal enum class StartResult { STARTED, NOT_STARTED, EXECUTOR_GONE, OPEN }
 
@@ -30,7 +25,7 @@
     private val epoch: Epoch,
     private val book: ExecutorBook,
     private val log: DecisionLog,
-    private val rank: StepRank = rankBySlack,
+    private val order: StepOrder,
 ) {
     /** Gives room of [pool] to the waiting tasks of [steps]. */
     fun placePool(nowMillis: Long, pool: PoolId, steps: List<OpenStep>) {
@@ -39,7 +34,8 @@
         }
         if (candidates.isEmpty()) return
         val unfit = ArrayList<Size>()
-        steps.sortedBy { rank(nowMillis, it.queue, it.occurrence, it.step) }.forEach { open ->
+        val poolRoom = PoolRoom(candidates.sumOf { it.record.capacity.cpuMillis })
+        order(nowMillis, steps, poolRoom).forEach { open ->
             val room = open.step.room
             if (unfit.none { it.fitsInto(room) }) placeStep(nowMillis, open.step, candidates, unfit)
         }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -30,6 +30,12 @@
     /** Whether the last call failed. */
     public var unreachableSinceMillis: Long? = null
 
+    /** Calls in a row that were not answered. */
+    public var failedCalls: Int = 0
+
+    /** When its lists were last read. */
+    public var reportMillis: Long = 0
+
     /** Whether a look is under way. */
     public var looking: Boolean = false
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -24,8 +24,11 @@
 import org.gypsumturn.batch.model.queueId
 import org.gypsumturn.batch.port.LookAnswer
 import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.batch.schedule.DecisionLog
 import org.gypsumturn.batch.schedule.Order
 import org.gypsumturn.batch.schedule.SchedulerSettings
+import org.gypsumturn.batch.schedule.StepOrder
+import org.gypsumturn.batch.schedule.orderByPlan
 import org.gypsumturn.model.DataCentreId
 import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.Failure
@@ -95,6 +98,7 @@
     capacity: Size = Size(16_000, 32_000, 0),
     var configuration: FleetConfiguration = configuration(queue()),
     pool: PoolId = POOL,
+    private val order: StepOrder = orderByPlan,
 ) {
     var nowMillis = 1_000L
     val executors = LinkedHashMap<InstanceId, VirtualExecutor>()
@@ -115,7 +119,8 @@
     }
 
     fun newScheduler(epoch: Long): BatchScheduler {
-        val fresh = BatchScheduler(TEST_SETTINGS, Epoch(epoch)) { event, fields -> log += "$event ${fields.toList()}" }
+        val note: DecisionLog = { event, fields -> log += "$event ${fields.toList()}" }
+        val fresh = BatchScheduler(TEST_SETTINGS, Epoch(epoch), note, order)
         fresh.configure(configuration)
         return fresh
     }
@@ -142,7 +147,7 @@
             val stored = org.gypsumturn.batch.state.progressOf(state)
             scheduler.accept(nowMillis, state.job, stored, state.revision, false)
         }
-        scheduler.recoverFrom(executors.keys, nowMillis + 10_000)
+        scheduler.recover(nowMillis + 5_500)
     }
 
     fun run(forMillis: Long, everyMillis: Long = 5, each: () -> Unit = {}) {
@@ -151,7 +156,7 @@
             nowMillis += everyMillis
             while (events.isNotEmpty() && events.peek().first <= nowMillis) events.poll().second()
             executors.values.forEach(::advance)
-            scheduler.work(nowMillis, nowMillis, true, true).forEach(::carry)
+            scheduler.work(nowMillis, nowMillis, true).forEach(::carry)
             store()
             scheduler.jobs.filter { it.shownPhase == JobPhase.COMPLETED }
                 .forEach { completedMillis.putIfAbsent(it.job.id, nowMillis) }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineKeeperTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineKeeperTest.kt
@@ -68,7 +68,7 @@
         val now = fleet.nowMillis
         machines.filter { it.state != MachineState.UP && it.backAtMillis <= now }.forEach(::bringBack)
         keeper.listed(now, machines.map { MachineRecord(it.id, it.pool, it.state, it.executor, emptySet(), CAPACITY) })
-        keeper.decide(now, configuration).forEach { order ->
+        keeper.decide(now, now, configuration).forEach { order ->
             val machine = machines.single { it.id == order.machine }
             carry(now, machine, order)
             keeper.answered(now, order, Verdict.Ran(MachineAnswer.DONE))
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
@@ -145,7 +145,7 @@
         val fleet = VirtualFleet(1)
         fleet.run(100)
         fleet.submit(job(1, step()))
-        fleet.scheduler.work(fleet.nowMillis, fleet.nowMillis, false, true).none { it is Order.Start } shouldBe true
+        fleet.scheduler.work(fleet.nowMillis, fleet.nowMillis, false).none { it is Order.Start } shouldBe true
         fleet.run(2_000)
         fleet.scheduler.active.shouldBeEmpty()
     }
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -77,6 +77,7 @@
     /** Ends the session; answers that are still under way are passed over. */
     public fun close() {
         closed = true
+        carrier.closed = true
         machines?.close()
         reader.cancelled = true
     }
@@ -106,11 +107,10 @@
     public fun work(now: Instants) {
         if (!ready || closed) return
         val mayOrder = lease.valid(now)
-        val extend = lease.overdueMillis(now) < EXTENSION_MILLIS
-        scheduler.work(now.steadyMillis, now.wallMillis, mayOrder, extend).forEach(carrier::carry)
+        scheduler.work(now.steadyMillis, now.wallMillis, mayOrder).forEach(carrier::carry)
         if (mayOrder) {
             writer.work(now.steadyMillis)
-            configuration?.let { machines?.work(now.steadyMillis, it) }
+            configuration?.let { machines?.work(now, it) }
             sweep(now.steadyMillis)
         }
     }
@@ -249,10 +249,8 @@
     private fun readyIfLoaded() {
         if (ready || !jobsLoaded || !executorsLoaded) return
         ready = true
-        val waitMillis = settings.maxLeaseMillis + EXTENSION_MILLIS
-        if (scheduler.active.isNotEmpty()) {
-            scheduler.recoverFrom(scheduler.executors.keys, NodeClock.steadyMillis() + waitMillis)
-        }
+        val waitMillis = settings.leaseMillis + settings.leaseMillis / SLOW_CLOCK_PART + LEASE_SLACK_MILLIS
+        if (scheduler.active.isNotEmpty()) scheduler.recover(NodeClock.steadyMillis() + waitMillis)
         waves.values.forEach { machines?.waveRequested(it) }
         logEvent("session ready", "epoch" to epoch, "executors" to scheduler.executors.size)
     }
@@ -294,10 +292,11 @@
         /** Pause between two looks at the executors' entries, which change with each heartbeat. */
         const val LIST_PAUSE_MILLIS = 250L
 
-        /**
-         * How long leases of what runs are extended after the control lease has lapsed: a short outage of the store.
-         */
-        const val EXTENSION_MILLIS = 4_000L
+        /** Executors' clocks may run slow by two in a hundred; this part of a lease is above that. */
+        const val SLOW_CLOCK_PART = 30
+
+        /** An earlier holder's last order may have been under way for a while. */
+        const val LEASE_SLACK_MILLIS = 200L
 
         /** Time between two removals of expired rows. */
         const val SWEEP_MILLIS = 2_000L
--- a/node/src/main/kotlin/org/gypsumturn/node/LeaseDuty.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/LeaseDuty.kt
@@ -42,6 +42,7 @@
     private var claimableSinceMillis: Long? = null
     private var retryAtMillis = 0L
     private var releasing = false
+    private var renewalLost = false
     private var released: (() -> Unit)? = null
 
     /** Where the holder is, for other threads. */
@@ -181,15 +182,20 @@
 
                 is TransactionOutcome.Conflict -> lease.conflicted(outcome)
 
-                null -> {
-                    logEvent("lease not renewed", "epoch" to lease.epoch, "why" to verdict.failureOrNull()?.message)
-                    pause(RETRY_MILLIS)
-                }
+                null -> pause(RETRY_MILLIS)
             }
+            noteRenewal(verdict)
             if (!lease.held && session != null) drop("taken over")
         }
     }
 
+    private fun noteRenewal(verdict: Verdict<*>) {
+        val failure = verdict.failureOrNull()
+        if (failure != null && !renewalLost) logEvent("lease not renewed", "epoch" to lease.epoch, "why" to failure.message)
+        if (failure == null && renewalLost) logEvent("lease renewed again", "epoch" to lease.epoch)
+        renewalLost = failure != null
+    }
+
     private fun transact(transaction: RowTransaction, done: (Verdict<TransactionOutcome>) -> Unit) {
         store.transact(transaction, WRITE_TIMEOUT_MILLIS) { verdict ->
             post {
--- a/node/src/main/kotlin/org/gypsumturn/node/MachineDuty.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/MachineDuty.kt
@@ -4,6 +4,7 @@
 
 import org.gypsumturn.batch.lease.ControlLease
 import org.gypsumturn.batch.lease.ControlRows
+import org.gypsumturn.batch.lease.Instants
 import org.gypsumturn.batch.machines.MachineKeeper
 import org.gypsumturn.batch.machines.MachineOrder
 import org.gypsumturn.batch.machines.MachineTimes
@@ -72,11 +73,12 @@
     }
 
     /** Does what is due. */
-    public fun work(nowMillis: Long, configuration: FleetConfiguration) {
+    public fun work(now: Instants, configuration: FleetConfiguration) {
+        val nowMillis = now.steadyMillis
         if (!listing && nowMillis - listedMillis >= keeper.listIntervalMillis()) list(nowMillis)
         if (nowMillis - decidedMillis >= DECIDE_MILLIS) {
             decidedMillis = nowMillis
-            keeper.decide(nowMillis, configuration).forEach(::carry)
+            keeper.decide(nowMillis, now.wallMillis, configuration).forEach(::carry)
         }
         if (!reporting) keeper.takeReports().forEach(::storeReport)
     }
@@ -159,7 +161,7 @@
 
     private companion object {
         /** Work that waits is to be done in about the time that quick jobs have beside their own run time. */
-        val POLICY = SizingPolicy(clearMillis = 1_200.0, idleMillis = 1_500)
+        val POLICY = SizingPolicy(clearMillis = 1_200.0, idleMillis = 4_000)
 
         /** Time between two decisions. */
         const val DECIDE_MILLIS = 100L
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -23,6 +23,8 @@
 import org.gypsumturn.transport.HttpClient
 import org.gypsumturn.transport.HttpClientLimits
 import org.gypsumturn.transport.HttpServer
+import org.gypsumturn.transport.ServedAnswer
+import org.gypsumturn.transport.ServedRequest
 import org.slf4j.LoggerFactory
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -34,11 +36,22 @@
     private val storeClient = HttpClient(loop, STORE_LIMITS)
     private val executorClient = HttpClient(loop, EXECUTOR_LIMITS)
     private val peerClient = HttpClient(loop, PEER_LIMITS)
-    private val store = PlatformRowStore(storeClient, settings[NodeSettings.storeAddress].toEndpoint())
-    private val news = PlatformNewsFeed(store)
-    private val metrics = Metrics()
     private val nodeName = settings[NodeSettings.nodeName]
     private val peerEndpoint = Endpoint(settings[NodeSettings.host], settings[NodeSettings.peerPort].toInt())
+    private val store: RelayedRowStore =
+        RelayedRowStore(
+            PlatformRowStore(storeClient, settings[NodeSettings.storeAddress].toEndpoint()),
+            peerClient,
+            { directory.peers },
+            NodeClock::steadyMillis,
+            { action -> loop.execute(action) },
+        )
+    private val laterOnLoop: Later = { delayMillis, action ->
+        loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS)
+    }
+    private val directory: NodeDirectory = NodeDirectory(nodeName, peerEndpoint, store, laterOnLoop)
+    private val news = PlatformNewsFeed(store)
+    private val metrics = Metrics()
     private val lease =
         ControlLease(nodeName, "$nodeName/${NodeClock.wallMillis()}", peerEndpoint.toString(), LEASE_TIMES)
     private val control: Duty<() -> Unit> =
@@ -53,9 +66,6 @@
     private val laterOnControl: Later = { delayMillis, action ->
         loop.schedule({ post(action) }, delayMillis, TimeUnit.MILLISECONDS)
     }
-    private val laterOnLoop: Later = { delayMillis, action ->
-        loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS)
-    }
     private val configuration =
         ConfigurationKeeper(
             news,
@@ -70,7 +80,7 @@
         HttpServer(loop, settings[NodeSettings.callerAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handle)
     private val readiness =
         HttpServer(loop, settings[NodeSettings.readyAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handleReady)
-    private val peerServer = HttpServer(loop, peerEndpoint, MAX_BODY_BYTES, peers::handle)
+    private val peerServer = HttpServer(loop, peerEndpoint, MAX_BODY_BYTES, ::handlePeer)
 
     @Volatile
     private var ending = false
@@ -79,7 +89,10 @@
     public fun start() {
         logEvent("start", "node" to nodeName, "data_centre" to settings[NodeSettings.dataCentre])
         control.start()
-        loop.execute { configuration.start() }
+        loop.execute {
+            configuration.start()
+            directory.start()
+        }
         listOf(callers, readiness, peerServer).forEach { it.start() }
     }
 
@@ -103,6 +116,10 @@
         callers.close()
     }
 
+    private fun handlePeer(request: ServedRequest, reply: (ServedAnswer) -> Unit) {
+        if (request.path == RelayedRowStore.PATH) store.handle(request, reply) else peers.handle(request, reply)
+    }
+
     private fun ports(): SessionPorts {
         val machines = Endpoint.parse(settings[NodeSettings.machinesAddress])?.let {
             PlatformMachineControl(peerClient, it, NodeId(nodeName))
--- a/node/src/main/kotlin/org/gypsumturn/node/OrderCarrier.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/OrderCarrier.kt
@@ -15,6 +15,9 @@
     private val epoch: Epoch,
     private val post: Post,
 ) {
+    /** Whether answers are passed over, since the term of the lease is over. */
+    public var closed: Boolean = false
+
     /** Carries [order] out. */
     public fun carry(order: Order) {
         when (order) {
@@ -28,27 +31,31 @@
 
     private fun start(order: Order.Start) {
         executors.start(order.target, order.order, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
-            post { scheduler.startAnswered(NodeClock.steadyMillis(), order.run, verdict) }
+            whenOpen { scheduler.startAnswered(NodeClock.steadyMillis(), order.run, verdict) }
         }
     }
 
     private fun stop(order: Order.Stop) {
         executors.stop(order.target, order.run, epoch, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
-            post { scheduler.stopAnswered(NodeClock.steadyMillis(), order.target.id, order.run, verdict) }
+            whenOpen { scheduler.stopAnswered(NodeClock.steadyMillis(), order.target.id, order.run, verdict) }
         }
     }
 
     private fun pace(order: Order.Pace) {
         val timeoutMillis = SchedulerSettings.ORDER_TIMEOUT_MILLIS
         executors.pace(order.target, order.run.id, order.percent, epoch, timeoutMillis) { verdict ->
-            post { scheduler.paceAnswered(order.run, order.percent, verdict) }
+            whenOpen { scheduler.paceAnswered(order.run, order.percent, verdict) }
         }
     }
 
     private fun look(order: Order.Look) {
         val timeoutMillis = (order.order.waitMillis ?: 0) + SchedulerSettings.LOOK_TIMEOUT_MILLIS
         executors.look(order.target, order.order, timeoutMillis) { verdict ->
-            post { scheduler.looked(NodeClock.steadyMillis(), order.target.id, verdict) }
+            whenOpen { scheduler.looked(NodeClock.steadyMillis(), order.target.id, verdict) }
         }
     }
+
+    private fun whenOpen(action: () -> Unit) {
+        post { if (!closed) action() }
+    }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
@@ -25,6 +25,7 @@
     private val post: Post,
 ) {
     private var writing = false
+    private var lost = false
     private var notBeforeMillis = 0L
 
     /** Whether another process has taken the lease over. */
@@ -49,18 +50,27 @@
         val nowMillis = NodeClock.steadyMillis()
         notBeforeMillis = nowMillis + GROUP_MILLIS
         when (val outcome = (verdict as? Verdict.Ran)?.value) {
-            is TransactionOutcome.Committed -> changes.forEach { scheduler.stored(it, outcome.revision) }
+            is TransactionOutcome.Committed -> {
+                changes.forEach { scheduler.stored(it, outcome.revision) }
+                if (lost) logEvent("progress stored again", "jobs" to changes.size)
+                lost = false
+            }
 
             is TransactionOutcome.Conflict -> conflicted(changes, outcome)
 
             null -> {
-                logEvent("progress not stored", "jobs" to changes.size, "why" to verdict.failureOrNull()?.message)
+                noteLost(changes.size, verdict)
                 notBeforeMillis = nowMillis + RETRY_MILLIS
                 scheduler.giveBack(changes) { null }
             }
         }
     }
 
+    private fun noteLost(jobs: Int, verdict: Verdict<*>) {
+        if (!lost) logEvent("progress not stored", "jobs" to jobs, "why" to verdict.failureOrNull()?.message)
+        lost = true
+    }
+
     /** Another holder, or an earlier write of ours that was not answered. */
     private fun conflicted(changes: List<ProgressChange>, outcome: TransactionOutcome.Conflict) {
         val revisions = outcome.current.associate { it.address to it.revision }
