Keep upkeep within cap and may-miss over takeovers, and group acceptance

LIMIT: a new holder's early orders for machines whose executor had run for long did not count the machines that the earlier holder had taken down. Waves wait for the whole handover, and the list's machines in upkeep count. AVAIL: tasks of one step on several cordoned machines were stopped in the same decision (MachineKeeperTest: three of six away where one was allowed), and tasks on a machine whose order was under way counted as at work. A wave counted a machine that was missing from the list as gone; it waits 12 s for it now. That this was the cause is not shown. Jobs gather at their node and share transactions, progress has a partition with a fence of its own.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/lease/ControlLease.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/lease/ControlLease.kt
@@ -48,7 +48,7 @@
 
 /** Tables and partition that the holder writes. */
 public object ControlRows {
-    /** Partition of everything that only the holder writes, so that the owner row can fence it. */
+    /** Partition of the lease, which nothing else shares: a renewal must not wait behind other writes. */
     public const val PARTITION: String = "control"
 
     /** Table of the two rows of the lease. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineBook.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineBook.kt
@@ -1,11 +1,12 @@
-// Machines as the platform lists them, and the orders for them that are under way. A machine that was ordered down counts
-// as down until the list shows it up again with another executor.
+// Machines as the platform lists them, and the orders for them that are under way. A machine that was ordered down
+// counts as down until the list shows it up again with another executor.
 
 package org.gypsumturn.batch.machines
 
 import org.gypsumturn.batch.model.MachineId
 import org.gypsumturn.batch.model.MachineRecord
 import org.gypsumturn.batch.model.MachineState
+import org.gypsumturn.batch.model.UpkeepWave
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.PoolId
 
@@ -27,6 +28,7 @@
 internal class MachineBook(private val times: MachineTimes) {
     private var machines: Map<MachineId, MachineRecord> = emptyMap()
     val tasks = HashMap<MachineId, MachineTask>()
+    private val seenMillis = HashMap<MachineId, Long>()
 
     /** When the list was last read; null before. */
     var listedMillis: Long? = null
@@ -36,6 +38,13 @@
 
     fun machine(id: MachineId): MachineRecord? = machines[id]
 
+    /** Whether [id] has been missing from the list for so long that it has left, and does not only restart. */
+    fun hasLeft(nowMillis: Long, id: MachineId): Boolean {
+        if (id in machines) return false
+        val seen = seenMillis.getOrPut(id) { nowMillis }
+        return nowMillis - seen >= LEFT_MILLIS
+    }
+
     /** The machine that [executor] runs on. */
     fun machineOf(executor: InstanceId): MachineRecord? = machines.values.firstOrNull { it.executor == executor }
 
@@ -43,6 +52,7 @@
     fun listed(nowMillis: Long, list: List<MachineRecord>): List<MachineOrder> {
         machines = list.associateBy { it.id }
         listedMillis = nowMillis
+        machines.keys.forEach { seenMillis[it] = nowMillis }
         val over = tasks.values.filter { task ->
             val machine = machines[task.order.machine]
             machine == null || (task.stage == OrderStage.CARRIED_OUT && isBack(nowMillis, machine, task))
@@ -71,10 +81,16 @@
             if (order is MachineOrder.Move) order.pool == pool else machine.pool == pool
     }
 
-    /** Machines of [wave] that are down, or may be, for their upkeep. */
-    fun downFor(wave: Long): Int = tasks.values.count { (it.order as? MachineOrder.Upkeep)?.wave == wave }
+    /** Machines of [wave] that are down, or may be, for their upkeep; an earlier holder may have taken some down. */
+    fun downFor(wave: UpkeepWave): Int {
+        val ordered = tasks.values.count { (it.order as? MachineOrder.Upkeep)?.wave == wave.number }
+        return ordered + wave.machines.count { it !in tasks && machines[it]?.state == MachineState.UPKEEP }
+    }
 
     private companion object {
+        /** A machine that has lost power is back in less; waves wait for it. */
+        const val LEFT_MILLIS = 12_000L
+
         /** How far the list may lag behind an order. */
         const val LIST_LAG_MILLIS = 500L
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineKeeper.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineKeeper.kt
@@ -1,5 +1,6 @@
-// Moves machines between pools and takes them down for upkeep, for the holder of the control lease. It decides from the
-// platform's list of machines and the scheduler's state, and keeps an order under way until the list shows its end.
+// Moves machines between pools and takes them down for upkeep, for the holder of the control lease. It decides from
+// the platform's list of machines and the scheduler's state, and keeps an order under way until the list shows its
+// end.
 
 package org.gypsumturn.batch.machines
 
@@ -34,8 +35,8 @@
     private val worked = HashSet<PoolId>()
 
     /**
-     * Whether an order can be given for [machine]: an earlier holder's last order for it is old enough, or there was none,
-     * since its executor has run for longer.
+     * Whether an order can be given for [machine]: an earlier holder's last order for it is old enough, or there was
+     * none, since its executor has run for longer.
      */
     private fun mayOrder(nowMillis: Long, wallMillis: Long, machine: MachineRecord): Boolean {
         if (nowMillis - begunMillis >= times.handoverMillis) return true
@@ -64,7 +65,10 @@
         }
     }
 
-    /** Whether a silent executor has ended: its machine is down, or no machine has had it for longer than the list lags. */
+    /**
+     * Whether a silent executor has ended: its machine is down, or no machine has had it for longer than the list
+     * lags.
+     */
     private fun isGone(
         nowMillis: Long,
         executor: ExecutorState,
@@ -89,18 +93,22 @@
         val mayOrder = { id: MachineId -> book.machine(id)?.let { mayOrder(nowMillis, wallMillis, it) } ?: false }
         noteIdle(nowMillis)
         val pools = sizedPools(configuration)
-        val orders = repeated(nowMillis) + upkeeps(nowMillis, pools).filter { mayOrder(it.machine) }
+        val settled = nowMillis - begunMillis >= times.handoverMillis
+        val orders = repeated(nowMillis) + if (settled) upkeeps(nowMillis, pools) else emptyList()
         orders.forEach { begin(nowMillis, it) }
         val moves = moves(nowMillis, configuration, pools).filter { mayOrder(it.machine) }
         moves.forEach { begin(nowMillis, it) }
-        finishWaves()
+        finishWaves(nowMillis)
         return orders + moves
     }
 
     private fun begin(nowMillis: Long, order: MachineOrder) {
         val task = book.tasks.getOrPut(order.machine) { MachineTask(order, nowMillis) }
         task.stage = OrderStage.SENT
-        order.executor?.let { scheduler.executors[it] }?.cordoned = true
+        order.executor?.let { scheduler.executors[it] }?.let { executor ->
+            executor.cordoned = true
+            executor.ending = true
+        }
         log("machine ordered", arrayOf("order" to order, "runs" to runsOn(order)))
     }
 
@@ -119,13 +127,14 @@
                 { it in book.tasks },
                 { pressures[it.pool] ?: 0.0 },
                 { poolRoom(it.pool) },
-                book.downFor(state.wave.number),
+                book.downFor(state.wave),
             )
+            // Each task that is stopped counts as away for the machines that are looked at after it.
+            state.cordonedMillis.keys.mapNotNull { executorOf(it) }.forEach { executor ->
+                runsToEvacuate(executor).forEach { scheduler.stop(it, "its machine is due for upkeep") }
+            }
             val chosen = planUpkeep(nowMillis, state, view, times.upkeepMillis)
             state.cordonedMillis.keys.forEach { cordon(it) }
-            state.cordonedMillis.keys.mapNotNull { executorOf(it) }.flatMap(::runsToEvacuate).forEach { run ->
-                scheduler.stop(run, "its machine is due for upkeep")
-            }
             chosen.map { MachineOrder.Upkeep(it.id, it.executor, state.wave.number) }
         }
     }
@@ -214,12 +223,15 @@
             state.cordonedMillis -= order.machine
             if (answer == MachineAnswer.NOT_OF_WAVE || answer == MachineAnswer.INVALID) state.done += order.machine
         }
-        order.executor?.let { scheduler.executors[it] }?.cordoned = false
+        order.executor?.let { scheduler.executors[it] }?.let { executor ->
+            executor.cordoned = false
+            executor.ending = false
+        }
     }
 
-    private fun finishWaves() {
+    private fun finishWaves(nowMillis: Long) {
         val finished = waves.values.filter { state ->
-            state.left { book.machine(it) != null }.isEmpty()
+            state.left { !book.hasLeft(nowMillis, it) }.isEmpty()
         }
         finished.forEach { state ->
             log("wave completed", arrayOf("wave" to state.wave.number, "machines" to state.done.size))
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/PoolSizing.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/PoolSizing.kt
@@ -1,6 +1,7 @@
-// How many machines each pool should have: enough for what runs, for what waits to be started within the time that its
-// objective leaves, and for the long-running tasks that must stand on different executors. Machines come from the spare
-// pool, whose machines are off, and go back to it when they have been idle for longer than the two moves are worth.
+// How many machines each pool should have: enough for what runs, for what waits to be started within the time that
+// its objective leaves, and for the long-running tasks that must stand on different executors. Machines come from the
+// spare pool, whose machines are off, and go back to it when they have been idle for longer than the two moves are
+// worth.
 
 package org.gypsumturn.batch.machines
 
@@ -36,8 +37,8 @@
 )
 
 /**
- * A pool as the sizing sees it. [machines] counts those on their way to it; [hasWorked] tells that its demand is known, so
- * that what the operator gave it is not taken away before its first job.
+ * A pool as the sizing sees it. [machines] counts those on their way to it; [hasWorked] tells that its demand is
+ * known, so that what the operator gave it is not taken away before its first job.
  */
 public class SizedPool(
     public val hasWorked: Boolean,
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/UpkeepPlan.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/UpkeepPlan.kt
@@ -35,9 +35,9 @@
     fun left(isThere: (MachineId) -> Boolean): List<MachineId> = wave.machines.filter { it !in done && isThere(it) }
 }
 
-/** Whether a long-running task is at work. */
+/** Whether a long-running task is at work, and not about to be ended with its machine. */
 internal fun atWork(task: Task): Boolean =
-    task.runs.any { it.phase == RunPhase.RUNNING && it.percent >= AT_WORK_PERCENT }
+    task.runs.any { it.phase == RunPhase.RUNNING && it.percent >= AT_WORK_PERCENT && !it.executor.ending }
 
 /** Whether every long-running task on [executor] may be ended now, given that others of its step may be away. */
 internal fun mayEndLongRunning(executor: ExecutorState): Boolean =
@@ -46,8 +46,8 @@
     }
 
 /**
- * Long-running tasks on [executor] to stop now, so that they go on elsewhere: where more of a step are on it than may be
- * away at once, one after the other.
+ * Long-running tasks on [executor] to stop now, so that they go on elsewhere: where more of a step are on it than
+ * may be away at once, one after the other.
  */
 internal fun runsToEvacuate(executor: ExecutorState): List<Run> {
     val groups = executor.runs.values.filter { it.task.step.step.longRunning }.groupBy { it.task.step }
@@ -90,7 +90,7 @@
         val waitedMillis = nowMillis - state.cordonedMillis.getValue(machine.id)
         mayGoDown(view.executorOf(machine), waitedMillis, (patience * DRAIN_PART).toLong())
     }.fold(ArrayList()) { taken, machine ->
-        // One at a time of machines that hold tasks of the same step: the next is judged when this one's tasks are away.
+        // The next machine that holds tasks of the same step is judged when those that are ended here are away.
         val steps = longRunningSteps(view.executorOf(machine))
         if (taken.none { other -> longRunningSteps(view.executorOf(other)).any { it in steps } }) taken += machine
         taken
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorBook.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorBook.kt
@@ -155,8 +155,8 @@
     }
 
     /**
-     * Notes that a call to [executor] failed. One lost answer is followed by a short look; the executor counts as lost if
-     * that fails too.
+     * Notes that a call to [executor] failed. One lost answer is followed by a short look; the executor counts as
+     * lost if that fails too.
      */
     fun failed(nowMillis: Long, executor: ExecutorState, call: String) {
         executor.failedCalls++
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorJudge.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorJudge.kt
@@ -1,6 +1,7 @@
 // Tells executors that fail, stand still or are slow by their own record. An executor is passed over for a while, the
-// longer the more jobs it has failed in a row; one that has just ended work well is not blamed for a single failure. No
-// more than a part of a pool is passed over at once, so that a fault that hits all executors alike empties no pool.
+// longer the more jobs it has failed in a row; one that has just ended work well is not blamed for a single failure.
+// No more than a part of a pool is passed over at once, so that a fault that hits all executors alike empties no
+// pool.
 
 package org.gypsumturn.batch.schedule
 
@@ -67,8 +68,8 @@
     }
 
     /**
-     * Whether the run, at its pace so far, takes several times what others of its step took elsewhere. Declared times are
-     * too far off to judge by, but for runs that take many times theirs.
+     * Whether the run, at its pace so far, takes several times what others of its step took elsewhere. Declared
+     * times are too far off to judge by, but for runs that take many times theirs.
      */
     private fun isSlow(run: Run): Boolean {
         val total = projectedMillis(run) ?: return false
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/Recovery.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/Recovery.kt
@@ -1,6 +1,6 @@
 // After a takeover: which executors may still run what an earlier holder started there. Tasks of jobs from before the
-// takeover that are not seen to run are not started again until each executor of their pool was seen, or until every lease
-// that an earlier holder gave has lapsed.
+// takeover that are not seen to run are not started again until each executor of their pool was seen, or until every
+// lease that an earlier holder gave has lapsed.
 
 package org.gypsumturn.batch.schedule
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskOrder.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskOrder.kt
@@ -1,7 +1,7 @@
 // In which order steps get room. As long as all can be done in time, what is due first goes first. With more than the
-// pool holds, that order would begin each job at its last moment and miss it; then the newest jobs go first, which have
-// the most time left, and what has begun is finished before them. What does not fit the room any more gives way at once
-// instead of being begun and then missed, and jobs past their objective come last, since they earn little.
+// pool holds, that order would begin each job at its last moment and miss it; then the newest jobs go first, which
+// have the most time left, and what has begun is finished before them. What does not fit the room any more gives way
+// at once instead of being begun and then missed, and jobs past their objective come last, since they earn little.
 
 package org.gypsumturn.batch.schedule
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -44,6 +44,9 @@
     /** Whether its machine is about to be moved or taken down, so that it gets nothing new. */
     public var cordoned: Boolean = false
 
+    /** Whether an order that ends everything on it was sent and not refused. */
+    public var ending: Boolean = false
+
     /** Not given new work before this time. */
     public var avoidUntilMillis: Long = 0
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineKeeperTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineKeeperTest.kt
@@ -40,12 +40,8 @@
         fleet.configuration.limits,
     )
     val machines = fleet.executors.keys.map { Machine(MachineId("m-$it"), POOL, it) }.toMutableList()
-    val keeper = MachineKeeper(
-        MachineTimes(1_500, 2_000, 0),
-        SizingPolicy(1_200.0, 1_500),
-        0,
-        fleet.scheduler,
-    ) { event, fields -> fleet.log += "$event ${fields.toList()}" }
+    var keeper = newKeeper(0)
+        private set
     val downMillis = HashMap<MachineId, Long>()
     var mostDown = 0
     var moves = 0
@@ -57,6 +53,19 @@
         fleet.scheduler.configure(configuration)
     }
 
+    /** Another holder begins, which knows of earlier orders only what the list shows. */
+    fun takeOver(wave: UpkeepWave, handoverMillis: Long) {
+        keeper = newKeeper(handoverMillis)
+        keeper.waveRequested(fleet.nowMillis, wave, downMillis.keys.toSet())
+    }
+
+    private fun newKeeper(handoverMillis: Long) = MachineKeeper(
+        MachineTimes(1_500, 2_000, handoverMillis),
+        SizingPolicy(1_200.0, 1_500),
+        fleet.nowMillis,
+        fleet.scheduler,
+    ) { event, fields -> fleet.log += "$event ${fields.toList()}" }
+
     fun run(millis: Long, each: () -> Unit = {}) {
         fleet.run(millis) {
             if (fleet.nowMillis % 100 == 0L) step()
@@ -138,6 +147,33 @@
         machines.downMillis.keys shouldBe all.drop(3).toSet()
     }
 
+    @Test
+    fun `a new holder counts the machines that an earlier one has taken down`() {
+        val machines = VirtualMachines(VirtualFleet(4), spares = 4)
+        machines.fleet.run(200)
+        val wave = UpkeepWave(1, machines.machines.map { it.id }, 30_000, 3)
+        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet())
+        machines.run(500)
+        machines.takeOver(wave, handoverMillis = 1_000)
+        machines.run(20_000)
+        machines.mostDown shouldBeLessThanOrEqual 3
+        machines.downMillis.keys shouldBe wave.machines.toSet()
+    }
+
+    @Test
+    fun `a wave waits for a machine that is missing from the list for a while, and not for one that has left`() {
+        val machines = VirtualMachines(VirtualFleet(3), spares = 0)
+        machines.fleet.run(200)
+        val missing = machines.machines.last()
+        val wave = UpkeepWave(1, machines.machines.map { it.id }, 10_000, 3)
+        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet())
+        machines.machines -= missing
+        machines.run(10_000)
+        machines.keeper.takeReports().none { it.completed } shouldBe true
+        machines.run(4_000)
+        machines.keeper.takeReports().single().completed shouldBe true
+    }
+
     @Test
     fun `long-running tasks that share a machine leave it one after the other before its upkeep`() {
         val fleet = VirtualFleet(1, configuration = configuration(queue()))
@@ -156,6 +192,20 @@
         fleet.breaches.shouldBeEmpty()
     }
 
+    @Test
+    fun `no more tasks of a step are ended than it can miss, whichever machines hold them`() {
+        val fleet = VirtualFleet(3)
+        val machines = VirtualMachines(fleet, spares = 0)
+        val wide = step(count = 6, cpuMillis = 1_000).copy(longRunning = true, mayMiss = 1, estimateMillis = 0)
+        fleet.submit(job(1, wide.copy(maxPerExecutor = 2))) { Long.MAX_VALUE / 1_000 }
+        machines.run(3_000)
+        val wave = UpkeepWave(1, machines.machines.map { it.id }, 2_000, 3)
+        machines.keeper.waveRequested(fleet.nowMillis, wave, emptySet())
+        var leastRunning = 6
+        machines.run(3_000) { leastRunning = minOf(leastRunning, fleet.executors.values.sumOf { it.runs.size }) }
+        leastRunning shouldBe 5
+    }
+
     @Test
     fun `a pool whose only machine waits for its upkeep still runs jobs`() {
         val fleet = VirtualFleet(1)
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/OverloadTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/OverloadTest.kt
@@ -1,5 +1,5 @@
-// The load of a queue in its turn: several times what its pool holds, for some seconds. The orders of work are compared
-// by how many jobs end within their objective.
+// The load of a queue in its turn: several times what its pool holds, for some seconds. The orders of work are
+// compared by how many jobs end within their objective.
 
 package org.gypsumturn.batch.schedule
 
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -15,12 +15,14 @@
 import org.gypsumturn.batch.port.FleetNewsPage
 import org.gypsumturn.batch.port.MachineControl
 import org.gypsumturn.batch.port.NewsKind
+import org.gypsumturn.batch.port.RowAddress
 import org.gypsumturn.batch.port.RowChanges
 import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.RowTransaction
 import org.gypsumturn.batch.port.RowWrite
 import org.gypsumturn.batch.port.StoredRow
 import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.batch.schedule.DecisionLog
 import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.batch.state.JobState
@@ -45,18 +47,22 @@
     private val settings: SchedulerSettings,
     machineTimes: MachineTimes,
     private val ports: SessionPorts,
+    decisions: DecisionLog,
     private val post: Post,
     private val later: Later,
 ) {
     private val epoch = lease.epoch
     private val claimRevision = lease.ownerRevision
-    private val scheduler = BatchScheduler(settings, epoch, eventLog)
+    private val scheduler = BatchScheduler(settings, epoch, decisions)
     private val carrier = OrderCarrier(scheduler, ports.executors, epoch, post)
-    private val writer = ProgressWriter(scheduler, lease, ports.store, post)
+    private val fence = ProgressFence(ports.store, epoch, post, later)
+    private val writer = ProgressWriter(scheduler, fence, ports.store, post)
     private val reader = TakeoverReader(ports.store, post, later, ::jobsRead)
     private val machines =
-        ports.machines?.let { MachineDuty(scheduler, lease, machineTimes, ports.store, ports.news, it, post) }
+        ports.machines?.let { MachineDuty(scheduler, epoch, fence, machineTimes, ports.store, ports.news, it, decisions, post) }
     private val waves = LinkedHashMap<Long, UpkeepWave>()
+    private val earlyCancellations = HashSet<JobId>()
+    private val rowsOfJob = HashMap<JobId, MutableSet<RowAddress>>()
     private var configuration: FleetConfiguration? = null
     private var jobsLoaded = false
     private var executorsLoaded = false
@@ -66,11 +72,11 @@
     private var sweptMillis = 0L
 
     /** Whether another process has taken the lease over. */
-    public val fencedOff: Boolean get() = writer.fencedOff || scheduler.fencedOff
+    public val fencedOff: Boolean get() = fence.lost || scheduler.fencedOff
 
     /** Begins to read. */
     public fun start() {
-        reader.start()
+        fence.raise { reader.start() }
         readExecutors()
     }
 
@@ -80,6 +86,7 @@
         carrier.closed = true
         machines?.close()
         reader.cancelled = true
+        fence.cancelled = true
     }
 
     /** Puts [configuration] in force. */
@@ -134,15 +141,20 @@
 
     private fun takeJobRow(nowMillis: Long, row: StoredRow, progress: StoredRow?) {
         val value = row.value ?: return
+        val owner = JobRows.cancelledJob(row.address) ?: JobId(row.address.key)
+        rowsOfJob.getOrPut(owner) { HashSet(1) } += row.address
         val cancelled = JobRows.cancelledJob(row.address)
         if (cancelled != null) {
+            if (scheduler.job(cancelled) == null) earlyCancellations += cancelled
             scheduler.cancel(nowMillis, cancelled)
             return
         }
         try {
             val record = progress?.value?.let { ProgressRecord.decode(it) }
             val revision = progress?.revision ?: Revision.ABSENT
-            scheduler.accept(nowMillis, JobRows.decode(value), record, revision, row.revision > claimRevision)
+            val job = JobRows.decode(value)
+            scheduler.accept(nowMillis, job, record, revision, row.revision > claimRevision)
+            if (earlyCancellations.remove(job.id)) scheduler.cancel(nowMillis, job.id)
         } catch (e: IllegalArgumentException) {
             logEvent("row unreadable", "key" to row.address.key, "why" to e.message)
         }
@@ -159,7 +171,6 @@
         when (val changes = (verdict as? Verdict.Ran)?.value) {
             is RowChanges.Known -> {
                 val nowMillis = NodeClock.steadyMillis()
-                // A cancellation may lie in the same answer as its job, and after it.
                 changes.rows.forEach { takeJobRow(nowMillis, it, null) }
                 followJobs(changes.revision)
             }
@@ -259,23 +270,33 @@
     private fun sweep(nowMillis: Long) {
         if (nowMillis - sweptMillis < SWEEP_MILLIS) return
         sweptMillis = nowMillis
-        scheduler.takeExpired(nowMillis, SWEEP_JOBS).groupBy {
-            JobRows.partition(it.job.id)
-        }.values.forEach(::removeRows)
+        val expired = scheduler.takeExpired(nowMillis, SWEEP_JOBS)
+        if (expired.isNotEmpty()) removeRows(expired)
     }
 
+    /** Removes jobs before their progress: a job without progress would be taken for a new one. */
     private fun removeRows(jobs: List<JobState>) {
-        val jobRows = jobs.flatMap { listOf(JobRows.job(it.job.id), JobRows.cancellation(it.job.id)) }
-        val progressRows = jobs.map { JobRows.progress(it.job.id) }
-        listOf(jobRows, progressRows).forEach { rows ->
-            val transaction = RowTransaction(emptyList(), rows.map { RowWrite(it, null) })
-            ports.store.transact(transaction, CALL_TIMEOUT_MILLIS) { verdict ->
-                // Rows that stay are removed by the next holder, which reads them as ended jobs.
-                verdict.failureOrNull()?.let { logEvent("rows not removed", "rows" to rows.size, "why" to it.message) }
+        val groups = jobs.flatMap { rowsOfJob.remove(it.job.id).orEmpty() }.groupBy { it.partition }.values
+        var open = groups.size
+        var failed = false
+        groups.forEach { rows ->
+            remove(rows) { done ->
+                open--
+                failed = failed || !done
+                if (open == 0 && !failed) remove(jobs.map { JobRows.progress(it.job.id) }) { }
             }
         }
     }
 
+    private fun remove(rows: List<RowAddress>, done: (Boolean) -> Unit) {
+        val transaction = RowTransaction(emptyList(), rows.map { RowWrite(it, null) })
+        ports.store.transact(transaction, CALL_TIMEOUT_MILLIS) { verdict ->
+            // Rows that stay are removed by the next holder, which reads them as ended jobs.
+            verdict.failureOrNull()?.let { logEvent("rows not removed", "rows" to rows.size, "why" to it.message) }
+            post { if (!closed) done(verdict is Verdict.Ran) }
+        }
+    }
+
     private companion object {
         /** How long a call waits for changes. */
         const val WAIT_MILLIS = 1_000L
--- a/node/src/main/kotlin/org/gypsumturn/node/JobDesk.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobDesk.kt
@@ -11,18 +11,17 @@
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.model.Queue
 import org.gypsumturn.batch.port.RowAddress
-import org.gypsumturn.batch.port.RowCondition
 import org.gypsumturn.batch.port.RowStore
-import org.gypsumturn.batch.port.RowTransaction
 import org.gypsumturn.batch.port.RowWrite
 import org.gypsumturn.batch.port.StoredRow
-import org.gypsumturn.batch.port.TransactionOutcome
 import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.batch.state.ProgressRecord
+import org.gypsumturn.model.Failure
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.JobId
-import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.failureOrNull
+import org.gypsumturn.model.map
 
 /** Asks the holder of the control lease; null where it can't say. */
 public interface HolderQueries {
@@ -42,13 +41,14 @@
     public data object NoJob : HolderAnswer
 }
 
-/** The desk of one node. */
+/** The desk of one node, which stores what it accepts in [partition]. Callers come on one thread. */
 public class JobDesk(
     private val configuration: () -> FleetConfiguration?,
     private val store: RowStore,
     private val holder: HolderQueries,
-    private val later: Later,
-    private val metrics: DeskMetrics,
+    private val committer: JobCommitter,
+    private val partition: String,
+    private val metrics: NodeMetrics,
 ) : BatchDesk {
     override fun route(host: String, path: String): RouteResult {
         val current = configuration() ?: return RouteResult.NotConfigured
@@ -56,32 +56,35 @@
     }
 
     override fun submit(queue: Queue, job: BatchJob, deadlineMillis: Long, reply: (DeskAnswer) -> Unit) {
-        val row = JobRows.job(job.id)
-        val write = RowWrite(row, JobRows.encode(job))
-        val transaction = RowTransaction(listOf(RowCondition(row, Revision.ABSENT)), listOf(write))
-        val call = StoreCall("submit", job.id, transaction, deadlineMillis, DeskAnswer.Accepted, reply)
-        call.send()
+        val write = RowWrite(JobRows.job(job.id, partition), JobRows.encode(job))
+        commit("submit", job.id, write, deadlineMillis, DeskAnswer.Accepted, reply)
     }
 
     override fun cancel(queue: Queue, id: JobId, deadlineMillis: Long, reply: (DeskAnswer) -> Unit) {
-        readRow(JobRows.job(id), deadlineMillis) { verdict ->
-            when {
-                verdict !is Verdict.Ran -> reply(DeskAnswer.NotAccepted(DeskAnswer.Cause.NOT_READY, RETRY_AFTER_MILLIS))
+        known(id, deadlineMillis) { known ->
+            when (known) {
+                null -> reply(DeskAnswer.NotAccepted(DeskAnswer.Cause.NOT_READY, RETRY_AFTER_MILLIS))
 
-                verdict.value == null -> {
+                false -> {
                     logEvent("cancel", "job" to id, "outcome" to "no such job")
                     reply(DeskAnswer.NoSuchJob)
                 }
 
-                else -> {
-                    val write = RowWrite(JobRows.cancellation(id), CANCELLED)
-                    val transaction = RowTransaction(emptyList(), listOf(write))
-                    StoreCall("cancel", id, transaction, deadlineMillis, DeskAnswer.CancelStored, reply).send()
+                true -> {
+                    val write = RowWrite(JobRows.cancellation(id, partition), CANCELLED)
+                    commit("cancel", id, write, deadlineMillis, DeskAnswer.CancelStored, reply)
                 }
             }
         }
     }
 
+    /** Whether a job is known to the holder or stored; null where neither can be asked. */
+    private fun known(id: JobId, deadlineMillis: Long, done: (Boolean?) -> Unit) {
+        holder.state(id, minOf(deadlineMillis, HOLDER_TIMEOUT_MILLIS)) { answer ->
+            if (answer is HolderAnswer.State) done(true) else isStored(id, deadlineMillis, done)
+        }
+    }
+
     override fun state(queue: Queue, id: JobId, deadlineMillis: Long, reply: (DeskAnswer) -> Unit) {
         holder.state(id, minOf(deadlineMillis, HOLDER_TIMEOUT_MILLIS)) { answer ->
             when (answer) {
@@ -112,79 +115,59 @@
 
     /** Answers for a job without known progress: it waits if it is stored, and is unknown otherwise. */
     private fun stateOfAccepted(id: JobId, deadlineMillis: Long, reply: (DeskAnswer) -> Unit) {
-        readRow(JobRows.job(id), deadlineMillis) { verdict ->
+        isStored(id, deadlineMillis) { stored ->
             reply(
-                when {
-                    verdict !is Verdict.Ran -> DeskAnswer.NotAccepted(DeskAnswer.Cause.NOT_READY, null)
-                    verdict.value == null -> DeskAnswer.NoSuchJob
-                    else -> DeskAnswer.State(JobPhase.QUEUED)
+                when (stored) {
+                    null -> DeskAnswer.NotAccepted(DeskAnswer.Cause.NOT_READY, null)
+                    true -> DeskAnswer.State(JobPhase.QUEUED)
+                    false -> DeskAnswer.NoSuchJob
                 },
             )
         }
     }
 
+    /** Looks for a job in every partition, since any node may have accepted it; null where one can't be read. */
+    private fun isStored(id: JobId, deadlineMillis: Long, done: (Boolean?) -> Unit) {
+        var open = JobRows.partitions.size
+        var found = false
+        var unread = false
+        JobRows.partitions.forEach { partition ->
+            readRow(JobRows.job(id, partition), deadlineMillis) { verdict ->
+                if (verdict is Verdict.Ran) found = found || verdict.value != null else unread = true
+                open--
+                if (open == 0) done(if (found || !unread) found else null)
+            }
+        }
+    }
+
     private fun readRow(address: RowAddress, deadlineMillis: Long, done: (Verdict<StoredRow?>) -> Unit) {
         val timeoutMillis = minOf(deadlineMillis, READ_TIMEOUT_MILLIS)
         store.read(address.table, address.partition, address.key, 1, timeoutMillis) { verdict ->
-            done(
-                when (verdict) {
-                    is Verdict.Ran -> Verdict.Ran(verdict.value.rows.firstOrNull { it.address == address })
-                    is Verdict.NotRun -> verdict
-                    is Verdict.MayHaveRun -> verdict
-                },
-            )
+            done(verdict.map { page -> page.rows.firstOrNull { it.address == address } })
         }
     }
 
-    /** A write for a caller, repeated while its outcome is open: a repeat changes nothing. */
-    private inner class StoreCall(
-        private val what: String,
-        private val id: JobId,
-        private val transaction: RowTransaction,
+    private fun commit(
+        what: String,
+        id: JobId,
+        write: RowWrite,
         deadlineMillis: Long,
-        private val success: DeskAnswer,
-        private val reply: (DeskAnswer) -> Unit,
+        success: DeskAnswer,
+        reply: (DeskAnswer) -> Unit,
     ) {
-        private val startMillis = NodeClock.steadyMillis()
-        private val endMillis = startMillis + deadlineMillis - ANSWER_MARGIN_MILLIS
-        private var open = false
-
-        fun send() {
-            val leftMillis = endMillis - NodeClock.steadyMillis()
-            if (leftMillis < MIN_TRY_MILLIS) {
-                val refused = DeskAnswer.NotAccepted(DeskAnswer.Cause.NOT_READY, RETRY_AFTER_MILLIS)
-                finish(if (open) DeskAnswer.Unknown else refused, "deadline")
-                return
+        val startMillis = NodeClock.steadyMillis()
+        committer.commit(write, startMillis + deadlineMillis - ANSWER_MARGIN_MILLIS) { verdict ->
+            val answer = when (verdict) {
+                is Verdict.Ran -> success
+                is Verdict.MayHaveRun -> DeskAnswer.Unknown
+                is Verdict.NotRun -> DeskAnswer.NotAccepted(causeOf(verdict.failure), RETRY_AFTER_MILLIS)
             }
-            store.transact(transaction, minOf(leftMillis, WRITE_TIMEOUT_MILLIS), ::answered)
-        }
-
-        private fun answered(verdict: Verdict<TransactionOutcome>) {
-            when (verdict) {
-                is Verdict.Ran -> finish(success, if (verdict.value is TransactionOutcome.Conflict) "known" else "new")
-
-                is Verdict.MayHaveRun -> {
-                    open = true
-                    later(RETRY_MILLIS) { send() }
-                }
-
-                is Verdict.NotRun -> if (open) later(RETRY_MILLIS) { send() } else refuse(verdict)
-            }
-        }
-
-        private fun refuse(verdict: Verdict.NotRun) {
-            val overloaded = verdict.failure.kind == FailureKind.OVERLOADED
-            val cause = if (overloaded) DeskAnswer.Cause.OVERLOADED else DeskAnswer.Cause.NOT_READY
-            finish(DeskAnswer.NotAccepted(cause, RETRY_AFTER_MILLIS), verdict.failure.message)
-        }
-
-        private fun finish(answer: DeskAnswer, why: String) {
             val tookMillis = NodeClock.steadyMillis() - startMillis
             logEvent(
                 what,
                 "job" to id,
                 "outcome" to answer.javaClass.simpleName,
-                "why" to why,
+                "why" to verdict.failureOrNull()?.message,
                 "config" to configuration()?.version,
                 "took_ms" to tookMillis,
             )
@@ -193,27 +176,21 @@
         }
     }
 
+    private fun causeOf(failure: Failure): DeskAnswer.Cause =
+        if (failure.kind == FailureKind.OVERLOADED) DeskAnswer.Cause.OVERLOADED else DeskAnswer.Cause.NOT_READY
+
     private companion object {
         val CANCELLED = "{}".encodeToByteArray()
 
         /** Part of a caller's deadline that is left for the way back. */
         const val ANSWER_MARGIN_MILLIS = 100L
 
-        /** A try with less time than this can't succeed. */
-        const val MIN_TRY_MILLIS = 30L
-
-        /** Longest wait for a write: a slow store's transaction takes above a second. */
-        const val WRITE_TIMEOUT_MILLIS = 1_500L
-
         /** Longest wait for a read of one row. */
         const val READ_TIMEOUT_MILLIS = 1_000L
 
         /** Longest wait for the holder; the store's rows answer after it. */
         const val HOLDER_TIMEOUT_MILLIS = 500L
 
-        /** Pause before a write is repeated. */
-        const val RETRY_MILLIS = 50L
-
         /** When callers may come back after a refusal; the header knows whole seconds. */
         const val RETRY_AFTER_MILLIS = 1_000L
     }
--- a/node/src/main/kotlin/org/gypsumturn/node/MachineDuty.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/MachineDuty.kt
@@ -2,8 +2,6 @@
 
 package org.gypsumturn.node
 
-import org.gypsumturn.batch.lease.ControlLease
-import org.gypsumturn.batch.lease.ControlRows
 import org.gypsumturn.batch.lease.Instants
 import org.gypsumturn.batch.machines.MachineKeeper
 import org.gypsumturn.batch.machines.MachineOrder
@@ -17,28 +15,30 @@
 import org.gypsumturn.batch.port.MachineAnswer
 import org.gypsumturn.batch.port.MachineControl
 import org.gypsumturn.batch.port.MachinePage
-import org.gypsumturn.batch.port.RowCondition
 import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.RowTransaction
 import org.gypsumturn.batch.port.RowWrite
 import org.gypsumturn.batch.port.StoredRow
 import org.gypsumturn.batch.port.TransactionOutcome
 import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.batch.schedule.DecisionLog
+import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.failureOrNull
 
-/** Keeps the machines for the holder of [lease]; its state belongs to the control duty's thread. */
+/** Keeps the machines for the holder with [epoch]; its state belongs to the control duty's thread. */
 public class MachineDuty(
     scheduler: BatchScheduler,
-    private val lease: ControlLease,
+    private val epoch: Epoch,
+    private val fence: ProgressFence,
     times: MachineTimes,
     private val store: RowStore,
     private val news: FleetNewsFeed,
     private val machines: MachineControl,
+    decisions: DecisionLog,
     private val post: Post,
 ) {
-    private val keeper = MachineKeeper(times, POLICY, NodeClock.steadyMillis(), scheduler, eventLog)
-    private val epoch = lease.epoch
+    private val keeper = MachineKeeper(times, POLICY, NodeClock.steadyMillis(), scheduler, decisions)
     private val earlier = HashMap<Long, WaveReport>()
     private val shown = HashMap<Long, Boolean>()
     private var listing = false
@@ -128,9 +128,8 @@
     /** Stores what is done of a wave before it is shown. */
     private fun storeReport(report: WaveReport) {
         reporting = true
-        val owner = RowCondition(ControlRows.OWNER, lease.ownerRevision)
         val write = RowWrite(WaveRows.address(report.number), WaveRows.encode(report))
-        store.transact(RowTransaction(listOf(owner), listOf(write)), WRITE_TIMEOUT_MILLIS) { verdict ->
+        store.transact(RowTransaction(listOf(fence.condition()), listOf(write)), WRITE_TIMEOUT_MILLIS) { verdict ->
             post {
                 reporting = false
                 when ((verdict as? Verdict.Ran)?.value) {
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeDirectory.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeDirectory.kt
@@ -1,5 +1,5 @@
-// The nodes of the installation: each writes its own row when it starts and reads the others' now and then. A node that
-// was replaced leaves a row behind; calls to it fail and it is passed over.
+// The nodes of the installation: each writes its own row when it starts and reads the others' now and then. A node
+// that was replaced leaves a row behind; calls to it fail and it is passed over.
 
 package org.gypsumturn.node
 
--- /dev/null
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeMetrics.kt
@@ -0,0 +1,91 @@
+// Counters and latencies of a node, and the text in which they are scraped.
+
+package org.gypsumturn.node
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.gypsumturn.batch.desk.DeskAnswer
+import org.gypsumturn.batch.schedule.DecisionLog
+import org.gypsumturn.runtime.log.droppedLogLines
+import org.gypsumturn.transport.ServedAnswer
+import org.gypsumturn.transport.ServedRequest
+import java.io.ByteArrayOutputStream
+
+private const val MILLIS_PER_SECOND = 1_000.0
+
+/** Metrics of one node. */
+public class NodeMetrics(private val registry: PrometheusRegistry = PrometheusRegistry()) {
+    private val answers =
+        Counter.builder()
+            .name("gypsumturn_node_answers_total")
+            .help("Answers to callers by call and outcome.")
+            .labelNames("call", "outcome")
+            .register(registry)
+
+    private val answerSeconds =
+        Histogram.builder()
+            .name("gypsumturn_node_answer_seconds")
+            .help("Time from a caller's request to its answer.")
+            .labelNames("call")
+            .classicOnly()
+            .register(registry)
+
+    private val events =
+        Counter.builder()
+            .name("gypsumturn_node_events_total")
+            .help("Decisions and changes of belief by the event of their log line.")
+            .labelNames("event")
+            .register(registry)
+
+    private val startSeconds =
+        Histogram.builder()
+            .name("gypsumturn_node_task_wait_seconds")
+            .help("Time that a task waited for its start.")
+            .classicOnly()
+            .register(registry)
+
+    private val writer = PrometheusTextFormatWriter.builder().build()
+
+    init {
+        CounterWithCallback.builder()
+            .name("gypsumturn_node_log_lines_dropped_total")
+            .help("Log lines that were dropped because the log fell behind.")
+            .callback { it.call(droppedLogLines.get().toDouble()) }
+            .register(registry)
+    }
+
+    /** Counts an answer. */
+    public fun answered(call: String, answer: DeskAnswer, tookMillis: Long) {
+        answers.labelValues(call, answer.javaClass.simpleName).inc()
+        answerSeconds.labelValues(call).observe(tookMillis / MILLIS_PER_SECOND)
+    }
+
+    /** Counts each event, and hands it on to [log]. */
+    public fun counting(log: DecisionLog): DecisionLog = { event, fields ->
+        events.labelValues(event).inc()
+        fields.firstOrNull { it.first == "waited_ms" }?.second?.let { waited ->
+            startSeconds.observe((waited as Long) / MILLIS_PER_SECOND)
+        }
+        log(event, fields)
+    }
+
+    /** Answers a scrape. */
+    public fun handle(request: ServedRequest, reply: (ServedAnswer) -> Unit) {
+        if (request.path != PATH) {
+            reply(ServedAnswer(NOT_FOUND, ByteArray(0)))
+            return
+        }
+        val text = ByteArrayOutputStream()
+        writer.write(text, registry.scrape())
+        reply(ServedAnswer(OK, text.toByteArray(), writer.contentType))
+    }
+
+    private companion object {
+        const val PATH = "/metrics"
+        const val OK = 200
+        const val NOT_FOUND = 404
+    }
+}
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -9,6 +9,7 @@
 import org.gypsumturn.batch.lease.LeaseTimes
 import org.gypsumturn.batch.machines.MachineTimes
 import org.gypsumturn.batch.schedule.SchedulerSettings
+import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.platform.CallerIngress
 import org.gypsumturn.platform.PlatformExecutorCalls
@@ -16,7 +17,6 @@
 import org.gypsumturn.platform.PlatformNewsFeed
 import org.gypsumturn.platform.PlatformRowStore
 import org.gypsumturn.runtime.duty.Duty
-import org.gypsumturn.runtime.metrics.Metrics
 import org.gypsumturn.runtime.settings.HostAndPort
 import org.gypsumturn.runtime.settings.Settings
 import org.gypsumturn.transport.Endpoint
@@ -51,7 +51,8 @@
     }
     private val directory: NodeDirectory = NodeDirectory(nodeName, peerEndpoint, store, laterOnLoop)
     private val news = PlatformNewsFeed(store)
-    private val metrics = Metrics()
+    private val metrics = NodeMetrics()
+    private val decisions = metrics.counting(eventLog)
     private val lease =
         ControlLease(nodeName, "$nodeName/${NodeClock.wallMillis()}", peerEndpoint.toString(), LEASE_TIMES)
     private val control: Duty<() -> Unit> =
@@ -61,7 +62,7 @@
     }
     private val leaseDuty: LeaseDuty =
         LeaseDuty(lease, store, claimDelayMillis(), post) { held ->
-            HolderSession(held, schedulerSettings(), machineTimes(), ports(), post, laterOnControl)
+            HolderSession(held, schedulerSettings(), machineTimes(), ports(), decisions, post, laterOnControl)
         }
     private val laterOnControl: Later = { delayMillis, action ->
         loop.schedule({ post(action) }, delayMillis, TimeUnit.MILLISECONDS)
@@ -74,12 +75,27 @@
             { wave -> post { leaseDuty.waveRequested(wave) } },
         )
     private val peers = PeerCalls(peerClient, leaseDuty) { leaseDuty.holder }
-    private val desk = JobDesk({ configuration.current }, store, peers, laterOnLoop, DeskMetrics(metrics.registry))
+    private val desk =
+        JobDesk(
+            { configuration.current },
+            store,
+            peers,
+            JobCommitter(store, laterOnLoop, NodeClock::steadyMillis),
+            JobRows.partitionOf(nodeName),
+            metrics,
+        )
     private val ingress = CallerIngress(desk) { !ending && configuration.current != null }
     private val callers =
         HttpServer(loop, settings[NodeSettings.callerAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handle)
     private val readiness =
         HttpServer(loop, settings[NodeSettings.readyAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handleReady)
+    private val metricsServer =
+        HttpServer(
+            loop,
+            Endpoint(settings[NodeSettings.host], settings[NodeSettings.metricsPort].toInt()),
+            MAX_BODY_BYTES,
+            metrics::handle,
+        )
     private val peerServer = HttpServer(loop, peerEndpoint, MAX_BODY_BYTES, ::handlePeer)
 
     @Volatile
@@ -93,7 +109,7 @@
             configuration.start()
             directory.start()
         }
-        listOf(callers, readiness, peerServer).forEach { it.start() }
+        listOf(callers, readiness, peerServer, metricsServer).forEach { it.start() }
     }
 
     /** Stops taking new work, gives the lease up, answers what was asked, and returns before the grace is over. */
--- a/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
@@ -1,9 +1,7 @@
-// Stores the progress of jobs in groups, one transaction at a time, fenced by the owner row of the control lease.
+// Stores the progress of jobs in groups, one transaction at a time, behind the fence of the partition.
 
 package org.gypsumturn.node
 
-import org.gypsumturn.batch.lease.ControlLease
-import org.gypsumturn.batch.lease.ControlRows
 import org.gypsumturn.batch.port.RowCondition
 import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.RowTransaction
@@ -20,7 +18,7 @@
 /** Writes what [scheduler] has changed. */
 public class ProgressWriter(
     private val scheduler: BatchScheduler,
-    private val lease: ControlLease,
+    private val fence: ProgressFence,
     private val store: RowStore,
     private val post: Post,
 ) {
@@ -28,19 +26,14 @@
     private var lost = false
     private var notBeforeMillis = 0L
 
-    /** Whether another process has taken the lease over. */
-    public var fencedOff: Boolean = false
-        private set
-
     /** Sends the next group if one is due. */
     public fun work(nowMillis: Long) {
         if (writing || !scheduler.hasChanges || nowMillis < notBeforeMillis) return
         val changes = scheduler.takeChanges(GROUP_ROWS)
-        val owner = RowCondition(ControlRows.OWNER, lease.ownerRevision)
         val conditions = changes.map { RowCondition(JobRows.progress(it.job.job.id), it.revision) }
         val writes = changes.map { RowWrite(JobRows.progress(it.job.job.id), it.record.encode()) }
         writing = true
-        store.transact(RowTransaction(conditions + owner, writes), WRITE_TIMEOUT_MILLIS) { verdict ->
+        store.transact(RowTransaction(conditions + fence.condition(), writes), WRITE_TIMEOUT_MILLIS) { verdict ->
             post { answered(changes, verdict) }
         }
     }
@@ -74,8 +67,8 @@
     /** Another holder, or an earlier write of ours that was not answered. */
     private fun conflicted(changes: List<ProgressChange>, outcome: TransactionOutcome.Conflict) {
         val revisions = outcome.current.associate { it.address to it.revision }
-        if (revisions[ControlRows.OWNER] != lease.ownerRevision) {
-            fencedOff = true
+        if (revisions[JobRows.FENCE] != fence.revision) {
+            fence.broken()
             return
         }
         scheduler.giveBack(changes) { id: JobId -> revisions[JobRows.progress(id)] ?: Revision.ABSENT }
--- a/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
@@ -1,7 +1,7 @@
 // A store that is reached directly or, where it turns this machine away, through another node. A refused call was not
-// done, so it can go another way at once. A call without an answer is the caller's to repeat; until the direct way has
-// worked again, calls go through a node first. Where no node reaches the store either, it is down, and nothing is gained
-// by asking around.
+// done, so it can go another way at once. A call without an answer is the caller's to repeat; until the direct way
+// has worked again, calls go through a node first. Where no node reaches the store either, it is down, and nothing is
+// gained by asking around.
 
 package org.gypsumturn.node
 
@@ -24,7 +24,10 @@
 import org.gypsumturn.transport.ServedAnswer
 import org.gypsumturn.transport.ServedRequest
 
-/** The store behind [direct], or behind one of [peers]. Its state belongs to the thread that [onThread] runs actions on. */
+/**
+ * The store behind [direct], or behind one of [peers]. Its state belongs to the thread that [onThread] runs actions
+ * on.
+ */
 public class RelayedRowStore(
     private val direct: RowStore,
     private val client: HttpClient,
@@ -34,6 +37,7 @@
 ) : RowStore {
     private var directFailedMillis: Long? = null
     private var directTriedMillis = 0L
+    private var failedCalls = 0
     private var peersFailedMillis = Long.MIN_VALUE / 2
     private var lastPeer: Endpoint? = null
 
@@ -107,7 +111,7 @@
             return
         }
         askDirect(ask) { verdict ->
-            if (verdict is Verdict.NotRun && mayRelay(nowMillis())) {
+            if (verdict is Verdict.NotRun && isWorthRelaying(verdict) && mayRelay(nowMillis())) {
                 relay(call(), read) { relayed -> done(if (relayed is Verdict.NotRun) verdict else relayed) }
             } else {
                 done(verdict)
@@ -115,6 +119,10 @@
         }
     }
 
+    /** One busy partition is as busy for others; a machine whose calls all fail is turned away. */
+    private fun isWorthRelaying(verdict: Verdict.NotRun): Boolean =
+        verdict.failure.kind != FailureKind.OVERLOADED || directFailedMillis != null
+
     private fun <T> askDirect(ask: (Done<T>) -> Unit, done: Done<T>) {
         directTriedMillis = nowMillis()
         ask { verdict ->
@@ -128,7 +136,12 @@
         if (failure == null || failure.kind == FailureKind.INVALID) {
             if (directFailedMillis != null) logEvent("direct way to the store regained")
             directFailedMillis = null
-        } else if (directFailedMillis == null) {
+            failedCalls = 0
+            return
+        }
+        failedCalls++
+        val certain = failure.kind != FailureKind.OVERLOADED || failedCalls >= BUSY_CALLS
+        if (certain && directFailedMillis == null) {
             logEvent("direct way to the store lost", "why" to failure.message, "peers" to peers().size)
             directFailedMillis = nowMillis()
         }
@@ -218,6 +231,9 @@
         /** Time between two tries of the direct way while it fails. */
         private const val PROBE_MILLIS = 500L
 
+        /** Busy answers in a row that mean that the machine is turned away. */
+        private const val BUSY_CALLS = 4
+
         /** Pause after no peer reached the store. */
         private const val PEERS_PAUSE_MILLIS = 300L
 
--- a/node/src/main/kotlin/org/gypsumturn/node/TakeoverReader.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/TakeoverReader.kt
@@ -2,7 +2,6 @@
 
 package org.gypsumturn.node
 
-import org.gypsumturn.batch.lease.ControlRows
 import org.gypsumturn.batch.port.RowPage
 import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.StoredRow
@@ -42,8 +41,8 @@
                 jobsRevision = minOf(jobsRevision, revision)
             }
         }
-        readPartition(JobRows.PROGRESS_TABLE, ControlRows.PARTITION, null, progressRows) { }
-        readPartition(WaveRows.TABLE, ControlRows.PARTITION, null, waveRows) { }
+        readPartition(JobRows.PROGRESS_TABLE, JobRows.PROGRESS_PARTITION, null, progressRows) { }
+        readPartition(WaveRows.TABLE, JobRows.PROGRESS_PARTITION, null, waveRows) { }
     }
 
     private fun readPartition(
--- a/node/src/main/kotlin/org/gypsumturn/node/WaveRows.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/WaveRows.kt
@@ -4,10 +4,10 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import org.gypsumturn.batch.lease.ControlRows
 import org.gypsumturn.batch.machines.WaveReport
 import org.gypsumturn.batch.model.MachineId
 import org.gypsumturn.batch.port.RowAddress
+import org.gypsumturn.batch.state.JobRows
 
 /** Rows of waves. */
 public object WaveRows {
@@ -18,7 +18,7 @@
     private class WaveRecord(val done: List<String>, val completed: Boolean)
 
     /** The row of wave [number]. */
-    public fun address(number: Long): RowAddress = RowAddress(TABLE, ControlRows.PARTITION, number.toString())
+    public fun address(number: Long): RowAddress = RowAddress(TABLE, JobRows.PROGRESS_PARTITION, number.toString())
 
     /** [report] as bytes. */
     public fun encode(report: WaveReport): ByteArray {
