--- a/node/src/main/kotlin/org/gypsumturn/node/JobCommitter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobCommitter.kt
@@ -96,8 +96,8 @@
         /** Longest wait for a write: a slow store's transaction takes above a second. */
         const val WRITE_TIMEOUT_MILLIS = 1_500L
 
-        /** A try with less time than this can't succeed. */
-        const val MIN_TRY_MILLIS = 30L
+        /** A try with less time than a transaction and two ways can't succeed. */
+        const val MIN_TRY_MILLIS = 12L
 
         /** Pause before a write is repeated. */
         const val RETRY_MILLIS = 50L
--- a/node/src/main/kotlin/org/gypsumturn/node/JobDesk.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobDesk.kt
@@ -156,7 +156,7 @@
         reply: (DeskAnswer) -> Unit,
     ) {
         val startMillis = NodeClock.steadyMillis()
-        committer.commit(write, startMillis + deadlineMillis - ANSWER_MARGIN_MILLIS) { verdict ->
+        committer.commit(write, startMillis + deadlineMillis - marginMillis(deadlineMillis)) { verdict ->
             val answer = when (verdict) {
                 is Verdict.Ran -> success
                 is Verdict.MayHaveRun -> DeskAnswer.Unknown
@@ -176,14 +176,17 @@
         }
     }
 
+    private fun marginMillis(deadlineMillis: Long) = minOf(ANSWER_MARGIN_MILLIS, deadlineMillis / ANSWER_MARGIN_PART)
+
     private fun causeOf(failure: Failure): DeskAnswer.Cause =
         if (failure.kind == FailureKind.OVERLOADED) DeskAnswer.Cause.OVERLOADED else DeskAnswer.Cause.NOT_READY
 
     private companion object {
         val CANCELLED = "{}".encodeToByteArray()
 
-        /** Part of a caller's deadline that is left for the way back. */
+        /** Time of a caller's deadline that is left for the way back, at most this part of it. */
         const val ANSWER_MARGIN_MILLIS = 100L
+        const val ANSWER_MARGIN_PART = 5
 
         /** Longest wait for a read of one row. */
         const val READ_TIMEOUT_MILLIS = 1_000L
