Stop before giving the lease up, and know old jobs whatever their row says

Two ways to it: - a holder that was asked to end went on ordering until the store confirmed that it had given the lease up; with a slow store another had it for half a second by then. It stops before it sends the release. - whether an earlier holder may have begun a job was told from the revision of the job's row. What stands in the store when a term begins is old, whatever its revision. Ruled out: progress that was acknowledged and not stored (the fence held). Also: long-running tasks leave an executor that drains; tests of calls that are answered have no tight limit any more, since one failed once on a busy machine (300 ms for a first call); silent calls keep theirs.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -350,6 +350,7 @@
     /** Moves runs that lag: a copy is started where the step allows copies, otherwise the run is stopped first. */
     private fun judgeRuns(nowMillis: Long) {
         judgedMillis = nowMillis
+        leaveDraining()
         judge.laggards(nowMillis).filter { !it.lagging }.forEach { run ->
             val task = run.task
             log(
@@ -369,6 +370,14 @@
         }
     }
 
+    /** Long-running tasks would end with their executor; they go on elsewhere before. */
+    private fun leaveDraining() {
+        book.executors.values.filter { it.record.draining && it.unreachableSinceMillis == null }.forEach { executor ->
+            executor.runs.values.filter { it.task.step.step.longRunning && it.phase == RunPhase.RUNNING }
+                .forEach { stop(it, "executor draining") }
+        }
+    }
+
     private fun retryStops(nowMillis: Long) {
         for (executor in book.executors.values) {
             for (run in executor.runs.values) {
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
@@ -159,4 +159,17 @@
         fleet.run(4_000)
         fleet.executors.getValue(first).endNumber shouldBe 0
     }
+
+    @Test
+    fun `long-running tasks leave an executor that drains`() {
+        val fleet = VirtualFleet(2)
+        fleet.submit(job(1, step(count = 3).copy(longRunning = true))) { Long.MAX_VALUE / 1_000 }
+        fleet.run(1_000)
+        val busy = fleet.executors.values.first { it.runs.isNotEmpty() }
+        fleet.scheduler.listed(fleet.nowMillis, busy.record(draining = true))
+        fleet.run(1_500)
+        busy.runs.isEmpty() shouldBe true
+        fleet.executors.values.sumOf { it.runs.size } shouldBe 3
+        fleet.breaches.shouldBeEmpty()
+    }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -52,14 +52,15 @@
     private val later: Later,
 ) {
     private val epoch = lease.epoch
-    private val claimRevision = lease.ownerRevision
     private val scheduler = BatchScheduler(settings, epoch, decisions)
     private val carrier = OrderCarrier(scheduler, ports.executors, epoch, post)
     private val fence = ProgressFence(ports.store, epoch, post, later)
     private val writer = ProgressWriter(scheduler, fence, ports.store, post)
     private val reader = TakeoverReader(ports.store, post, later, ::jobsRead)
     private val machines =
-        ports.machines?.let { MachineDuty(scheduler, epoch, fence, machineTimes, ports.store, ports.news, it, decisions, post) }
+        ports.machines?.let {
+            MachineDuty(scheduler, epoch, fence, machineTimes, ports.store, ports.news, it, decisions, post)
+        }
     private val waves = LinkedHashMap<Long, UpkeepWave>()
     private val earlyCancellations = HashSet<JobId>()
     private val rowsOfJob = HashMap<JobId, MutableSet<RowAddress>>()
@@ -125,7 +126,7 @@
     private fun jobsRead(stored: StoredJobs) {
         val nowMillis = NodeClock.steadyMillis()
         val progress = stored.progressRows.associateBy { it.address.key }
-        stored.jobRows.forEach { row -> takeJobRow(nowMillis, row, progress[row.address.key]) }
+        stored.jobRows.forEach { row -> takeJobRow(nowMillis, row, progress[row.address.key], fresh = false) }
         logEvent(
             "jobs read",
             "epoch" to epoch,
@@ -139,7 +140,11 @@
         readyIfLoaded()
     }
 
-    private fun takeJobRow(nowMillis: Long, row: StoredRow, progress: StoredRow?) {
+    /**
+     * Takes a row in. A job that stood in the store when this term began is not [fresh]: an earlier holder may have
+     * begun it. The revision of its row tells nothing, since an acceptor may write a row again.
+     */
+    private fun takeJobRow(nowMillis: Long, row: StoredRow, progress: StoredRow?, fresh: Boolean) {
         val value = row.value ?: return
         val owner = JobRows.cancelledJob(row.address) ?: JobId(row.address.key)
         rowsOfJob.getOrPut(owner) { HashSet(1) } += row.address
@@ -153,7 +158,7 @@
             val record = progress?.value?.let { ProgressRecord.decode(it) }
             val revision = progress?.revision ?: Revision.ABSENT
             val job = JobRows.decode(value)
-            scheduler.accept(nowMillis, job, record, revision, row.revision > claimRevision)
+            scheduler.accept(nowMillis, job, record, revision, fresh)
             if (earlyCancellations.remove(job.id)) scheduler.cancel(nowMillis, job.id)
         } catch (e: IllegalArgumentException) {
             logEvent("row unreadable", "key" to row.address.key, "why" to e.message)
@@ -171,7 +176,7 @@
         when (val changes = (verdict as? Verdict.Ran)?.value) {
             is RowChanges.Known -> {
                 val nowMillis = NodeClock.steadyMillis()
-                changes.rows.forEach { takeJobRow(nowMillis, it, null) }
+                changes.rows.forEach { takeJobRow(nowMillis, it, null, fresh = true) }
                 followJobs(changes.revision)
             }
 
@@ -186,7 +191,7 @@
 
     private fun jobsReadAgain(stored: StoredJobs) {
         val nowMillis = NodeClock.steadyMillis()
-        stored.jobRows.forEach { takeJobRow(nowMillis, it, null) }
+        stored.jobRows.forEach { takeJobRow(nowMillis, it, null, fresh = true) }
         followJobs(stored.jobsRevision)
     }
 
--- a/node/src/main/kotlin/org/gypsumturn/node/JobCommitter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobCommitter.kt
@@ -15,12 +15,13 @@
 import org.gypsumturn.model.failureOrNull
 
 /** Commits rows of one partition; its state belongs to the thread on which it is called. */
-public class JobCommitter(
-    private val store: RowStore,
-    private val later: Later,
-    private val nowMillis: () -> Long,
-) {
-    private class Entry(val write: RowWrite, val beganMillis: Long, val endMillis: Long, val done: (Verdict<Unit>) -> Unit) {
+public class JobCommitter(private val store: RowStore, private val later: Later, private val nowMillis: () -> Long) {
+    private class Entry(
+        val write: RowWrite,
+        val beganMillis: Long,
+        val endMillis: Long,
+        val done: (Verdict<Unit>) -> Unit,
+    ) {
         /** Whether an earlier try may have taken effect. */
         var open = false
     }
--- a/node/src/main/kotlin/org/gypsumturn/node/LeaseDuty.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/LeaseDuty.kt
@@ -62,10 +62,14 @@
         session?.waveRequested(wave)
     }
 
-    /** Gives the lease up, if it is held, and calls [done]. */
+    /**
+     * Gives the lease up, if it is held, and calls [done]. Nothing is ordered any more from here on: another process
+     * may hold the lease before this one learns that it has given it up.
+     */
     public fun release(done: () -> Unit) {
         releasing = true
         released = done
+        if (session != null) drop("released")
         if (!lease.held) finishRelease()
     }
 
@@ -147,7 +151,7 @@
             when (val outcome = (verdict as? Verdict.Ran)?.value) {
                 is TransactionOutcome.Committed -> {
                     lease.claimed(outcome, sent)
-                    begin()
+                    if (!releasing) begin()
                 }
 
                 is TransactionOutcome.Conflict -> lease.conflicted(outcome)
@@ -191,7 +195,11 @@
 
     private fun noteRenewal(verdict: Verdict<*>) {
         val failure = verdict.failureOrNull()
-        if (failure != null && !renewalLost) logEvent("lease not renewed", "epoch" to lease.epoch, "why" to failure.message)
+        if (failure != null &&
+            !renewalLost
+        ) {
+            logEvent("lease not renewed", "epoch" to lease.epoch, "why" to failure.message)
+        }
         if (failure == null && renewalLost) logEvent("lease renewed again", "epoch" to lease.epoch)
         renewalLost = failure != null
     }
@@ -206,7 +214,6 @@
     }
 
     private fun finishRelease() {
-        if (session != null) drop("released")
         val done = released ?: return
         released = null
         done()
--- a/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
@@ -23,6 +23,9 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
+/** Limit of a call that is answered; a busy machine may take its time. */
+private const val ANSWERED_MILLIS = 9_000L
+
 class RelayedRowStoreTest : AnnotationSpec() {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop: EventLoop = group.next()
@@ -57,7 +60,7 @@
 
     private fun write(revision: Revision = Revision.ABSENT): Verdict<TransactionOutcome> = await { done ->
         val write = RowWrite(row, byteArrayOf(1, 2))
-        store.transact(RowTransaction(listOf(RowCondition(row, revision)), listOf(write)), 500, done)
+        store.transact(RowTransaction(listOf(RowCondition(row, revision)), listOf(write)), ANSWERED_MILLIS, done)
     }
 
     @Test
@@ -70,9 +73,9 @@
     fun `a machine that the store turns away writes and reads through another node`() {
         here.trouble = StoreTrouble.REFUSES
         write() shouldBe Verdict.Ran(TransactionOutcome.Committed(Revision(1), 1))
-        val page = await<RowPage> { store.read("jobs", "p", null, 5, 500, it) } as Verdict.Ran
+        val page = await<RowPage> { store.read("jobs", "p", null, 5, ANSWERED_MILLIS, it) } as Verdict.Ran
         page.value.rows.single().value?.toList() shouldBe listOf<Byte>(1, 2)
-        val changes = await<RowChanges> { store.follow("jobs", Revision.ABSENT, 0, 500, it) } as Verdict.Ran
+        val changes = await<RowChanges> { store.follow("jobs", Revision.ABSENT, 0, ANSWERED_MILLIS, it) } as Verdict.Ran
         changes.value.shouldBeInstanceOf<RowChanges.Known>().rows.single().address shouldBe row
     }
 
