--- a/node/src/test/kotlin/org/gypsumturn/node/LeaseDutyTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/LeaseDutyTest.kt
@@ -62,7 +62,13 @@
             val capacity = Size(8_000, 8_000, 0)
             val id = InstanceId("x")
             val record =
-                ExecutorRecord(id, Lifetime(1), POOL, "10.0.0.2:1", DataCentreId("a"), capacity, emptySet(), false, null)
+                ExecutorRecord(
+                    id,
+                    Lifetime(
+                        1,
+                    ),
+                    POOL, "10.0.0.2:1", DataCentreId("a"), capacity, emptySet(), false, null,
+                )
             done(Verdict.Ran(FleetNewsPage(listOf(FleetNews.ExecutorListed(record)), Revision.ABSENT, 0)))
         }
 
