Read the settings again on a hang-up, and when the file changes

Cause: a hang-up signal ended the process, as the virtual machine does without a handler; a settings file that changed was never read again. Change: both are read; a file that is wrong leaves the last good one in force.

--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -18,7 +18,6 @@
 import org.gypsumturn.platform.PlatformRowStore
 import org.gypsumturn.runtime.duty.Duty
 import org.gypsumturn.runtime.settings.HostAndPort
-import org.gypsumturn.runtime.settings.Settings
 import org.gypsumturn.transport.Endpoint
 import org.gypsumturn.transport.HttpClient
 import org.gypsumturn.transport.HttpClientLimits
@@ -29,8 +28,12 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
-/** A node with checked [settings]. */
-public class NodeProgram(private val settings: Settings) {
+/**
+ * A node with checked settings. Addresses and ports are those of its start; limits that change later hold from the
+ * next term of the control lease on, and the grace at once.
+ */
+public class NodeProgram(private val keeper: SettingsKeeper) {
+    private val settings = keeper.current
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop: EventLoop = group.next()
     private val storeClient = HttpClient(loop, STORE_LIMITS)
@@ -105,6 +108,9 @@
     public fun start() {
         logEvent("start", "node" to nodeName, "data_centre" to settings[NodeSettings.dataCentre])
         control.start()
+        loop.scheduleWithFixedDelay({
+            keeper.check(asked = false)
+        }, RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS)
         loop.execute {
             configuration.start()
             directory.start()
@@ -120,7 +126,7 @@
         callers.drain()
         val released = CountDownLatch(1)
         post { leaseDuty.release(released::countDown) }
-        val graceMillis = (settings[NodeSettings.graceSeconds] * MILLIS_PER_SECOND).toLong()
+        val graceMillis = (keeper.current[NodeSettings.graceSeconds] * MILLIS_PER_SECOND).toLong()
         val endMillis = NodeClock.steadyMillis() + graceMillis * ANSWERING_PART / WHOLE
         released.await(graceMillis / 2, TimeUnit.MILLISECONDS)
         val quietMillis = NodeClock.steadyMillis() + ROTATION_MILLIS
@@ -144,21 +150,21 @@
     }
 
     private fun machineTimes() = MachineTimes(
-        (settings[NodeSettings.moveSeconds] * MILLIS_PER_SECOND).toLong(),
-        (settings[NodeSettings.upkeepSeconds] * MILLIS_PER_SECOND).toLong(),
-        settings[NodeSettings.orderLeaseMillis] + HANDOVER_SLACK_MILLIS,
+        (keeper.current[NodeSettings.moveSeconds] * MILLIS_PER_SECOND).toLong(),
+        (keeper.current[NodeSettings.upkeepSeconds] * MILLIS_PER_SECOND).toLong(),
+        keeper.current[NodeSettings.orderLeaseMillis] + HANDOVER_SLACK_MILLIS,
     )
 
     private fun schedulerSettings(): SchedulerSettings {
-        val maxLeaseMillis = settings[NodeSettings.maxLeaseMillis]
+        val maxLeaseMillis = keeper.current[NodeSettings.maxLeaseMillis]
         return SchedulerSettings(
             minOf(RUN_LEASE_MILLIS, maxLeaseMillis),
             maxLeaseMillis,
-            settings[NodeSettings.stopMillis],
-            settings[NodeSettings.gangTimeoutMillis],
-            settings[NodeSettings.earlyMillis],
-            settings[NodeSettings.statusSeconds],
-            settings[NodeSettings.remoteFactor],
+            keeper.current[NodeSettings.stopMillis],
+            keeper.current[NodeSettings.gangTimeoutMillis],
+            keeper.current[NodeSettings.earlyMillis],
+            keeper.current[NodeSettings.statusSeconds],
+            keeper.current[NodeSettings.remoteFactor],
         )
     }
 
@@ -191,6 +197,9 @@
         /** Beyond the distance between two holders' orders: an earlier order may be under way for a while. */
         const val HANDOVER_SLACK_MILLIS = 500L
 
+        /** Time between two looks whether the settings file has changed. */
+        const val RELOAD_MILLIS = 2_000L
+
         const val CONTROL_RING = 65_536
         const val CONTROL_IDLE_MILLIS = 20L
         const val MAX_BODY_BYTES = 1_048_576
--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
@@ -12,6 +12,7 @@
 import org.gypsumturn.runtime.settings.Settings
 import org.gypsumturn.runtime.settings.SettingsResult
 import org.gypsumturn.runtime.settings.SettingsSchema
+import sun.misc.Signal
 import java.io.File
 import kotlin.system.exitProcess
 
@@ -42,6 +43,11 @@
 
 /** Runs [serve] with checked settings, or ends the process with an exit code that says why not. */
 public fun runProgram(name: String, schema: SettingsSchema, args: Array<String>, serve: (Settings) -> Unit) {
+    runProgram(name, schema, args) { settings, _ -> serve(settings) }
+}
+
+/** The same for programs that read their settings file again; it is null where none was named. */
+public fun runProgram(name: String, schema: SettingsSchema, args: Array<String>, serve: (Settings, File?) -> Unit) {
     if ("--version" in args) {
         println("$name $VERSION")
         exitProcess(ExitCode.OK)
@@ -58,12 +64,13 @@
     parser.option(ArgType.Boolean, "version", description = "print the version")
     parseOrExit(parser, args)
     configureLogging(logFormat)
-    val settings = loadOrExit(schema, config?.let(::File))
+    val file = config?.let(::File)
+    val settings = loadOrExit(schema, file)
     if (action == CHECK_CONFIG) {
         println("$name: settings are correct")
         exitProcess(ExitCode.OK)
     }
-    serve(settings)
+    serve(settings, file)
 }
 
 private fun parseOrExit(parser: ArgParser, args: Array<String>) {
@@ -89,3 +96,8 @@
     Runtime.getRuntime().addShutdownHook(Thread(close, "shutdown"))
     Thread.currentThread().join()
 }
+
+/** Calls [reload] when the process is asked to read its settings again (SIGHUP), which would otherwise end it. */
+public fun onReload(reload: () -> Unit) {
+    Signal.handle(Signal("HUP")) { reload() }
+}
