Count a machine as down for at least as long as its upkeep takes

Cause, likely: the list of machines lags; an order was given by a list that showed the executor of before a move, and the next list, still from before the order, showed another and so the machine as back. Ruled out: two holders (the term began long before).

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineBook.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineBook.kt
@@ -61,16 +61,22 @@
         return over.map { it.order }
     }
 
+    /**
+     * Whether the list shows that an order is over. The list lags, both when an order is given and after it, so that
+     * another executor alone proves nothing until the order's time has passed.
+     */
     private fun isBack(nowMillis: Long, machine: MachineRecord, task: MachineTask): Boolean {
-        if (machine.state != MachineState.UP) return false
         val order = task.order
+        val elapsedMillis = nowMillis - task.carriedOutMillis
+        val takesMillis = if (order is MachineOrder.Move) times.moveMillis else times.upkeepMillis
+        if (machine.state != MachineState.UP || elapsedMillis < takesMillis) return false
         return when {
             order is MachineOrder.Move -> machine.pool == order.pool && machine.executor != order.executor
 
             order.executor != null -> machine.executor != order.executor
 
-            // A machine that is off has no executor to tell by; the list may lag behind the order.
-            else -> nowMillis - task.carriedOutMillis >= times.upkeepMillis + LIST_LAG_MILLIS
+            // A machine that is off has no executor to tell by.
+            else -> elapsedMillis >= takesMillis + LIST_LAG_MILLIS
         }
     }
 
