--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -50,13 +50,16 @@
     private val ends = RunEnds(this, book, judge, log)
     private val starter = TaskStarter(settings, epoch, book, log, order)
     private var configuration: FleetConfiguration? = null
+
+    /** Queues by id, as last configured: jobs of one that was removed are still done. */
+    private val queues = HashMap<QueueId, Queue>()
     private var serial = 0L
     private var placedMillis = 0L
     private var judgedMillis = 0L
     private var needsPlacement = true
 
     init {
-        ends.maxFailures = { job -> configuration?.queue(job.job.queue)?.maxAttempts ?: Int.MAX_VALUE }
+        ends.maxFailures = { job -> queues[job.job.queue]?.maxAttempts ?: Int.MAX_VALUE }
     }
 
     /** Jobs that have not ended. */
@@ -83,6 +86,7 @@
     /** Puts [configuration] in force. */
     public fun configure(configuration: FleetConfiguration) {
         this.configuration = configuration
+        configuration.queues.forEach { queues[it.id] = it }
         needsPlacement = true
     }
 
@@ -303,10 +307,10 @@
     private fun place(nowMillis: Long) {
         needsPlacement = false
         placedMillis = nowMillis
-        val current = configuration ?: return
+        if (configuration == null) return
         val waiting = HashMap<PoolId, MutableList<OpenStep>>()
         active.forEach { job ->
-            val queue = current.queue(job.job.queue) ?: return@forEach
+            val queue = queues[job.job.queue] ?: return@forEach
             if (job.firstAttempt > 1 && !recovery.overFor(queue.pool)) return@forEach
             val steps = job.occurrences.values.flatMap { waitingSteps(nowMillis, queue, it) }
             if (steps.isNotEmpty()) waiting.getOrPut(queue.pool) { ArrayList() } += steps
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -54,11 +54,13 @@
         }
         for (task in waiting) {
             val executor = chooseFor(task, candidates)
-            if (executor == null) {
-                if (step.step.requiredLabel.isEmpty() && step.step.maxPerExecutor == 0) unfit += step.room
+            if (executor != null) {
+                start(nowMillis, task, executor, nextAttempt(task))
+            } else if (task.runs.isEmpty()) {
+                // The others of the step are as large. A copy that finds no other executor says nothing about them.
+                if (candidates.none { step.room.fitsInto(it.free) }) unfit += step.room
                 return
             }
-            start(nowMillis, task, executor, nextAttempt(task))
         }
     }
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
@@ -7,8 +7,10 @@
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import org.gypsumturn.batch.VirtualFleet
+import org.gypsumturn.batch.configuration
 import org.gypsumturn.batch.job
 import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.queue
 import org.gypsumturn.batch.step
 import org.gypsumturn.model.InstanceId
 
@@ -172,4 +174,27 @@
         fleet.executors.values.sumOf { it.runs.size } shouldBe 3
         fleet.breaches.shouldBeEmpty()
     }
+
+    @Test
+    fun `a copy that finds no other executor holds nothing else back`() {
+        val fleet = VirtualFleet(1)
+        val stuck = job(1, step(count = 3, estimateMillis = 20_000).copy(speculative = true))
+        fleet.submit(stuck) { if (it.index == 0) Long.MAX_VALUE / 1_000 else 500 }
+        fleet.run(11_000)
+        val other = job(2, step(count = 2))
+        fleet.submit(other)
+        fleet.run(200)
+        fleet.starts.count { it.task.job == other.id } shouldBe 2
+    }
+
+    @Test
+    fun `jobs of a queue that was removed are still done`() {
+        val fleet = VirtualFleet(1)
+        val job = job(1, step(count = 2), step(after = listOf(0)))
+        fleet.submit(job)
+        fleet.run(300)
+        fleet.scheduler.configure(configuration(queue("other"), version = 2))
+        fleet.run(4_000)
+        fleet.scheduler.job(job.id)?.shownPhase shouldBe JobPhase.COMPLETED
+    }
 }
