Say refused where the store refuses, and drop what nobody reads

Read as a newcomer would: one figure of speech for refusals, qualified names in the middle of code, and a property without a reader. Nothing else changes.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -71,9 +71,6 @@
     /** Whether an executor refused an order because another holder has a higher epoch. */
     public val fencedOff: Boolean get() = book.fencedOff
 
-    /** Whether tasks that an earlier holder may have started can be started again. */
-    public val recovered: Boolean get() = recovery.over
-
     /** The job [id], or null where it is not known. */
     public fun job(id: JobId): JobState? = jobsById[id]
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/Recovery.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/Recovery.kt
@@ -12,9 +12,6 @@
     private val unseen = HashMap<PoolId, MutableSet<InstanceId>>()
     private var untilMillis = 0L
 
-    /** Whether there is nothing left to wait for. */
-    val over: Boolean get() = unseen.isEmpty()
-
     fun begin(executors: Map<InstanceId, PoolId>, untilMillis: Long) {
         executors.forEach { (id, pool) -> unseen.getOrPut(pool) { HashSet() } += id }
         this.untilMillis = untilMillis
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -7,6 +7,7 @@
 import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.model.Size
 import org.gypsumturn.batch.port.ExecutorTarget
+import java.util.TreeMap
 
 /** Allowance for executors whose clock runs slow, as a factor on the time until a lease has lapsed. */
 private const val SLOW_CLOCK_FACTOR = 1.03
@@ -54,7 +55,7 @@
     public var fullUntilMillis: Long = 0
 
     /** Ends that were listed and may not be forgotten yet, by number: the job's serial that must be stored. */
-    public val pendingEnds: java.util.TreeMap<Long, PendingEnd> = java.util.TreeMap()
+    public val pendingEnds: TreeMap<Long, PendingEnd> = TreeMap()
 
     /** Highest number of an end that was handled. */
     public var handledEnd: Long = 0
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -29,6 +29,7 @@
 import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.batch.schedule.StepOrder
 import org.gypsumturn.batch.schedule.orderByPlan
+import org.gypsumturn.batch.state.progressOf
 import org.gypsumturn.model.DataCentreId
 import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.Failure
@@ -144,7 +145,7 @@
         scheduler = newScheduler(epoch)
         executors.values.forEach { scheduler.listed(nowMillis, it.record()) }
         old.jobs.forEach { state ->
-            val stored = org.gypsumturn.batch.state.progressOf(state)
+            val stored = progressOf(state)
             scheduler.accept(nowMillis, state.job, stored, state.revision, false)
         }
         scheduler.recover(nowMillis + 5_500)
--- a/node/src/main/kotlin/org/gypsumturn/node/JobCommitter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobCommitter.kt
@@ -106,7 +106,7 @@
         /** The same when the partition has more than a second of transactions waiting. */
         const val BUSY_RETRY_MILLIS = 150L
 
-        /** How long a busy store is asked again before the caller is sent away. */
+        /** How long a busy store is asked again before the caller is refused. */
         const val BUSY_PATIENCE_MILLIS = 1_200L
     }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
@@ -3,6 +3,7 @@
 
 package org.gypsumturn.node
 
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.gypsumturn.batch.model.JobPhase
@@ -97,7 +98,7 @@
 
     private fun phaseOf(answer: HolderAnswer): JobPhase? = (answer as? HolderAnswer.State)?.phase
 
-    private fun <T> served(serializer: kotlinx.serialization.KSerializer<T>, value: T) =
+    private fun <T> served(serializer: KSerializer<T>, value: T) =
         ServedAnswer(OK, json.encodeToString(serializer, value).encodeToByteArray())
 
     private fun notHolder() = ServedAnswer(UNAVAILABLE, ByteArray(0))
--- a/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
@@ -1,4 +1,4 @@
-// A store that is reached directly or, where it turns this machine away, through another node. A refused call was not
+// A store that is reached directly or, where it refuses this machine, through another node. A refused call was not
 // done, so it can go another way at once. A call without an answer is the caller's to repeat; until the direct way
 // has worked again, calls go through a node first. Where no node reaches the store either, it is down, and nothing is
 // gained by asking around.
@@ -119,7 +119,7 @@
         }
     }
 
-    /** One busy partition is as busy for others; a machine whose calls all fail is turned away. */
+    /** One busy partition is as busy for others; a machine whose calls all fail is refused as such. */
     private fun isWorthRelaying(verdict: Verdict.NotRun): Boolean =
         verdict.failure.kind != FailureKind.OVERLOADED || directFailedMillis != null
 
@@ -231,7 +231,7 @@
         /** Time between two tries of the direct way while it fails. */
         private const val PROBE_MILLIS = 500L
 
-        /** Busy answers in a row that mean that the machine is turned away. */
+        /** Busy answers in a row that mean that the machine is refused. */
         private const val BUSY_CALLS = 4
 
         /** Pause after no peer reached the store. */
--- a/node/src/test/kotlin/org/gypsumturn/node/JobCommitterTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/JobCommitterTest.kt
@@ -89,7 +89,7 @@
     }
 
     @Test
-    fun `a busy partition is asked again for a while, and then the caller is sent away`() {
+    fun `a busy partition is asked again for a while, and then the caller is refused`() {
         commit(1)
         store.answer(busy)
         verdicts shouldHaveSize 0
--- a/node/src/test/kotlin/org/gypsumturn/node/LeaseDutyTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/LeaseDutyTest.kt
@@ -27,6 +27,7 @@
 import org.gypsumturn.batch.port.LookAnswer
 import org.gypsumturn.batch.port.LookOrder
 import org.gypsumturn.batch.port.NewsKind
+import org.gypsumturn.batch.port.RowChanges
 import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.RowTransaction
 import org.gypsumturn.batch.port.RowWrite
@@ -117,7 +118,7 @@
             after: Revision,
             waitMillis: Long,
             timeoutMillis: Long,
-            done: Done<org.gypsumturn.batch.port.RowChanges>,
+            done: Done<RowChanges>,
         ) = Unit
     }
 
--- a/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
@@ -70,7 +70,7 @@
     }
 
     @Test
-    fun `a machine that the store turns away writes and reads through another node`() {
+    fun `a machine that the store refuses writes and reads through another node`() {
         here.trouble = StoreTrouble.REFUSES
         write() shouldBe Verdict.Ran(TransactionOutcome.Committed(Revision(1), 1))
         val page = await<RowPage> { store.read("jobs", "p", null, 5, ANSWERED_MILLIS, it) } as Verdict.Ran
