Begin a session after an unanswered claim, and count only upkeep that was done

Cause: a claim whose answer was lost was found held in the rows and renewed for ever without a session; the same after an executor fenced a session off. MachineKeeper marked a machine as done after the refusals 400 and 409 "wave", and took an answer for whatever order was under way for the machine. The platform answers 200 to an upkeep that was done before; the executor that had come after it was then taken for ended, and its tasks could be started twice.

Mended: the holder begins a session at the first committed renewal without one, or claims anew where it had a session in that epoch, so that run numbers are not used again. Only the platform's 200 to the same order counts; a refused upkeep is tried again after 1 s. The executor counts as ended at once only where no earlier order can have done the upkeep.

Five tests, each failing without its mend (LeaseDutyTest, MachineKeeperTest).

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineBook.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineBook.kt
@@ -7,14 +7,13 @@
 import org.gypsumturn.batch.model.MachineRecord
 import org.gypsumturn.batch.model.MachineState
 import org.gypsumturn.batch.model.UpkeepWave
-import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.PoolId
 
 /** Stages of an order. */
 internal enum class OrderStage { SENT, OPEN, CARRIED_OUT }
 
-/** An order that is under way. */
-internal class MachineTask(val order: MachineOrder, val sinceMillis: Long) {
+/** An order that is under way; [endsExecutor] tells that its being carried out ends the executor on the machine. */
+internal class MachineTask(val order: MachineOrder, val endsExecutor: Boolean) {
     var stage = OrderStage.SENT
 
     /** When an order whose outcome is open is sent again. */
@@ -45,9 +44,6 @@
         return nowMillis - seen >= LEFT_MILLIS
     }
 
-    /** The machine that [executor] runs on. */
-    fun machineOf(executor: InstanceId): MachineRecord? = machines.values.firstOrNull { it.executor == executor }
-
     /** Takes a whole list in; returns the orders that it shows to be over. */
     fun listed(nowMillis: Long, list: List<MachineRecord>): List<MachineOrder> {
         machines = list.associateBy { it.id }
@@ -73,9 +69,11 @@
         return when {
             order is MachineOrder.Move -> machine.pool == order.pool && machine.executor != order.executor
 
-            order.executor != null -> machine.executor != order.executor
+            order.executor != null && machine.executor != order.executor -> true
+
+            order.executor != null && task.endsExecutor -> false
 
-            // A machine that is off has no executor to tell by.
+            // A machine that is off has no executor to tell by; an upkeep that was done before leaves the executor.
             else -> elapsedMillis >= takesMillis + LIST_LAG_MILLIS
         }
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineKeeper.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineKeeper.kt
@@ -44,10 +44,13 @@
         return startedMillis > 0 && wallMillis - startedMillis >= times.handoverMillis + CLOCK_SLACK_MILLIS
     }
 
-    /** A wave was asked for; [done] are the machines that earlier holders have taken down for it. */
-    public fun waveRequested(nowMillis: Long, wave: UpkeepWave, done: Set<MachineId>) {
+    /**
+     * A wave was asked for; [done] are the machines that earlier holders have taken down for it, as far as they could
+     * tell, and [fresh] says that there was no earlier holder.
+     */
+    public fun waveRequested(nowMillis: Long, wave: UpkeepWave, done: Set<MachineId>, fresh: Boolean) {
         if (wave.number in waves) return
-        val state = WaveState(wave, nowMillis, done)
+        val state = WaveState(wave, nowMillis, done, fresh)
         waves[wave.number] = state
         log("wave begun", arrayOf("wave" to wave.number, "machines" to wave.machines.size, "cap" to wave.cap))
         report(state)
@@ -57,8 +60,9 @@
     public fun listed(nowMillis: Long, machines: List<MachineRecord>) {
         book.listed(nowMillis, machines).forEach { order ->
             log("machine back", arrayOf("machine" to order.machine, "order" to order))
+            release(order)
         }
-        val down = machines.filter { it.state == MachineState.DOWN }.mapNotNullTo(HashSet()) { it.executor }
+        val down = machines.filter { it.state != MachineState.UP }.mapNotNullTo(HashSet()) { it.executor }
         val present = machines.mapNotNullTo(HashSet()) { it.executor } - down
         scheduler.executors.values.filter { isGone(nowMillis, it, down, present) }.map { it.record.id }.forEach { id ->
             scheduler.gone(nowMillis, id)
@@ -95,15 +99,15 @@
         val pools = sizedPools(configuration)
         val settled = nowMillis - begunMillis >= times.handoverMillis
         val orders = repeated(nowMillis) + if (settled) upkeeps(nowMillis, pools) else emptyList()
-        orders.forEach { begin(nowMillis, it) }
+        orders.forEach { begin(it) }
         val moves = moves(nowMillis, configuration, pools).filter { mayOrder(it.machine) }
-        moves.forEach { begin(nowMillis, it) }
+        moves.forEach { begin(it) }
         finishWaves(nowMillis)
         return orders + moves
     }
 
-    private fun begin(nowMillis: Long, order: MachineOrder) {
-        val task = book.tasks.getOrPut(order.machine) { MachineTask(order, nowMillis) }
+    private fun begin(order: MachineOrder) {
+        val task = book.tasks.getOrPut(order.machine) { MachineTask(order, endsExecutor(order)) }
         task.stage = OrderStage.SENT
         order.executor?.let { scheduler.executors[it] }?.let { executor ->
             executor.cordoned = true
@@ -112,6 +116,15 @@
         log("machine ordered", arrayOf("order" to order, "runs" to runsOn(order)))
     }
 
+    /**
+     * Whether carrying [order] out ends the executor that is on the machine now. An upkeep that an earlier order may
+     * have done already is answered in the same way, and the executor that came after it lives on.
+     */
+    private fun endsExecutor(order: MachineOrder): Boolean = when (order) {
+        is MachineOrder.Move -> true
+        is MachineOrder.Upkeep -> waves[order.wave]?.let { it.fresh && order.machine !in it.notBeforeMillis } ?: false
+    }
+
     private fun runsOn(order: MachineOrder): Int = order.executor?.let { scheduler.executors[it]?.runs?.size } ?: 0
 
     /** Orders without an answer, which change nothing where they were carried out. */
@@ -188,9 +201,10 @@
 
     /** The platform answered an order, or did not. */
     public fun answered(nowMillis: Long, order: MachineOrder, verdict: Verdict<MachineAnswer>) {
-        val task = book.tasks[order.machine] ?: return
         val answer = (verdict as? Verdict.Ran)?.value
         log("machine order answered", arrayOf("order" to order, "answer" to (answer ?: "none")))
+        // The list may have ended the task meanwhile, and another order may be under way for the machine.
+        val task = book.tasks[order.machine]?.takeIf { it.order == order } ?: return
         when {
             answer == MachineAnswer.DONE -> carriedOut(nowMillis, task)
 
@@ -199,7 +213,7 @@
                 task.retryMillis = nowMillis + RETRY_MILLIS
             }
 
-            else -> refused(order, answer)
+            else -> refused(nowMillis, order)
         }
     }
 
@@ -207,7 +221,7 @@
         task.stage = OrderStage.CARRIED_OUT
         task.carriedOutMillis = nowMillis
         val order = task.order
-        order.executor?.let { scheduler.gone(nowMillis, it) }
+        if (task.endsExecutor) order.executor?.let { scheduler.gone(nowMillis, it) }
         if (order is MachineOrder.Upkeep) {
             val state = waves[order.wave] ?: return
             state.done += order.machine
@@ -216,17 +230,22 @@
         }
     }
 
-    private fun refused(order: MachineOrder, answer: MachineAnswer?) {
+    /** A refused upkeep is tried again: only a machine that the platform has taken down counts as done. */
+    private fun refused(nowMillis: Long, order: MachineOrder) {
         book.tasks -= order.machine
         if (order is MachineOrder.Upkeep) {
             val state = waves[order.wave] ?: return
             state.cordonedMillis -= order.machine
-            if (answer == MachineAnswer.NOT_OF_WAVE || answer == MachineAnswer.INVALID) state.done += order.machine
-        }
-        order.executor?.let { scheduler.executors[it] }?.let { executor ->
-            executor.cordoned = false
-            executor.ending = false
+            state.notBeforeMillis[order.machine] = nowMillis + REFUSED_MILLIS
         }
+        release(order)
+    }
+
+    /** Lets work onto the executor again that [order] was to end, if it lives. */
+    private fun release(order: MachineOrder) {
+        val executor = order.executor?.let { scheduler.executors[it] } ?: return
+        executor.cordoned = false
+        executor.ending = false
     }
 
     private fun finishWaves(nowMillis: Long) {
@@ -275,6 +294,9 @@
         /** Pause before an order without an answer is sent again. */
         const val RETRY_MILLIS = 300L
 
+        /** Pause before a refused upkeep is tried again. */
+        const val REFUSED_MILLIS = 1_000L
+
         /** A pool loses at most this part of its machines at once. */
         const val POOL_PART = 3
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/UpkeepPlan.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/UpkeepPlan.kt
@@ -23,10 +23,13 @@
 /** Longest time that a cordoned machine waits for its quick tasks, as a part of the time that a round has. */
 private const val DRAIN_PART = 0.5
 
-/** A wave that is not completed. */
-internal class WaveState(val wave: UpkeepWave, val begunMillis: Long, done: Set<MachineId>) {
+/** A wave that is not completed; [fresh] tells that no earlier holder has given orders for it. */
+internal class WaveState(val wave: UpkeepWave, val begunMillis: Long, done: Set<MachineId>, val fresh: Boolean) {
     val done = HashSet(done)
 
+    /** When a machine whose upkeep was refused may be ordered down again. */
+    val notBeforeMillis = HashMap<MachineId, Long>()
+
     /** When each machine was cordoned for its upkeep. */
     val cordonedMillis = HashMap<MachineId, Long>()
 
@@ -81,6 +84,7 @@
     val waiting = state.left { view.machineOf(it) != null }
         .mapNotNull(view.machineOf)
         .filter { it.state == MachineState.UP && !view.isBusy(it.id) }
+        .filter { nowMillis >= (state.notBeforeMillis[it.id] ?: nowMillis) }
     val room = state.wave.cap - view.downNow
     if (room <= 0 || waiting.isEmpty()) return emptyList()
     val patience = roundMillis(nowMillis, state, waiting.size, upkeepMillis)
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineBookTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineBookTest.kt
@@ -21,7 +21,7 @@
     fun `a machine counts as down for its upkeep although a list that lags shows another executor on it`() {
         val book = MachineBook(MachineTimes(1_500, 2_000, 0))
         book.listed(0, listOf(record("before the move")))
-        val task = MachineTask(MachineOrder.Upkeep(id, InstanceId("before the move"), 1), 100)
+        val task = MachineTask(MachineOrder.Upkeep(id, InstanceId("before the move"), 1), endsExecutor = true)
         task.stage = OrderStage.CARRIED_OUT
         task.carriedOutMillis = 100
         book.tasks[id] = task
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineKeeperTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineKeeperTest.kt
@@ -44,6 +44,9 @@
         private set
     val downMillis = HashMap<MachineId, Long>()
     var mostDown = 0
+
+    /** The platform's answer to an order that it does not carry out; null where it does. */
+    var answerOf: (MachineOrder) -> MachineAnswer? = { null }
     var moves = 0
     private var lives = 0
 
@@ -56,9 +59,12 @@
     /** Another holder begins, which knows of earlier orders only what the list shows. */
     fun takeOver(wave: UpkeepWave, handoverMillis: Long) {
         keeper = newKeeper(handoverMillis)
-        keeper.waveRequested(fleet.nowMillis, wave, downMillis.keys.toSet())
+        keeper.waveRequested(fleet.nowMillis, wave, downMillis.keys.toSet(), fresh = false)
     }
 
+    /** The list as it stands. */
+    fun list() = machines.map { MachineRecord(it.id, it.pool, it.state, it.executor, emptySet(), CAPACITY) }
+
     private fun newKeeper(handoverMillis: Long) = MachineKeeper(
         MachineTimes(1_500, 2_000, handoverMillis),
         SizingPolicy(1_200.0, 1_500),
@@ -76,11 +82,12 @@
     private fun step() {
         val now = fleet.nowMillis
         machines.filter { it.state != MachineState.UP && it.backAtMillis <= now }.forEach(::bringBack)
-        keeper.listed(now, machines.map { MachineRecord(it.id, it.pool, it.state, it.executor, emptySet(), CAPACITY) })
+        keeper.listed(now, list())
         keeper.decide(now, now, configuration).forEach { order ->
             val machine = machines.single { it.id == order.machine }
-            carry(now, machine, order)
-            keeper.answered(now, order, Verdict.Ran(MachineAnswer.DONE))
+            val answer = answerOf(order)
+            if (answer == null) carry(now, machine, order)
+            keeper.answered(now, order, Verdict.Ran(answer ?: MachineAnswer.DONE))
         }
         mostDown = maxOf(mostDown, machines.count { it.state == MachineState.UPKEEP })
     }
@@ -120,7 +127,7 @@
         val machines = VirtualMachines(VirtualFleet(6), spares = 2)
         machines.fleet.run(200)
         val wave = UpkeepWave(1, machines.machines.map { it.id }, 25_000, 3)
-        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet())
+        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet(), fresh = true)
         machines.run(25_000)
         machines.downMillis.keys shouldBe wave.machines.toSet()
         machines.mostDown shouldBeLessThanOrEqual 3
@@ -132,7 +139,7 @@
         val machines = VirtualMachines(VirtualFleet(2), spares = 6)
         machines.fleet.run(200)
         val wave = UpkeepWave(1, machines.machines.map { it.id }, 12_000, 6)
-        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet())
+        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet(), fresh = true)
         machines.run(10_000)
         machines.downMillis.keys shouldBe wave.machines.toSet()
     }
@@ -142,17 +149,70 @@
         val machines = VirtualMachines(VirtualFleet(2), spares = 2)
         machines.fleet.run(200)
         val all = machines.machines.map { it.id }
-        machines.keeper.waveRequested(machines.fleet.nowMillis, UpkeepWave(1, all, 12_000, 2), all.take(3).toSet())
+        val wave = UpkeepWave(1, all, 12_000, 2)
+        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, all.take(3).toSet(), fresh = false)
         machines.run(6_000)
         machines.downMillis.keys shouldBe all.drop(3).toSet()
     }
 
+    @Test
+    fun `a machine whose upkeep is refused is not done, and is ordered down again`() {
+        listOf(MachineAnswer.NOT_OF_WAVE, MachineAnswer.INVALID, MachineAnswer.BUSY).forEach { refusal ->
+            val machines = VirtualMachines(VirtualFleet(2), spares = 0)
+            machines.fleet.run(200)
+            val wave = UpkeepWave(1, machines.machines.map { it.id }, 20_000, 2)
+            machines.answerOf = { refusal }
+            machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet(), fresh = true)
+            machines.run(3_000)
+            machines.keeper.takeReports().none { it.completed } shouldBe true
+            machines.answerOf = { null }
+            machines.run(8_000)
+            machines.downMillis.keys shouldBe wave.machines.toSet()
+            machines.keeper.takeReports().single().completed shouldBe true
+        }
+    }
+
+    @Test
+    fun `the late answer to a move is not taken for that to an upkeep of the same machine`() {
+        val machines = VirtualMachines(VirtualFleet(1), spares = 0)
+        machines.fleet.run(200)
+        val now = machines.fleet.nowMillis
+        val machine = machines.machines.single()
+        machines.keeper.listed(now, machines.list())
+        val wave = UpkeepWave(1, listOf(machine.id), 20_000, 1)
+        machines.keeper.waveRequested(now, wave, emptySet(), fresh = true)
+        machines.keeper.decide(now, now, machines.configuration).single()
+        val move = MachineOrder.Move(machine.id, machine.executor, POOL)
+        machines.keeper.answered(now, move, Verdict.Ran(MachineAnswer.DONE))
+        machines.keeper.decide(now + 100, now + 100, machines.configuration)
+        machines.keeper.takeReports().none { it.completed || it.done.isNotEmpty() } shouldBe true
+    }
+
+    @Test
+    fun `an executor lives on where an earlier holder's upkeep of its machine had been done`() {
+        val fleet = VirtualFleet(1)
+        val machines = VirtualMachines(fleet, spares = 0)
+        fleet.submit(job(1, watch.copy(mayMiss = 4))) { Long.MAX_VALUE / 1_000 }
+        machines.run(3_000)
+        machines.answerOf = { MachineAnswer.DONE }
+        val wave = UpkeepWave(1, machines.machines.map { it.id }, 8_000, 1)
+        machines.keeper.waveRequested(fleet.nowMillis, wave, emptySet(), fresh = false)
+        machines.run(8_000)
+        machines.keeper.takeReports().single().completed shouldBe true
+        fleet.breaches.shouldBeEmpty()
+        fleet.executors.values.sumOf { it.runs.size } shouldBe 4
+        val quick = job(2, step(count = 2))
+        fleet.submit(quick)
+        machines.run(3_000)
+        (quick.id in fleet.completedMillis) shouldBe true
+    }
+
     @Test
     fun `a new holder counts the machines that an earlier one has taken down`() {
         val machines = VirtualMachines(VirtualFleet(4), spares = 4)
         machines.fleet.run(200)
         val wave = UpkeepWave(1, machines.machines.map { it.id }, 30_000, 3)
-        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet())
+        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet(), fresh = true)
         machines.run(500)
         machines.takeOver(wave, handoverMillis = 1_000)
         machines.run(20_000)
@@ -166,7 +226,7 @@
         machines.fleet.run(200)
         val missing = machines.machines.last()
         val wave = UpkeepWave(1, machines.machines.map { it.id }, 10_000, 3)
-        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet())
+        machines.keeper.waveRequested(machines.fleet.nowMillis, wave, emptySet(), fresh = true)
         machines.machines -= missing
         machines.run(10_000)
         machines.keeper.takeReports().none { it.completed } shouldBe true
@@ -182,7 +242,7 @@
         fleet.submit(job) { Long.MAX_VALUE / 1_000 }
         machines.run(3_000)
         val wave = UpkeepWave(1, listOf(machines.machines.first().id), 25_000, 1)
-        machines.keeper.waveRequested(fleet.nowMillis, wave, emptySet())
+        machines.keeper.waveRequested(fleet.nowMillis, wave, emptySet(), fresh = true)
         var leastAtWork = 4
         machines.run(25_000) {
             leastAtWork = minOf(leastAtWork, fleet.executors.values.sumOf { it.runs.size })
@@ -200,7 +260,7 @@
         fleet.submit(job(1, wide.copy(maxPerExecutor = 2))) { Long.MAX_VALUE / 1_000 }
         machines.run(3_000)
         val wave = UpkeepWave(1, machines.machines.map { it.id }, 2_000, 3)
-        machines.keeper.waveRequested(fleet.nowMillis, wave, emptySet())
+        machines.keeper.waveRequested(fleet.nowMillis, wave, emptySet(), fresh = true)
         var leastRunning = 6
         machines.run(3_000) { leastRunning = minOf(leastRunning, fleet.executors.values.sumOf { it.runs.size }) }
         leastRunning shouldBe 5
@@ -213,7 +273,7 @@
         fleet.submit(job(1, watch)) { Long.MAX_VALUE / 1_000 }
         machines.run(3_000)
         val wave = UpkeepWave(1, listOf(machines.machines.first().id), 60_000, 1)
-        machines.keeper.waveRequested(fleet.nowMillis, wave, emptySet())
+        machines.keeper.waveRequested(fleet.nowMillis, wave, emptySet(), fresh = true)
         machines.run(300)
         val quick = job(2, step(count = 9))
         fleet.submit(quick)
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -99,7 +99,7 @@
     /** A wave was asked for. */
     public fun waveRequested(wave: UpkeepWave) {
         waves[wave.number] = wave
-        if (ready) machines?.waveRequested(wave)
+        if (ready) machines?.waveRequested(wave, fresh = true)
     }
 
     /** The state of a job as it may be shown; null while not everything is read. */
@@ -267,7 +267,7 @@
         ready = true
         val waitMillis = settings.leaseMillis + settings.leaseMillis / SLOW_CLOCK_PART + LEASE_SLACK_MILLIS
         if (scheduler.active.isNotEmpty()) scheduler.recover(NodeClock.steadyMillis() + waitMillis)
-        waves.values.forEach { machines?.waveRequested(it) }
+        waves.values.forEach { machines?.waveRequested(it, fresh = false) }
         logEvent("session ready", "epoch" to epoch, "executors" to scheduler.executors.size)
     }
 
--- a/node/src/main/kotlin/org/gypsumturn/node/LeaseDuty.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/LeaseDuty.kt
@@ -5,6 +5,7 @@
 
 import org.gypsumturn.batch.lease.ControlLease
 import org.gypsumturn.batch.lease.ControlRows
+import org.gypsumturn.batch.lease.Instants
 import org.gypsumturn.batch.model.FleetConfiguration
 import org.gypsumturn.batch.model.QueueId
 import org.gypsumturn.batch.model.UpkeepWave
@@ -13,6 +14,7 @@
 import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.RowTransaction
 import org.gypsumturn.batch.port.TransactionOutcome
+import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
@@ -31,6 +33,7 @@
     private val store: RowStore,
     private val claimDelayMillis: Long,
     private val post: Post,
+    private val clock: () -> Instants = NodeClock::instants,
     private val newSession: SessionFactory,
 ) : HolderState {
     private var session: HolderSession? = null
@@ -43,6 +46,9 @@
     private var retryAtMillis = 0L
     private var releasing = false
     private var renewalLost = false
+
+    /** The last epoch in which a session was begun; a session dropped in it has numbered runs that another must not. */
+    private var sessionEpoch: Epoch? = null
     private var released: (() -> Unit)? = null
 
     /** Where the holder is, for other threads. */
@@ -75,15 +81,19 @@
 
     /** Does what is due. Called after each event and at short intervals. */
     public fun work() {
-        val now = NodeClock.instants()
+        val now = clock()
         if (now.steadyMillis >= retryAtMillis) {
             when {
+                lease.held && !releasing && session == null && lease.epoch == sessionEpoch -> if (!writing) claim()
                 lease.held -> if (!writing && (releasing || lease.renewalDue(now))) renew()
                 !releasing -> compete(now.steadyMillis)
             }
         }
         session?.work(now)
-        if (session?.fencedOff == true) drop("fenced off")
+        if (session?.fencedOff == true) {
+            drop("fenced off")
+            pause(RETRY_MILLIS)
+        }
         showHolder()
     }
 
@@ -140,7 +150,7 @@
 
     private fun claim() {
         writing = true
-        val sent = NodeClock.instants()
+        val sent = clock()
         logEvent(
             "lease claim",
             "epoch" to lease.epoch.next(),
@@ -168,6 +178,7 @@
         logEvent("lease held", "epoch" to lease.epoch)
         val begun = newSession(lease)
         session = begun
+        sessionEpoch = lease.epoch
         configuration?.let(begun::configured)
         waves.values.forEach(begun::waveRequested)
         begun.start()
@@ -175,13 +186,18 @@
 
     private fun renew() {
         writing = true
-        val sent = NodeClock.instants()
+        val sent = clock()
         val releasingNow = releasing
         transact(lease.renew(releasingNow)) { verdict ->
             when (val outcome = (verdict as? Verdict.Ran)?.value) {
                 is TransactionOutcome.Committed -> {
                     lease.renewed(outcome, sent)
-                    if (releasingNow) finishRelease()
+                    when {
+                        releasingNow -> finishRelease()
+
+                        // The claim took effect without an answer; the rows showed it.
+                        !releasing && session == null && lease.epoch != sessionEpoch -> begin()
+                    }
                 }
 
                 is TransactionOutcome.Conflict -> lease.conflicted(outcome)
@@ -227,7 +243,7 @@
     }
 
     private fun pause(millis: Long) {
-        retryAtMillis = NodeClock.steadyMillis() + millis
+        retryAtMillis = clock().steadyMillis + millis
     }
 
     private fun showHolder() {
--- a/node/src/main/kotlin/org/gypsumturn/node/MachineDuty.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/MachineDuty.kt
@@ -62,13 +62,13 @@
         }
     }
 
-    /** A wave was asked for. */
-    public fun waveRequested(wave: UpkeepWave) {
+    /** A wave was asked for; [fresh] tells that no earlier holder can have begun it. */
+    public fun waveRequested(wave: UpkeepWave, fresh: Boolean) {
         val report = earlier[wave.number]
         if (report?.completed == true) {
             show(report)
         } else {
-            keeper.waveRequested(NodeClock.steadyMillis(), wave, report?.done.orEmpty())
+            keeper.waveRequested(NodeClock.steadyMillis(), wave, report?.done.orEmpty(), fresh && report == null)
         }
     }
 
--- a/node/src/test/kotlin/org/gypsumturn/node/LeaseDutyTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/LeaseDutyTest.kt
@@ -3,6 +3,8 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import org.gypsumturn.batch.lease.ControlLease
+import org.gypsumturn.batch.lease.ControlRows
+import org.gypsumturn.batch.lease.Instants
 import org.gypsumturn.batch.lease.LeaseTimes
 import org.gypsumturn.batch.machines.MachineTimes
 import org.gypsumturn.batch.model.BatchJob
@@ -14,6 +16,7 @@
 import org.gypsumturn.batch.model.OrderAnswer
 import org.gypsumturn.batch.model.PoolRecord
 import org.gypsumturn.batch.model.Queue
+import org.gypsumturn.batch.model.RefusalReason
 import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.model.Size
 import org.gypsumturn.batch.model.Step
@@ -87,6 +90,7 @@
     /** Answers looks with empty lists, and notes starts. */
     private class IdleExecutors : ExecutorCalls {
         val starts = ArrayList<RunId>()
+        var fenced = false
 
         override fun start(t: ExecutorTarget, order: StartOrder, timeoutMillis: Long, done: Done<OrderAnswer>) {
             starts += order.run
@@ -105,6 +109,7 @@
         ) = Unit
 
         override fun look(t: ExecutorTarget, order: LookOrder, timeoutMillis: Long, done: Done<LookAnswer>) {
+            if (fenced) return done(Verdict.Ran(LookAnswer.Refused(RefusalReason.FENCED)))
             done(Verdict.Ran(LookAnswer.Seen(ExecutorReport(1_000, Lifetime(1), emptyList(), emptyList()))))
         }
 
@@ -124,11 +129,19 @@
 
     private val settings = SchedulerSettings(5_000, 6_000, 900, 3_000, 250, 120, 2.0)
 
+    private var aheadMillis = 0L
+
+    /** The session reads the node's clock too, so that the test's runs ahead of it. */
+    private fun now(): Instants {
+        val real = NodeClock.instants()
+        return Instants(real.steadyMillis + aheadMillis, real.wallMillis + aheadMillis)
+    }
+
     private fun duty(node: String, store: RowStore, executors: ExecutorCalls = IdleExecutors()): LeaseDuty {
         val quiet = QuietFollows(store)
         val lease = ControlLease(node, "$node/1", "10.0.0.1:1", LeaseTimes(3_000, 600, 150))
         val ports = SessionPorts(quiet, OneExecutor, executors, null)
-        return LeaseDuty(lease, quiet, 0, { it() }) { held ->
+        return LeaseDuty(lease, quiet, 0, { it() }, ::now) { held ->
             HolderSession(held, settings, MachineTimes(0, 0, 0), ports, { _, _ -> }, { it() }) { _, _ -> }
         }
     }
@@ -147,6 +160,40 @@
         duty.schedules() shouldBe true
     }
 
+    @Test
+    fun `a claim that took effect without an answer is followed by a session`() {
+        val store = SlowStore()
+        val duty = duty("a", store)
+        duty.work()
+        store.memory.trouble = StoreTrouble.ANSWER_LOST
+        duty.work()
+        store.memory.trouble = StoreTrouble.NONE
+        workFor(duty, 800)
+        store.memory.rows.keys.count { it == ControlRows.OWNER } shouldBe 1
+        duty.schedules() shouldBe true
+    }
+
+    @Test
+    fun `a holder whose session an executor fenced off claims anew instead of holding the lease idle`() {
+        val store = SlowStore()
+        val executors = IdleExecutors()
+        val duty = duty("a", store, executors)
+        executors.fenced = true
+        workFor(duty, 100)
+        executors.fenced = false
+        workFor(duty, 800)
+        duty.schedules() shouldBe true
+        val owner = store.memory.rows.getValue(ControlRows.OWNER).value!!.decodeToString()
+        owner.contains("\"epoch\":1,") shouldBe false
+    }
+
+    private fun workFor(duty: LeaseDuty, millis: Long) {
+        repeat((millis / 10).toInt()) {
+            aheadMillis += 10
+            duty.work()
+        }
+    }
+
     private fun configuration(): FleetConfiguration {
         val id = queueId("h.example", "/q/")
         val queue = Queue(id, "h.example", "/q/", POOL, 0, 2, 1.6, 600, 3_000, null)
