Rule a late start out before another, and judge runs by the executor's clock

Cause: a start whose answer is lost is sent again. Where the run had begun and ended meanwhile, the repeat is refused as superseded; where there was no room, the first may still be carried out seconds later. Both were taken for "not started", and the task was started elsewhere at once: TWICE.

Runs were judged by when the holder read a report.

Mended: a superseded run waits for a report that lists its end. After an unanswered start, a refused one is followed by a stop, which keeps the first from being carried out. Progress is measured between the clocks of reports.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -207,6 +207,7 @@
         when (starter.answered(nowMillis, run, verdict)) {
             StartResult.STARTED -> started(run)
             StartResult.NOT_STARTED -> notStarted(nowMillis, run)
+            StartResult.MAY_START_LATE -> stop(run, "an earlier start of it may be carried out late")
             StartResult.EXECUTOR_GONE -> gone(nowMillis, run.executor.record.id)
             StartResult.OPEN -> Unit
         }
@@ -225,6 +226,7 @@
         if (answer is OrderAnswer.Done) {
             known?.stopConfirmedClockMillis = answer.clockMillis
         } else if (known != null && answer is OrderAnswer.Refused) {
+            log("stop refused", arrayOf("task" to run.task, "executor" to id, "reason" to answer.reason))
             book.refused(nowMillis, executor, answer.reason)
             known.stopRetryMillis = nowMillis + SchedulerSettings.RETRY_MILLIS
         }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorBook.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorBook.kt
@@ -134,7 +134,6 @@
             executor.unreachableSinceMillis = null
         }
         executor.failedCalls = 0
-        executor.reportMillis = nowMillis
         executor.noteClock(nowMillis, report.clockMillis)
         executor.fenced = true
         return Sight.Report(report, reborn)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorJudge.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorJudge.kt
@@ -64,7 +64,7 @@
     /** Whether reports over a while have shown no progress; time without reports says nothing. */
     private fun standsStill(run: Run): Boolean {
         val limit = maxOf(STANDING_MILLIS, run.task.step.step.estimateMillis * STANDING_PART / WHOLE)
-        return run.executor.reportMillis - run.progressMillis > limit
+        return run.listedClockMillis - run.progressClockMillis > limit
     }
 
     /**
@@ -73,7 +73,7 @@
      */
     private fun isSlow(run: Run): Boolean {
         val total = projectedMillis(run) ?: return false
-        val left = total - (run.progressMillis - run.startedMillis)
+        val left = total - run.progressTimeMillis
         val usual = usualMillis(run)
         val estimate = maxOf(run.task.step.step.estimateMillis, MIN_ESTIMATE_MILLIS)
         val limit = if (usual != null) usual * SLOW_FACTOR else estimate * UNKNOWN_SLOW_FACTOR
@@ -81,7 +81,7 @@
     }
 
     private fun projectedMillis(run: Run): Long? =
-        if (run.percent <= 0) null else (run.progressMillis - run.startedMillis) * WHOLE / run.percent
+        if (run.percent <= 0) null else run.progressTimeMillis * WHOLE / run.percent
 
     /** Mean time of tasks of the same step that have ended, or else of those that run elsewhere. */
     private fun usualMillis(run: Run): Long? {
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/RunEnds.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/RunEnds.kt
@@ -29,17 +29,17 @@
     fun handle(nowMillis: Long, executor: ExecutorState, report: ExecutorReport) {
         report.ended.sortedBy { it.number }.filter { it.number > executor.handledEnd }.forEach { end ->
             executor.handledEnd = end.number
-            ended(nowMillis, executor, end)
+            ended(nowMillis, executor, report.clockMillis, end)
         }
         val listed = HashSet<Any>()
         report.running.forEach { row ->
             listed += row.run
-            running(nowMillis, executor, row)
+            running(nowMillis, executor, report.clockMillis, row)
         }
         vanished(nowMillis, executor, report.clockMillis, listed)
     }
 
-    private fun ended(nowMillis: Long, executor: ExecutorState, end: ListedEnd) {
+    private fun ended(nowMillis: Long, executor: ExecutorState, clockMillis: Long, end: ListedEnd) {
         val job = scheduler.job(end.run.task.job)
         val run = executor.runs[end.run]
         if (run != null) release(run)
@@ -55,7 +55,7 @@
         when (end.end) {
             RunEnd.DONE -> {
                 judge.done(nowMillis, executor)
-                run?.let { noteTime(nowMillis, it) }
+                run?.let { noteTime(clockMillis, it) }
                 done(nowMillis, task)
             }
 
@@ -70,9 +70,10 @@
         executor.pendingEnds[end.number] = PendingEnd(job, job.changeSerial)
     }
 
-    private fun noteTime(nowMillis: Long, run: Run) {
+    private fun noteTime(clockMillis: Long, run: Run) {
+        val begun = run.begunClockMillis ?: return
         run.task.step.endedRuns++
-        run.task.step.endedRunMillis += nowMillis - run.startedMillis
+        run.task.step.endedRunMillis += clockMillis - begun
     }
 
     private fun logEnd(executor: ExecutorState, end: ListedEnd) {
@@ -117,14 +118,10 @@
         }
     }
 
-    private fun running(nowMillis: Long, executor: ExecutorState, row: ListedRun) {
+    private fun running(nowMillis: Long, executor: ExecutorState, clockMillis: Long, row: ListedRun) {
         val run = executor.runs[row.run] ?: adopt(nowMillis, executor, row) ?: return
         if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
-        if (run.percent != row.percent) {
-            run.percent = row.percent
-            run.progressMillis = nowMillis
-            run.lagging = false
-        }
+        run.listed(clockMillis, row.percent)
         run.load = row.load
         if (row.checkpoint.isNotEmpty()) run.task.checkpoint = row.checkpoint
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -17,7 +17,7 @@
 import org.gypsumturn.model.Verdict
 
 /** What became of a start. */
-internal enum class StartResult { STARTED, NOT_STARTED, EXECUTOR_GONE, OPEN }
+internal enum class StartResult { STARTED, NOT_STARTED, MAY_START_LATE, EXECUTOR_GONE, OPEN }
 
 /** Starts tasks on executors of [book]. */
 internal class TaskStarter(
@@ -141,6 +141,7 @@
 
     private fun confirmed(run: Run, answer: OrderAnswer.Done): StartResult {
         run.confirmedClockMillis = answer.clockMillis ?: Long.MIN_VALUE
+        answer.clockMillis?.let(run::begun)
         if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
         return StartResult.STARTED
     }
@@ -157,9 +158,17 @@
             RefusalReason.OTHER_INSTANCE -> return StartResult.EXECUTOR_GONE
             RefusalReason.NO_ROOM -> executor.fullUntilMillis = nowMillis + SchedulerSettings.FULL_MILLIS
             RefusalReason.INVALID -> run.task.notBeforeMillis = nowMillis + SchedulerSettings.UNHEALTHY_MILLIS
+            RefusalReason.SUPERSEDED -> return superseded(run, answer)
             else -> Unit
         }
-        return StartResult.NOT_STARTED
+        return if (run.unansweredStarts == 0) StartResult.NOT_STARTED else StartResult.MAY_START_LATE
+    }
+
+    /** The run has been there. A report made after the refusal lists its end, or it was never begun. */
+    private fun superseded(run: Run, answer: OrderAnswer.Refused): StartResult {
+        run.confirmedClockMillis = answer.clockMillis ?: return StartResult.MAY_START_LATE
+        if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
+        return StartResult.OPEN
     }
 
     /** Asks again for the same run, which changes nothing if it is there. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -34,9 +34,6 @@
     /** Calls in a row that were not answered. */
     public var failedCalls: Int = 0
 
-    /** When its lists were last read. */
-    public var reportMillis: Long = 0
-
     /** Whether a look is under way. */
     public var looking: Boolean = false
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -26,9 +26,37 @@
 
     /** Progress as last listed. */
     public var percent: Int = 0
+        private set
 
-    /** When the progress last changed. */
-    public var progressMillis: Long = startedMillis
+    /** The executor's clock when it first showed the run; null before. A holder that is late reads reports late. */
+    public var begunClockMillis: Long? = null
+
+    /** The executor's clock when a report first showed the present progress. */
+    public var progressClockMillis: Long = 0
+
+    /** The executor's clock of the last report that listed the run. */
+    public var listedClockMillis: Long = 0
+
+    /** Time in which the present progress was made. */
+    public val progressTimeMillis: Long get() = begunClockMillis?.let { progressClockMillis - it } ?: 0
+
+    /** Notes that the run was there when the executor's clock showed [clockMillis]. */
+    public fun begun(clockMillis: Long) {
+        if (begunClockMillis != null) return
+        begunClockMillis = clockMillis
+        progressClockMillis = clockMillis
+        listedClockMillis = clockMillis
+    }
+
+    /** Takes in a report of the run, made when the executor's clock showed [clockMillis]. */
+    public fun listed(clockMillis: Long, percent: Int) {
+        begun(clockMillis)
+        listedClockMillis = clockMillis
+        if (percent == this.percent) return
+        this.percent = percent
+        progressClockMillis = clockMillis
+        lagging = false
+    }
 
     /** Tail of response times or processors in use, as last listed. */
     public var load: Long = 0
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -68,12 +68,24 @@
 
 internal val TEST_SETTINGS = SchedulerSettings(5_000, 6_000, 900, 3_000, 250, 120, 2.0)
 
+/** What happens to one start: its answer is lost, it is also carried out late, or it is refused. */
+internal enum class StartTrouble { ANSWER_LOST, APPLIED_LATE, NO_ROOM }
+
 /** One executor of the virtual fleet. */
 internal class VirtualExecutor(val id: InstanceId, val pool: PoolId, val capacity: Size, val labels: Set<String>) {
     class VirtualRun(val id: RunId, val startedMillis: Long, val size: Size, var stoppingAt: Long? = null)
 
     val runs = LinkedHashMap<RunId, VirtualRun>()
     val ends = ArrayList<ListedEnd>()
+
+    /** The highest attempt of each task that has ended or was stopped here; it and lower ones are refused. */
+    val past = HashMap<TaskName, Long>()
+
+    /** Troubles of the next starts, in turn. */
+    val startTroubles = ArrayDeque<StartTrouble>()
+
+    /** How long the answer to a look is on its way. */
+    var lookMillis = 1L
     var born = 1L
     var endNumber = 0L
     var fence = 0L
@@ -191,25 +203,59 @@
 
     private fun end(executor: VirtualExecutor, run: VirtualExecutor.VirtualRun, how: RunEnd) {
         executor.runs.remove(run.id)
+        executor.past.merge(run.id.task, run.id.attempt, ::maxOf)
         executor.ends += ListedEnd(++executor.endNumber, run.id, how, "")
     }
 
     private fun carry(order: Order) {
         val executor = executors[order.target.id]
         when (order) {
-            is Order.Start -> call(executor, { start(it, order) }) { scheduler.startAnswered(nowMillis, order.run, it) }
+            is Order.Start -> {
+                val answered = { verdict: Verdict<OrderAnswer> ->
+                    scheduler.startAnswered(nowMillis, order.run, verdict)
+                }
+                val trouble = executor?.startTroubles?.removeFirstOrNull()
+                if (trouble ==
+                    null
+                ) {
+                    call(executor, { start(it, order) }, 1, answered)
+                } else {
+                    trouble(executor, order, trouble, answered)
+                }
+            }
 
-            is Order.Stop -> call(executor, { stop(it, order.run) }) {
+            is Order.Stop -> call(executor, { stop(it, order.run) }, 1) {
                 scheduler.stopAnswered(nowMillis, order.target.id, order.run, it)
             }
 
-            is Order.Look -> call(executor, { look(it, order) }) { scheduler.looked(nowMillis, order.target.id, it) }
+            is Order.Look -> call(executor, { look(it, order) }, executor?.lookMillis ?: 1) {
+                scheduler.looked(nowMillis, order.target.id, it)
+            }
 
             is Order.Pace, is Order.Forget -> Unit
         }
     }
 
-    private fun <T> call(executor: VirtualExecutor?, act: (VirtualExecutor) -> T, answered: (Verdict<T>) -> Unit) {
+    private fun trouble(
+        executor: VirtualExecutor,
+        order: Order.Start,
+        trouble: StartTrouble,
+        answered: (Verdict<OrderAnswer>) -> Unit,
+    ) {
+        if (trouble == StartTrouble.NO_ROOM) {
+            after(1) { answered(Verdict.Ran(OrderAnswer.Refused(RefusalReason.NO_ROOM, nowMillis))) }
+            return
+        }
+        after(if (trouble == StartTrouble.APPLIED_LATE) 1_000 else 1) { start(executor, order) }
+        after(300) { answered(Verdict.MayHaveRun(Failure(FailureKind.TIMEOUT, "no answer"))) }
+    }
+
+    private fun <T> call(
+        executor: VirtualExecutor?,
+        act: (VirtualExecutor) -> T,
+        answerMillis: Long,
+        answered: (Verdict<T>) -> Unit,
+    ) {
         if (executor == null || !executor.reachable) {
             after(300) { answered(Verdict.NotRun(Failure(FailureKind.UNREACHABLE, "no path"))) }
             return
@@ -217,7 +263,7 @@
         after(1) {
             val answer = act(executor)
             if (executor.answers) {
-                after(1) { answered(Verdict.Ran(answer)) }
+                after(answerMillis) { answered(Verdict.Ran(answer)) }
             } else {
                 after(300) { answered(Verdict.MayHaveRun(Failure(FailureKind.TIMEOUT, "no answer"))) }
             }
@@ -231,6 +277,7 @@
         val reason = when {
             order.order.epoch.value < executor.fence -> RefusalReason.FENCED
             order.order.leaseEndMillis < nowMillis -> RefusalReason.LATE
+            id.attempt <= (executor.past[id.task] ?: 0) -> RefusalReason.SUPERSEDED
             !(executor.used + size).fitsInto(executor.capacity) -> RefusalReason.NO_ROOM
             else -> null
         }
@@ -258,7 +305,9 @@
     }
 
     private fun stop(executor: VirtualExecutor, id: RunId): OrderAnswer {
-        executor.runs[id]?.let { it.stoppingAt = it.stoppingAt ?: (nowMillis + 200) }
+        val run = executor.runs[id]
+        if (run == null) executor.past.merge(id.task, id.attempt, ::maxOf)
+        run?.let { it.stoppingAt = it.stoppingAt ?: (nowMillis + 200) }
         return OrderAnswer.Done(nowMillis)
     }
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import org.gypsumturn.batch.StartTrouble
 import org.gypsumturn.batch.VirtualFleet
 import org.gypsumturn.batch.configuration
 import org.gypsumturn.batch.job
@@ -119,6 +120,51 @@
         fleet.breaches.shouldBeEmpty()
     }
 
+    @Test
+    fun `a task that has ended is not started again when its repeated start is refused as old`() {
+        val fleet = VirtualFleet(1)
+        val only = fleet.executors.values.single()
+        fleet.run(100)
+        only.lookMillis = 900
+        only.startTroubles += StartTrouble.ANSWER_LOST
+        fleet.run(4_000)
+        val job = job(1, step())
+        fleet.submit(job) { 100 }
+        fleet.run(200)
+        fleet.add("other", only.capacity)
+        fleet.run(5_000)
+        fleet.breaches.shouldBeEmpty()
+        fleet.starts.size shouldBe 1
+        (job.id in fleet.completedMillis) shouldBe true
+    }
+
+    @Test
+    fun `a start that may be carried out late is not followed by another before it is ruled out`() {
+        val fleet = VirtualFleet(1)
+        val only = fleet.executors.values.single()
+        only.startTroubles += listOf(StartTrouble.APPLIED_LATE, StartTrouble.NO_ROOM)
+        fleet.run(100)
+        val job = job(1, step())
+        fleet.submit(job) { 3_000 }
+        fleet.run(200)
+        fleet.add("other", only.capacity)
+        fleet.run(6_000)
+        fleet.breaches.shouldBeEmpty()
+        (job.id in fleet.completedMillis) shouldBe true
+    }
+
+    @Test
+    fun `runs on an executor whose reports are read late are not taken for slow`() {
+        val fleet = VirtualFleet(3)
+        fleet.run(100)
+        fleet.executors.values.first().lookMillis = 2_500
+        val job = job(1, step(count = 48))
+        fleet.submit(job) { 1_000 }
+        fleet.run(10_000)
+        fleet.log.none { it.startsWith("run lags") } shouldBe true
+        (job.id in fleet.completedMillis) shouldBe true
+    }
+
     @Test
     fun `a new holder goes on with what runs and starts nothing twice`() {
         val fleet = VirtualFleet(3)
