Tell a slow executor from long tasks, and refuse at once while the store is away

Cause: tasks of one step differ several times in length. An executor now counts as slow only where all its runs are behind, and none ended in the usual time meanwhile; the usual time counts runs that are still at work.

While the store is away, callers were held until their deadline passed. Holding them longer was ruled out: with a budget of 3 s a caller that comes back each second finds the store as soon, within 0.4 s.

Four tests, the ones for lengths and refusals failing without the change (BatchSchedulerTest, JobCommitterTest, RelayedRowStoreTest).

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -89,7 +89,7 @@
 
     /** An executor's entry as it stands in the store. */
     public fun listed(nowMillis: Long, record: ExecutorRecord) {
-        book.listed(record)?.let { ends.lifetimeEnded(nowMillis, it) }
+        book.listed(record)?.let { bornAnew(nowMillis, it) }
         needsPlacement = true
     }
 
@@ -189,7 +189,7 @@
         val executor = book.executors[id] ?: return
         when (val sight = book.looked(nowMillis, executor, verdict)) {
             is Sight.Report -> {
-                if (sight.reborn) ends.lifetimeEnded(nowMillis, executor)
+                if (sight.reborn) bornAnew(nowMillis, executor)
                 recovery.seen(id)
                 ends.handle(nowMillis, executor, sight.report)
                 needsPlacement = true
@@ -201,6 +201,11 @@
         }
     }
 
+    private fun bornAnew(nowMillis: Long, executor: ExecutorState) {
+        ends.lifetimeEnded(nowMillis, executor)
+        judge.forget(executor)
+    }
+
     /** An executor answered a start, or did not. */
     public fun startAnswered(nowMillis: Long, run: Run, verdict: Verdict<OrderAnswer>) {
         if (run.executor.runs[run.id] !== run) return
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorJudge.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorJudge.kt
@@ -16,17 +16,22 @@
     /** Jobs that failed since the last run that ended well. */
     val failedJobs = LinkedHashSet<JobId>()
     var lastDoneMillis = Long.MIN_VALUE / 2
+
+    /** The executor's clock when a run that took no longer than usual was listed as done. */
+    var lastUsualClockMillis = Long.MIN_VALUE
 }
 
 /** Judges executors for the holder of the lease. */
 internal class ExecutorJudge(private val book: ExecutorBook, private val log: DecisionLog) {
     private val records = HashMap<ExecutorState, ExecutorRecordOfWork>()
 
-    /** A run on [executor] has ended well. */
-    fun done(nowMillis: Long, executor: ExecutorState) {
+    /** A [run] on [executor] has ended well, as a report made at [clockMillis] lists. */
+    fun done(nowMillis: Long, clockMillis: Long, executor: ExecutorState, run: Run?) {
         val record = recordOf(executor)
         record.failedJobs.clear()
         record.lastDoneMillis = nowMillis
+        val begun = run?.begunClockMillis ?: return
+        if (clockMillis - begun <= expectedMillis(run) * LEAST_SLOWNESS) record.lastUsualClockMillis = clockMillis
     }
 
     /** A run of [job] on [executor] has failed. */
@@ -46,7 +51,7 @@
         book.executors.values.filter { it.unreachableSinceMillis == null }.forEach { executor ->
             val runs = executor.runs.values.filter { it.phase == RunPhase.RUNNING && !it.task.step.step.longRunning }
             val standing = runs.filter { standsStill(it) }
-            val slow = runs.filter { isSlow(it) }
+            val slow = if (isSlow(executor, runs)) runs.filter { isLate(it) } else emptyList()
             if (standing.isNotEmpty()) {
                 avoid(
                     nowMillis,
@@ -55,7 +60,7 @@
                     "${standing.size} runs stand still",
                 )
             }
-            if (slow.size >= SLOW_RUNS) avoid(nowMillis, executor, SLOW_AVOID_MILLIS, "${slow.size} runs are slow")
+            if (slow.size >= LATE_RUNS) avoid(nowMillis, executor, SLOW_AVOID_MILLIS, "${slow.size} runs are slow")
             found += (standing + slow).distinct()
         }
         return found
@@ -68,28 +73,47 @@
     }
 
     /**
-     * Whether the run, at its pace so far, takes several times what others of its step took elsewhere. Declared
-     * times are too far off to judge by, but for runs that take many times theirs.
+     * Whether [executor], which holds [runs], is slow. Tasks of one step differ several times in length, so that a
+     * long task says nothing: all tasks have to be behind, a single one far behind, and no other may have ended in
+     * the usual time while they were at work.
      */
-    private fun isSlow(run: Run): Boolean {
+    private fun isSlow(executor: ExecutorState, runs: List<Run>): Boolean {
+        val lastUsualMillis = records[executor]?.lastUsualClockMillis ?: Long.MIN_VALUE
+        val unproven = runs.filter { (it.begunClockMillis ?: Long.MIN_VALUE) >= lastUsualMillis }
+        val ratios = unproven.mapNotNull(::slowness).sorted()
+        return when (ratios.size) {
+            0 -> false
+            1 -> ratios.single() >= ONLY_RUN_SLOWNESS
+            else -> ratios.first() >= LEAST_SLOWNESS && ratios[ratios.size / 2] >= MIDDLE_SLOWNESS
+        }
+    }
+
+    /** How many times longer than usual the run takes at its pace so far; null while that says nothing. */
+    private fun slowness(run: Run): Double? {
+        if (run.progressTimeMillis < JUDGED_MILLIS) return null
+        return projectedMillis(run)?.let { it.toDouble() / expectedMillis(run) }
+    }
+
+    /** Whether the run would be done earlier elsewhere, started anew. */
+    private fun isLate(run: Run): Boolean {
         val total = projectedMillis(run) ?: return false
-        val left = total - run.progressTimeMillis
-        val usual = usualMillis(run)
-        val estimate = maxOf(run.task.step.step.estimateMillis, MIN_ESTIMATE_MILLIS)
-        val limit = if (usual != null) usual * SLOW_FACTOR else estimate * UNKNOWN_SLOW_FACTOR
-        return total > limit && left > (usual ?: estimate) * 2
+        return total - run.progressTimeMillis > expectedMillis(run) * 2
     }
 
     private fun projectedMillis(run: Run): Long? =
         if (run.percent <= 0) null else run.progressTimeMillis * WHOLE / run.percent
 
-    /** Mean time of tasks of the same step that have ended, or else of those that run elsewhere. */
+    /** Declared times are too far off to judge by, unless nothing else is known. */
+    private fun expectedMillis(run: Run): Long =
+        usualMillis(run) ?: (maxOf(run.task.step.step.estimateMillis, MIN_ESTIMATE_MILLIS) * UNKNOWN_FACTOR)
+
+    /** Mean time of the step's tasks, of those that have ended and those that run elsewhere: short ones end first. */
     private fun usualMillis(run: Run): Long? {
         val step = run.task.step
-        if (step.endedRuns > 0) return step.endedRunMillis / step.endedRuns
         val others = step.tasks.flatMap { it.runs }.filter { it.executor !== run.executor }
             .mapNotNull { projectedMillis(it) }
-        return if (others.isEmpty()) null else others.sum() / others.size
+        val count = step.endedRuns + others.size
+        return if (count == 0) null else maxOf(1, (step.endedRunMillis + others.sum()) / count)
     }
 
     private fun avoid(nowMillis: Long, executor: ExecutorState, millis: Long, why: String) {
@@ -132,14 +156,21 @@
         const val STANDING_AVOID_MILLIS = 3_000L
         const val SLOW_AVOID_MILLIS = 2_000L
 
-        /** Slow runs that make an executor slow. */
-        const val SLOW_RUNS = 2
+        /** Late runs that make a slow executor one to avoid. */
+        const val LATE_RUNS = 2
+
+        /** Time that a run has worked before its pace is judged; several looks. */
+        const val JUDGED_MILLIS = 250L
+
+        /** Least and middle slowness of the runs of a slow executor. Slow ones are three times as slow and more. */
+        const val LEAST_SLOWNESS = 1.6
+        const val MIDDLE_SLOWNESS = 2.5
 
-        /** Multiple of the usual time beyond which a run is slow; tasks of a step differ by a third or so. */
-        const val SLOW_FACTOR = 2.5
+        /** Slowness of an executor's only run that makes the executor slow: few tasks are as long. */
+        const val ONLY_RUN_SLOWNESS = 4.0
 
-        /** Multiple of the declared time beyond which a run is slow where nothing else is known. */
-        const val UNKNOWN_SLOW_FACTOR = 6.0
+        /** Multiple of the declared time that is expected where nothing else is known. */
+        const val UNKNOWN_FACTOR = 2
         const val MIN_ESTIMATE_MILLIS = 200L
         const val WHOLE = 100L
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/RunEnds.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/RunEnds.kt
@@ -54,7 +54,7 @@
         task.idleSinceMillis = nowMillis
         when (end.end) {
             RunEnd.DONE -> {
-                judge.done(nowMillis, executor)
+                judge.done(nowMillis, clockMillis, executor, run)
                 run?.let { noteTime(clockMillis, it) }
                 done(nowMillis, task)
             }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
@@ -165,6 +165,29 @@
         (job.id in fleet.completedMillis) shouldBe true
     }
 
+    @Test
+    fun `long tasks of a step whose tasks differ in length are left to end where they are`() {
+        val fleet = VirtualFleet(4)
+        fleet.run(100)
+        repeat(6) { number ->
+            fleet.submit(job(number, step(count = 8, estimateMillis = 800))) { if (it.index % 4 == 1) 3_000 else 500 }
+        }
+        fleet.run(8_000)
+        fleet.completedMillis.size shouldBe 6
+        fleet.starts.size shouldBe 48
+    }
+
+    @Test
+    fun `tasks leave an executor that is several times slower than the others`() {
+        val fleet = VirtualFleet(4)
+        fleet.run(100)
+        fleet.executors.values.first().slowness = 6.0
+        repeat(6) { number -> fleet.submit(job(number, step(count = 8, estimateMillis = 800))) { 900 } }
+        fleet.run(4_500)
+        fleet.completedMillis.size shouldBe 6
+        fleet.breaches.shouldBeEmpty()
+    }
+
     @Test
     fun `a new holder goes on with what runs and starts nothing twice`() {
         val fleet = VirtualFleet(3)
--- a/node/src/main/kotlin/org/gypsumturn/node/JobCommitter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobCommitter.kt
@@ -15,7 +15,12 @@
 import org.gypsumturn.model.failureOrNull
 
 /** Commits rows of one partition; its state belongs to the thread on which it is called. */
-public class JobCommitter(private val store: RowStore, private val later: Later, private val nowMillis: () -> Long) {
+public class JobCommitter(
+    private val store: RowStore,
+    private val storeAway: (nowMillis: Long) -> Boolean,
+    private val later: Later,
+    private val nowMillis: () -> Long,
+) {
     private class Entry(
         val write: RowWrite,
         val beganMillis: Long,
@@ -30,9 +35,17 @@
     private var writing = false
     private var pausedUntilMillis = 0L
 
-    /** Stores [write] and hands the verdict to [done] before [endMillis], as far as the store allows. */
+    /**
+     * Stores [write] and hands the verdict to [done] before [endMillis], as far as the store allows. While the store is
+     * known to be away, the write is refused at once: it is not run, and the caller can come back.
+     */
     public fun commit(write: RowWrite, endMillis: Long, done: (Verdict<Unit>) -> Unit) {
-        waiting.addLast(Entry(write, nowMillis(), endMillis, done))
+        val now = nowMillis()
+        if (storeAway(now)) {
+            done(Verdict.NotRun(Failure(FailureKind.NOT_READY, "the store is away")))
+            return
+        }
+        waiting.addLast(Entry(write, now, endMillis, done))
         flush()
     }
 
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -83,7 +83,7 @@
             { configuration.current },
             store,
             peers,
-            JobCommitter(store, laterOnLoop, NodeClock::steadyMillis),
+            JobCommitter(store, store::isAway, laterOnLoop, NodeClock::steadyMillis),
             JobRows.partitionOf(nodeName),
             metrics,
         )
--- a/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
@@ -35,7 +35,11 @@
     private val nowMillis: () -> Long,
     private val onThread: Post,
 ) : RowStore {
+    @Volatile
     private var directFailedMillis: Long? = null
+
+    @Volatile
+    private var answeredMillis = nowMillis()
     private var directTriedMillis = 0L
     private var failedCalls = 0
     private var peersFailedMillis = Long.MIN_VALUE / 2
@@ -98,8 +102,20 @@
         )
     }
 
+    /**
+     * Whether the store has answered neither directly nor through peers for a while, at [nowMillis]. Asked from any
+     * thread.
+     */
+    public fun isAway(nowMillis: Long): Boolean =
+        directFailedMillis != null && nowMillis - answeredMillis >= AWAY_MILLIS
+
     private fun <T> route(ask: (Done<T>) -> Unit, call: () -> RelayCall, read: (RelayAnswer) -> T, done: Done<T>) {
-        onThread { choose(ask, call, read, done) }
+        onThread {
+            choose(ask, call, read) { verdict ->
+                if (verdict is Verdict.Ran) answeredMillis = nowMillis()
+                done(verdict)
+            }
+        }
     }
 
     private fun <T> choose(ask: (Done<T>) -> Unit, call: () -> RelayCall, read: (RelayAnswer) -> T, done: Done<T>) {
@@ -237,6 +253,9 @@
         /** Pause after no peer reached the store. */
         private const val PEERS_PAUSE_MILLIS = 300L
 
+        /** The store is followed with waits of 400 ms; for twice that and a slow answer nothing came. */
+        private const val AWAY_MILLIS = 1_000L
+
         /** Time that a hop between two nodes may add. */
         private const val HOP_MILLIS = 100L
 
--- a/node/src/test/kotlin/org/gypsumturn/node/JobCommitterTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/JobCommitterTest.kt
@@ -37,16 +37,18 @@
     private val down = Verdict.NotRun(Failure(FailureKind.NOT_READY, "status 503"))
     private val silent = Verdict.MayHaveRun(Failure(FailureKind.TIMEOUT, "no answer in time"))
     private var nowMillis = 0L
+    private var away = false
     private var later = ArrayList<() -> Unit>()
     private var store = HeldStore()
     private var committer = committer()
     private var verdicts = ArrayList<Verdict<Unit>>()
 
-    private fun committer() = JobCommitter(store, { _, action -> later += action }) { nowMillis }
+    private fun committer() = JobCommitter(store, { away }, { _, action -> later += action }) { nowMillis }
 
     @BeforeEach
     fun reset() {
         nowMillis = 0
+        away = false
         later = ArrayList()
         store = HeldStore()
         committer = committer()
@@ -119,4 +121,16 @@
         runLater(3_000)
         verdicts.single().shouldBeInstanceOf<Verdict.MayHaveRun>()
     }
+
+    @Test
+    fun `while the store is known to be away callers are refused at once and nothing is sent`() {
+        away = true
+        commit(1)
+        verdicts.single().shouldBeInstanceOf<Verdict.NotRun>()
+        store.held.size shouldBe 0
+        away = false
+        commit(2)
+        store.answer(committed)
+        verdicts.last() shouldBe Verdict.Ran(Unit)
+    }
 }
--- a/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
@@ -125,4 +125,21 @@
         write().shouldBeInstanceOf<Verdict.MayHaveRun>()
         there.rows.size shouldBe 1
     }
+
+    @Test
+    fun `the store counts as away when it has answered on no way for a second`() {
+        write()
+        here.trouble = StoreTrouble.REFUSES
+        there.trouble = StoreTrouble.REFUSES
+        nowMillis += 600
+        write(Revision(1))
+        store.isAway(nowMillis) shouldBe false
+        nowMillis += 500
+        write(Revision(1))
+        store.isAway(nowMillis) shouldBe true
+        there.trouble = StoreTrouble.NONE
+        nowMillis += 500
+        write()
+        store.isAway(nowMillis) shouldBe false
+    }
 }
