Go on with known work while the store is away for all

Cause: a holder whose lease lapses because the store is away stops starting tasks after 2.25 s, although nobody else can claim the lease.

A holder now goes on with jobs and executors that it knew when its lease lapsed, with leases that end no later than those given in time, for 3.5 s. A successor starts nothing of it before it has fenced all executors of the pool, or those leases have lapsed. Machines are not ordered, and ends are not acknowledged. Ruled out: starting jobs learned of later, which the successor takes for fresh.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -48,7 +48,7 @@
     private val recovery = Recovery()
     private val judge = ExecutorJudge(book, log)
     private val ends = RunEnds(this, book, judge, log)
-    private val starter = TaskStarter(settings, epoch, book, log, order)
+    private val starter = TaskStarter(epoch, book, log, order)
     private var configuration: FleetConfiguration? = null
 
     /** Queues by id, as last configured: jobs of one that was removed are still done. */
@@ -89,7 +89,7 @@
 
     /** An executor's entry as it stands in the store. */
     public fun listed(nowMillis: Long, record: ExecutorRecord) {
-        book.listed(record)?.let { bornAnew(nowMillis, it) }
+        book.listed(nowMillis, record)?.let { bornAnew(nowMillis, it) }
         needsPlacement = true
     }
 
@@ -285,10 +285,14 @@
     }
 
     /**
-     * Does what is due, and returns the orders that have gathered. [wallMillis] is the time of day. Without a valid
-     * lease ([mayOrder]) executors are only looked at; leases of what runs there are not extended.
+     * Does what is due, and returns the orders that have gathered. [wallMillis] is the time of day; [overdueMillis] is
+     * how long the holder's lease has lapsed, negative while it is valid.
+     *
+     * For some time after its lease has lapsed a holder goes on with what it knew before, since the store may be away
+     * for all: a later holder starts nothing of it elsewhere before it has fenced every executor, or all leases that
+     * were given in time have lapsed. No lease is given beyond that time. After it, executors are only looked at.
      */
-    public fun work(nowMillis: Long, wallMillis: Long, mayOrder: Boolean): List<Order> {
+    public fun work(nowMillis: Long, wallMillis: Long, overdueMillis: Long): List<Order> {
         recovery.ended(nowMillis).forEach { pool ->
             log("recovery over", arrayOf("epoch" to epoch, "pool" to pool, "active" to active.size))
             needsPlacement = true
@@ -299,16 +303,23 @@
             ends.lapsed(nowMillis, executor)
             needsPlacement = true
         }
-        if (mayOrder) {
+        val valid = overdueMillis < 0
+        val leaseMillis = settings.leaseMillis - maxOf(0, overdueMillis)
+        val mayStart = leaseMillis >= SchedulerSettings.LEAST_LEASE_MILLIS
+        starter.leaseMillis = leaseMillis
+        if (valid) {
             retryStops(nowMillis)
             if (nowMillis - judgedMillis >= JUDGE_INTERVAL_MILLIS) judgeRuns(nowMillis)
-            if (needsPlacement || nowMillis - placedMillis > PLACEMENT_INTERVAL_MILLIS) place(nowMillis)
         }
-        book.look(nowMillis, mayOrder)
-        return book.takeOrders(mayOrder)
+        if (mayStart && (needsPlacement || nowMillis - placedMillis > PLACEMENT_INTERVAL_MILLIS)) {
+            place(nowMillis, if (valid) nowMillis else nowMillis - overdueMillis)
+        }
+        book.look(nowMillis, leaseMillis.takeIf { mayStart })
+        return book.takeOrders(mayStart)
     }
 
-    private fun place(nowMillis: Long) {
+    /** Gives room to what was known at [knownMillis]. */
+    private fun place(nowMillis: Long, knownMillis: Long) {
         needsPlacement = false
         placedMillis = nowMillis
         if (configuration == null) return
@@ -316,10 +327,11 @@
         active.forEach { job ->
             val queue = queues[job.job.queue] ?: return@forEach
             if (job.firstAttempt > 1 && !recovery.overFor(queue.pool)) return@forEach
+            if (job.acceptedMillis > knownMillis) return@forEach
             val steps = job.occurrences.values.flatMap { waitingSteps(nowMillis, queue, it) }
             if (steps.isNotEmpty()) waiting.getOrPut(queue.pool) { ArrayList() } += steps
         }
-        waiting.forEach { (pool, steps) -> starter.placePool(nowMillis, pool, steps) }
+        waiting.forEach { (pool, steps) -> starter.placePool(nowMillis, knownMillis, pool, steps) }
     }
 
     private fun waitingSteps(nowMillis: Long, queue: Queue, occurrence: Occurrence): List<OpenStep> =
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorBook.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorBook.kt
@@ -60,11 +60,11 @@
     }
 
     /** Notes an entry; returns the executor if its runs belong to an earlier lifetime and are gone. */
-    fun listed(record: ExecutorRecord): ExecutorState? {
+    fun listed(nowMillis: Long, record: ExecutorRecord): ExecutorState? {
         val known = executors[record.id]
         if (departed[record.id]?.let { record.lifetime.startedAtMillis <= it.startedAtMillis } == true) return null
         if (known == null) {
-            executors[record.id] = ExecutorState(record)
+            executors[record.id] = ExecutorState(record, nowMillis)
             log(
                 "executor listed",
                 arrayOf("executor" to record.id, "pool" to record.pool, "address" to record.address),
@@ -81,7 +81,7 @@
         known.listed = true
         if (!reborn) return null
         known.lifetime = record.lifetime
-        known.reborn()
+        known.reborn(nowMillis)
         known.unreachableSinceMillis = null
         log("executor started anew", arrayOf("executor" to record.id, "born" to record.lifetime.startedAtMillis))
         return known
@@ -126,7 +126,7 @@
         val reborn = born != null && executor.lifetime != null && born != executor.lifetime
         if (reborn) {
             log("executor started anew", arrayOf("executor" to executor.record.id, "born" to born))
-            executor.reborn()
+            executor.reborn(nowMillis)
         }
         if (born != null) executor.lifetime = born
         if (executor.unreachableSinceMillis != null) {
@@ -177,11 +177,11 @@
         return found.filter { it.runs.isNotEmpty() }
     }
 
-    /** Orders the looks that are due. */
-    fun look(nowMillis: Long, extendLeases: Boolean) {
+    /** Orders the looks that are due, which extend leases to [leaseMillis] from now unless that is null. */
+    fun look(nowMillis: Long, leaseMillis: Long?) {
         for (executor in executors.values) {
             if (!executor.looking && nowMillis >= nextLookMillis(executor)) {
-                lookAt(nowMillis, executor, extendLeases)
+                lookAt(nowMillis, executor, leaseMillis)
             }
         }
     }
@@ -194,11 +194,11 @@
         else -> executor.lastLookMillis + SchedulerSettings.IDLE_LOOK_MILLIS
     }
 
-    private fun lookAt(nowMillis: Long, executor: ExecutorState, extendLeases: Boolean) {
+    private fun lookAt(nowMillis: Long, executor: ExecutorState, leaseMillis: Long?) {
         val reachable = executor.unreachableSinceMillis == null
         val extend = reachable && executor.fenced && executor.runs.isNotEmpty()
         val busy = extend && executor.failedCalls == 0
-        val leaseEnd = if (extend && extendLeases) executor.leaseEnd(nowMillis, settings.leaseMillis) else null
+        val leaseEnd = leaseMillis?.takeIf { extend }?.let { executor.leaseEnd(nowMillis, it) }
         leaseEnd?.let(executor::leaseSent)
         executor.acknowledged = executor.forgettable()
         executor.looking = true
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
@@ -41,6 +41,9 @@
         /** Time after which an order has failed. */
         public const val ORDER_TIMEOUT_MILLIS: Long = 600
 
+        /** Least lease that is worth a start: quick tasks take about as long. */
+        public const val LEAST_LEASE_MILLIS: Long = 1_500
+
         /** Starts of one run that are sent before the run is left to its lease. */
         public const val START_TRIES: Int = 4
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -21,16 +21,19 @@
 
 /** Starts tasks on executors of [book]. */
 internal class TaskStarter(
-    private val settings: SchedulerSettings,
     private val epoch: Epoch,
     private val book: ExecutorBook,
     private val log: DecisionLog,
     private val order: StepOrder,
 ) {
-    /** Gives room of [pool] to the waiting tasks of [steps]. */
-    fun placePool(nowMillis: Long, pool: PoolId, steps: List<OpenStep>) {
+    /** Lease that starts give from now on. */
+    var leaseMillis = 0L
+
+    /** Gives room of [pool] to the waiting tasks of [steps], on executors that were known at [knownMillis]. */
+    fun placePool(nowMillis: Long, knownMillis: Long, pool: PoolId, steps: List<OpenStep>) {
         val candidates = book.executors.values.filter {
-            it.record.pool == pool && it.usable(nowMillis) && it.fullUntilMillis <= nowMillis
+            it.record.pool == pool && it.usable(nowMillis) && it.fullUntilMillis <= nowMillis &&
+                it.knownSinceMillis <= knownMillis
         }
         if (candidates.isEmpty()) return
         val unfit = ArrayList<Size>()
@@ -117,7 +120,7 @@
 
     private fun send(nowMillis: Long, run: Run) {
         val executor = run.executor
-        val leaseEnd = executor.leaseEnd(nowMillis, settings.leaseMillis) ?: return
+        val leaseEnd = executor.leaseEnd(nowMillis, leaseMillis) ?: return
         executor.leaseSent(leaseEnd)
         val spec = run.task.step.job.job.spec
         val order = StartOrder(run.id, spec, leaseEnd, epoch, run.task.checkpoint, null)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -13,7 +13,11 @@
 private const val SLOW_CLOCK_FACTOR = 1.03
 
 /** An executor. All times are steady times of this process but where they are said to be the executor's. */
-public class ExecutorState(public var record: ExecutorRecord) {
+public class ExecutorState(public var record: ExecutorRecord, nowMillis: Long) {
+    /** Since when its present lifetime is known. */
+    public var knownSinceMillis: Long = nowMillis
+        private set
+
     /** Runs that may be on it, those that are being stopped included. */
     public val runs: MutableMap<RunId, Run> = HashMap()
 
@@ -114,7 +118,8 @@
     }
 
     /** Forgets what belonged to an earlier lifetime. The runs are the caller's to end. */
-    public fun reborn() {
+    public fun reborn(nowMillis: Long) {
+        knownSinceMillis = nowMillis
         clockMillis = null
         leaseEndSent = 0
         handledEnd = 0
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -114,9 +114,9 @@
     /** Does what is due at [now]. */
     public fun work(now: Instants) {
         if (!ready || closed) return
-        val mayOrder = lease.valid(now)
-        scheduler.work(now.steadyMillis, now.wallMillis, mayOrder).forEach(carrier::carry)
-        if (mayOrder) {
+        val overdueMillis = lease.overdueMillis(now)
+        scheduler.work(now.steadyMillis, now.wallMillis, overdueMillis).forEach(carrier::carry)
+        if (overdueMillis < 0) {
             writer.work(now.steadyMillis)
             configuration?.let { machines?.work(now, it) }
             sweep(now.steadyMillis)
