Go on with starts whose outcome is open until it is known

Cause: a start that was not answered four times, or whose repeat did not reach the executor, was left to its lease. The looks at the executor extend the lease, so that the task waited for ever: its job never ended.

Two tests in BatchSchedulerTest, failing without it.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -136,7 +136,12 @@
 
         is Verdict.NotRun -> {
             book.failed(nowMillis, run.executor, "start")
-            if (run.unansweredStarts == 0) StartResult.NOT_STARTED else StartResult.OPEN
+            if (run.unansweredStarts == 0) {
+                StartResult.NOT_STARTED
+            } else {
+                run.startRetryMillis = nowMillis + SchedulerSettings.RETRY_MILLIS
+                StartResult.OPEN
+            }
         }
 
         is Verdict.MayHaveRun -> unanswered(nowMillis, run)
@@ -174,18 +179,30 @@
         return StartResult.OPEN
     }
 
-    /** Asks again for the same run, which changes nothing if it is there. */
     private fun unanswered(nowMillis: Long, run: Run): StartResult {
         run.unansweredStarts++
         log(
             "start unanswered",
             arrayOf("task" to run.id.task, "executor" to run.executor.record.id, "tries" to run.unansweredStarts),
         )
-        if (run.unansweredStarts >= SchedulerSettings.START_TRIES) {
-            book.failed(nowMillis, run.executor, "start")
-        } else if (run.phase == RunPhase.STARTING) {
-            send(nowMillis, run)
-        }
+        if (run.unansweredStarts >= SchedulerSettings.START_TRIES) book.failed(nowMillis, run.executor, "start")
+        run.startRetryMillis = nowMillis + SchedulerSettings.RETRY_MILLIS
         return StartResult.OPEN
     }
+
+    /**
+     * Goes on with starts whose outcome is open: asks again for the same run, which changes nothing if it is there.
+     * Returns those that were tried too often, which are to be stopped, since they may be there or not.
+     */
+    fun goOn(nowMillis: Long): List<Run> {
+        val due = book.executors.values.filter { it.unreachableSinceMillis == null }.flatMap { executor ->
+            executor.runs.values.filter { run ->
+                run.phase == RunPhase.STARTING && run.startRetryMillis?.let { it <= nowMillis } == true
+            }
+        }
+        due.forEach { it.startRetryMillis = null }
+        val (hopeless, others) = due.partition { it.unansweredStarts >= SchedulerSettings.START_TRIES }
+        others.forEach { send(nowMillis, it) }
+        return hopeless
+    }
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -76,6 +76,9 @@
     /** Starts sent without an answer. */
     public var unansweredStarts: Int = 0
 
+    /** When to go on with a start whose outcome is open; null while an order is under way or none is needed. */
+    public var startRetryMillis: Long? = null
+
     /** Whether it makes no progress, or far less than it should. */
     public var lagging: Boolean = false
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -68,8 +68,8 @@
 
 internal val TEST_SETTINGS = SchedulerSettings(5_000, 6_000, 900, 3_000, 250, 120, 2.0)
 
-/** What happens to one start: its answer is lost, it is also carried out late, or it is refused. */
-internal enum class StartTrouble { ANSWER_LOST, APPLIED_LATE, NO_ROOM }
+/** What happens to one start: its answer is lost, and it is carried out at once, late, or never; or it is refused. */
+internal enum class StartTrouble { ANSWER_LOST, APPLIED_LATE, NEVER_APPLIED, NO_ROOM, UNREACHABLE }
 
 /** One executor of the virtual fleet. */
 internal class VirtualExecutor(val id: InstanceId, val pool: PoolId, val capacity: Size, val labels: Set<String>) {
@@ -269,12 +269,19 @@
         trouble: StartTrouble,
         answered: (Verdict<OrderAnswer>) -> Unit,
     ) {
-        if (trouble == StartTrouble.NO_ROOM) {
-            after(1) { answered(Verdict.Ran(OrderAnswer.Refused(RefusalReason.NO_ROOM, nowMillis))) }
-            return
+        when (trouble) {
+            StartTrouble.NO_ROOM ->
+                after(1) { answered(Verdict.Ran(OrderAnswer.Refused(RefusalReason.NO_ROOM, nowMillis))) }
+
+            StartTrouble.UNREACHABLE ->
+                after(1) { answered(Verdict.NotRun(Failure(FailureKind.UNREACHABLE, "no path"))) }
+
+            StartTrouble.ANSWER_LOST, StartTrouble.APPLIED_LATE, StartTrouble.NEVER_APPLIED -> {
+                val applyMillis = if (trouble == StartTrouble.APPLIED_LATE) 1_000L else 1L
+                if (trouble != StartTrouble.NEVER_APPLIED) after(applyMillis) { start(executor, order) }
+                after(300) { answered(Verdict.MayHaveRun(Failure(FailureKind.TIMEOUT, "no answer"))) }
+            }
         }
-        after(if (trouble == StartTrouble.APPLIED_LATE) 1_000 else 1) { start(executor, order) }
-        after(300) { answered(Verdict.MayHaveRun(Failure(FailureKind.TIMEOUT, "no answer"))) }
     }
 
     private fun <T> call(
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/BatchSchedulerTest.kt
@@ -153,6 +153,32 @@
         (job.id in fleet.completedMillis) shouldBe true
     }
 
+    @Test
+    fun `a start whose repeat does not reach the executor is sent again`() {
+        val fleet = VirtualFleet(1)
+        fleet.run(100)
+        fleet.executors.values.single().startTroubles += listOf(StartTrouble.NEVER_APPLIED, StartTrouble.UNREACHABLE)
+        val job = job(1, step())
+        fleet.submit(job)
+        fleet.run(5_000)
+        (job.id in fleet.completedMillis) shouldBe true
+    }
+
+    @Test
+    fun `a start that is never answered is ruled out, and the task is done elsewhere`() {
+        val fleet = VirtualFleet(1)
+        val only = fleet.executors.values.single()
+        fleet.run(100)
+        repeat(20) { only.startTroubles += StartTrouble.NEVER_APPLIED }
+        val job = job(1, step())
+        fleet.submit(job)
+        fleet.run(200)
+        fleet.add("other", only.capacity)
+        fleet.run(8_000)
+        (job.id in fleet.completedMillis) shouldBe true
+        fleet.breaches.shouldBeEmpty()
+    }
+
     @Test
     fun `runs on an executor whose reports are read late are not taken for slow`() {
         val fleet = VirtualFleet(3)
