Do not count a successor as silent, and place steps of queues with a policy

Cause: a holder that learned from a conflict that it was taken over dated its successor's renewal by the time it last knew, and took the lease back at once: the successor's term was still valid, and both started the same new job. The change now counts from the next time that the store shows.

Queues with a placement policy were not served: the advisor was not asked, and each start would have been refused. A step now asks about at most 30 executors with room, keeps their tickets, asks again for those that have run out, and remembers who may not run it. Pacing of runs, which nobody called, is removed.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/lease/ControlLease.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/lease/ControlLease.kt
@@ -80,6 +80,9 @@
     private var released = false
     private var changedStoreMillis = 0L
     private var seenStoreMillis = 0L
+
+    /** Whether the last change of the renewal row came with a conflict, which does not show the store's time. */
+    private var changeUntimed = false
     private var validFrom: Instants? = null
     private var read = false
     private var claiming: OwnerRecord? = null
@@ -94,6 +97,10 @@
     public fun observe(rows: List<StoredRow>, storeMillis: Long) {
         read = true
         seenStoreMillis = maxOf(seenStoreMillis, storeMillis)
+        if (changeUntimed) {
+            changeUntimed = false
+            changedStoreMillis = seenStoreMillis
+        }
         rows.forEach { row ->
             when (row.address) {
                 ControlRows.OWNER -> observeOwner(row)
@@ -124,7 +131,7 @@
         val current = owner ?: return read
         if (current.process == process) return false
         if (current.node == node || released) return true
-        return seenStoreMillis - changedStoreMillis >= times.lapseMillis
+        return !changeUntimed && seenStoreMillis - changedStoreMillis >= times.lapseMillis
     }
 
     /** How long the holder has been silent, on the store's clock. */
@@ -163,6 +170,7 @@
     public fun renewed(outcome: TransactionOutcome.Committed, sent: Instants) {
         renewalRevision = outcome.revision
         changedStoreMillis = outcome.storeMillis
+        changeUntimed = false
         seenStoreMillis = maxOf(seenStoreMillis, outcome.storeMillis)
         released = false
         validFrom = sent
@@ -176,7 +184,11 @@
         outcome.current.forEach { row ->
             when (row.address) {
                 ControlRows.OWNER -> observeOwner(row)
-                ControlRows.RENEWAL -> observeRenewal(row, seenStoreMillis)
+
+                ControlRows.RENEWAL -> {
+                    changeUntimed = changeUntimed || row.revision > renewalRevision
+                    observeRenewal(row, seenStoreMillis)
+                }
             }
         }
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -11,6 +11,7 @@
 import org.gypsumturn.batch.model.Queue
 import org.gypsumturn.batch.model.QueueId
 import org.gypsumturn.batch.model.RunId
+import org.gypsumturn.batch.port.Advice
 import org.gypsumturn.batch.port.LookAnswer
 import org.gypsumturn.batch.state.ExecutorState
 import org.gypsumturn.batch.state.JobState
@@ -48,7 +49,8 @@
     private val recovery = Recovery()
     private val judge = ExecutorJudge(book, log)
     private val ends = RunEnds(this, book, judge, log)
-    private val starter = TaskStarter(epoch, book, log, order)
+    private val advice = AdviceKeeper(log)
+    private val starter = TaskStarter(epoch, advice, book, log, order)
     private var configuration: FleetConfiguration? = null
 
     /** Queues by id, as last configured: jobs of one that was removed are still done. */
@@ -177,13 +179,6 @@
         book.order(Order.Stop(run.executor.target, run.id))
     }
 
-    /** Changes the share at which [run] works. */
-    public fun pace(run: Run, percent: Int) {
-        if (run.pacePercent == percent) return
-        run.pacePercent = percent
-        book.order(Order.Pace(run.executor.target, run, percent))
-    }
-
     /** An executor answered a look, or did not. */
     public fun looked(nowMillis: Long, id: InstanceId, verdict: Verdict<LookAnswer>) {
         val executor = book.executors[id] ?: return
@@ -218,6 +213,15 @@
         }
     }
 
+    /** Takes the questions to the advisor that have gathered. */
+    public fun takeQuestions(): List<AdviceQuestion> = advice.takeQuestions()
+
+    /** The advisor answered [question], or did not. */
+    public fun advised(nowMillis: Long, question: AdviceQuestion, verdict: Verdict<Advice>) {
+        advice.answered(nowMillis, question, verdict)
+        needsPlacement = true
+    }
+
     /** An executor answered a stop, or did not. */
     public fun stopAnswered(nowMillis: Long, id: InstanceId, run: RunId, verdict: Verdict<OrderAnswer>) {
         val executor = book.executors[id] ?: return
@@ -237,12 +241,6 @@
         }
     }
 
-    /** An executor answered a change of a run's pace, or did not; then the change is decided anew. */
-    public fun paceAnswered(run: Run, percent: Int, verdict: Verdict<OrderAnswer>) {
-        val done = (verdict as? Verdict.Ran)?.value is OrderAnswer.Done
-        if (!done && run.pacePercent == percent) run.pacePercent = UNKNOWN_PACE
-    }
-
     /** A job's progress was stored. */
     public fun stored(change: ProgressChange, revision: Revision) {
         change.job.revision = revision
@@ -414,9 +412,6 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
 
-        /** Pace of a run that may or may not have been changed. */
-        const val UNKNOWN_PACE = -1
-
         /** Time beyond the promised one for which an ended job is kept. */
         const val EXPIRY_SLACK_MILLIS = 30_000L
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/Order.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/Order.kt
@@ -18,9 +18,6 @@
     /** Stop a run. */
     public class Stop(override val target: ExecutorTarget, public val run: RunId) : Order
 
-    /** Change the share at which a run works. */
-    public class Pace(override val target: ExecutorTarget, public val run: Run, public val percent: Int) : Order
-
     /** Look at the executor. */
     public class Look(override val target: ExecutorTarget, public val order: LookOrder) : Order
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -22,6 +22,7 @@
 /** Starts tasks on executors of [book]. */
 internal class TaskStarter(
     private val epoch: Epoch,
+    private val advice: AdviceKeeper,
     private val book: ExecutorBook,
     private val log: DecisionLog,
     private val order: StepOrder,
@@ -40,7 +41,12 @@
         val poolRoom = PoolRoom(candidates.sumOf { it.record.capacity.cpuMillis })
         order(nowMillis, steps, poolRoom).forEach { open ->
             val room = open.step.room
-            if (unfit.none { it.fitsInto(room) }) placeStep(nowMillis, open.step, candidates, unfit)
+            if (open.queue.advice != null) {
+                // That few executors are allowed says nothing about the room for others.
+                placeStep(nowMillis, open.step, advice.allowed(nowMillis, open, candidates), ArrayList())
+            } else if (unfit.none { it.fitsInto(room) }) {
+                placeStep(nowMillis, open.step, candidates, unfit)
+            }
         }
     }
 
@@ -123,7 +129,8 @@
         val leaseEnd = executor.leaseEnd(nowMillis, leaseMillis) ?: return
         executor.leaseSent(leaseEnd)
         val spec = run.task.step.job.job.spec
-        val order = StartOrder(run.id, spec, leaseEnd, epoch, run.task.checkpoint, null)
+        val ticket = run.task.step.advice?.ticket(nowMillis, executor.record.id)
+        val order = StartOrder(run.id, spec, leaseEnd, epoch, run.task.checkpoint, ticket)
         book.order(Order.Start(executor.target, run, order))
     }
 
@@ -166,6 +173,7 @@
             RefusalReason.OTHER_INSTANCE -> return StartResult.EXECUTOR_GONE
             RefusalReason.NO_ROOM -> executor.fullUntilMillis = nowMillis + SchedulerSettings.FULL_MILLIS
             RefusalReason.INVALID -> run.task.notBeforeMillis = nowMillis + SchedulerSettings.UNHEALTHY_MILLIS
+            RefusalReason.TICKET -> advice.ticketRefused(run.task.step, executor.record.id)
             RefusalReason.SUPERSEDED -> return superseded(run, answer)
             else -> Unit
         }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -61,9 +61,6 @@
     /** Tail of response times or processors in use, as last listed. */
     public var load: Long = 0
 
-    /** Share of its speed that the run was last told to work at. */
-    public var pacePercent: Int = FULL_PACE
-
     /** The executor's clock when it confirmed the start; null before. */
     public var confirmedClockMillis: Long? = null
 
@@ -87,10 +84,6 @@
 
     /** Room that the run takes. */
     public val size: Size get() = task.step.room
-
-    private companion object {
-        const val FULL_PACE = 100
-    }
 }
 
 /** One task. */
@@ -137,6 +130,9 @@
 ) {
     public val tasks: List<Task> = List(step.count) { Task(this, it) }
 
+    /** What the advisor has said; null where it was not asked. */
+    public var advice: StepAdvice? = null
+
     /** Tasks that have ended well. */
     public var doneCount: Int = 0
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -22,7 +22,10 @@
 import org.gypsumturn.batch.model.Step
 import org.gypsumturn.batch.model.TaskName
 import org.gypsumturn.batch.model.queueId
+import org.gypsumturn.batch.port.Advice
 import org.gypsumturn.batch.port.LookAnswer
+import org.gypsumturn.batch.port.Ticket
+import org.gypsumturn.batch.schedule.AdviceQuestion
 import org.gypsumturn.batch.schedule.BatchScheduler
 import org.gypsumturn.batch.schedule.DecisionLog
 import org.gypsumturn.batch.schedule.Order
@@ -66,6 +69,10 @@
     after: List<Int> = emptyList(),
 ): Step = Step(count, Size(cpuMillis, 100, 0), estimateMillis, after)
 
+/** How long the virtual advisor takes, and how long its tickets hold. */
+private const val ADVICE_MILLIS = 150L
+private const val TICKET_MILLIS = 2_000L
+
 internal val TEST_SETTINGS = SchedulerSettings(5_000, 6_000, 900, 3_000, 250, 120, 2.0)
 
 /** What happens to one start: its answer is lost, and it is carried out at once, late, or never; or it is refused. */
@@ -135,6 +142,10 @@
     private val sizes = HashMap<JobId, BatchJob>()
     private var revision = 100L
     private val stored = HashMap<JobId, ProgressRecord>()
+
+    /** Executors that the policy of queues with advice allows, and how often the advisor was asked. */
+    val policy = HashSet<InstanceId>()
+    var questions = 0
     var scheduler = newScheduler(1)
 
     /** An earlier holder that has not learned of its successor, and when its lease has lapsed. */
@@ -194,6 +205,10 @@
             }
             val holder = scheduler
             holder.work(nowMillis, nowMillis, nowMillis - validUntilMillis).forEach { carry(holder, it) }
+            holder.takeQuestions().forEach { question ->
+                questions++
+                after(ADVICE_MILLIS) { holder.advised(nowMillis, question, Verdict.Ran(advise(question))) }
+            }
             store()
             scheduler.jobs.filter { it.shownPhase == JobPhase.COMPLETED }
                 .forEach { completedMillis.putIfAbsent(it.job.id, nowMillis) }
@@ -201,6 +216,20 @@
         }
     }
 
+    /** Tickets name the step and the executor, and when they end. */
+    private fun advise(question: AdviceQuestion): Advice {
+        val allowed = question.executors.filter { it in policy }
+        val untilMillis = nowMillis + TICKET_MILLIS
+        return Advice(allowed.map { Ticket(it, "${question.step.tasks.first().name}/$it/$untilMillis") }, TICKET_MILLIS)
+    }
+
+    private fun holdsTicket(executor: VirtualExecutor, order: Order.Start): Boolean {
+        val queue = configuration.queues.single { it.id == sizes.getValue(order.order.run.task.job).queue }
+        if (queue.advice == null) return true
+        val parts = order.order.ticket.orEmpty().split('/')
+        return parts.size == 3 && parts[1] == executor.id.value && parts[2].toLong() >= nowMillis
+    }
+
     private fun store() {
         if (nowMillis > validUntilMillis) return
         scheduler.takeChanges(100).forEach { change ->
@@ -259,7 +288,7 @@
                 holder.looked(nowMillis, order.target.id, it)
             }
 
-            is Order.Pace, is Order.Forget -> Unit
+            is Order.Forget -> Unit
         }
     }
 
@@ -311,6 +340,7 @@
         val reason = when {
             order.order.epoch.value < executor.fence -> RefusalReason.FENCED
             order.order.leaseEndMillis < nowMillis -> RefusalReason.LATE
+            !holdsTicket(executor, order) -> RefusalReason.TICKET
             id.attempt <= (executor.past[id.task] ?: 0) -> RefusalReason.SUPERSEDED
             !(executor.used + size).fitsInto(executor.capacity) -> RefusalReason.NO_ROOM
             else -> null
--- a/batch/src/test/kotlin/org/gypsumturn/batch/lease/ControlLeaseTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/lease/ControlLeaseTest.kt
@@ -131,4 +131,25 @@
         a.held shouldBe false
         a.valid(at(10)) shouldBe false
     }
+
+    @Test
+    fun `a holder that learns of its successor from a conflict does not count the successor as silent`() {
+        val first = lease("a").apply { look() }
+        first.claimAt(0)
+        rows.millis += 10_000
+        val second = lease("b").apply { look() }
+        second.look()
+        rows.millis += 5_000
+        second.look()
+        second.claimAt(15_000) shouldBe true
+        val renewal = rows.apply(first.renew())
+        first.conflicted(renewal as TransactionOutcome.Conflict)
+        first.held shouldBe false
+        rows.millis += 100
+        first.observe(emptyList(), rows.millis)
+        first.claimable() shouldBe false
+        rows.millis += times.lapseMillis
+        first.observe(emptyList(), rows.millis)
+        first.claimable() shouldBe true
+    }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -15,6 +15,7 @@
 import org.gypsumturn.batch.port.FleetNewsPage
 import org.gypsumturn.batch.port.MachineControl
 import org.gypsumturn.batch.port.NewsKind
+import org.gypsumturn.batch.port.PlacementAdvisor
 import org.gypsumturn.batch.port.RowAddress
 import org.gypsumturn.batch.port.RowChanges
 import org.gypsumturn.batch.port.RowStore
@@ -39,6 +40,7 @@
     public val news: FleetNewsFeed,
     public val executors: ExecutorCalls,
     public val machines: MachineControl?,
+    public val advisor: PlacementAdvisor?,
 )
 
 /** One term of holding the lease. */
@@ -53,7 +55,7 @@
 ) {
     private val epoch = lease.epoch
     private val scheduler = BatchScheduler(settings, epoch, decisions)
-    private val carrier = OrderCarrier(scheduler, ports.executors, epoch, post)
+    private val carrier = OrderCarrier(scheduler, ports.executors, ports.advisor, epoch, post)
     private val fence = ProgressFence(ports.store, epoch, post, later)
     private val writer = ProgressWriter(scheduler, fence, ports.store, post)
     private val reader = TakeoverReader(ports.store, post, later, ::jobsRead)
@@ -116,6 +118,7 @@
         if (!ready || closed) return
         val overdueMillis = lease.overdueMillis(now)
         scheduler.work(now.steadyMillis, now.wallMillis, overdueMillis).forEach(carrier::carry)
+        scheduler.takeQuestions().forEach(carrier::ask)
         if (overdueMillis < 0) {
             writer.work(now.steadyMillis)
             configuration?.let { machines?.work(now, it) }
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -12,6 +12,7 @@
 import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.model.NodeId
 import org.gypsumturn.platform.CallerIngress
+import org.gypsumturn.platform.PlatformAdvisor
 import org.gypsumturn.platform.PlatformExecutorCalls
 import org.gypsumturn.platform.PlatformMachineControl
 import org.gypsumturn.platform.PlatformNewsFeed
@@ -146,7 +147,8 @@
         val machines = Endpoint.parse(settings[NodeSettings.machinesAddress])?.let {
             PlatformMachineControl(peerClient, it, NodeId(nodeName))
         }
-        return SessionPorts(store, news, PlatformExecutorCalls(executorClient), machines)
+        val advisor = Endpoint.parse(settings[NodeSettings.advisorAddress])?.let { PlatformAdvisor(peerClient, it) }
+        return SessionPorts(store, news, PlatformExecutorCalls(executorClient), machines, advisor)
     }
 
     private fun machineTimes() = MachineTimes(
--- a/node/src/main/kotlin/org/gypsumturn/node/OrderCarrier.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/OrderCarrier.kt
@@ -2,16 +2,23 @@
 
 package org.gypsumturn.node
 
+import org.gypsumturn.batch.port.Advice
 import org.gypsumturn.batch.port.ExecutorCalls
+import org.gypsumturn.batch.port.PlacementAdvisor
+import org.gypsumturn.batch.schedule.AdviceQuestion
 import org.gypsumturn.batch.schedule.BatchScheduler
 import org.gypsumturn.batch.schedule.Order
 import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.model.Epoch
+import org.gypsumturn.model.Failure
+import org.gypsumturn.model.FailureKind
+import org.gypsumturn.model.Verdict
 
 /** Sends orders of [scheduler] to [executors]. */
 public class OrderCarrier(
     private val scheduler: BatchScheduler,
     private val executors: ExecutorCalls,
+    private val advisor: PlacementAdvisor?,
     private val epoch: Epoch,
     private val post: Post,
 ) {
@@ -23,12 +30,23 @@
         when (order) {
             is Order.Start -> start(order)
             is Order.Stop -> stop(order)
-            is Order.Pace -> pace(order)
             is Order.Look -> look(order)
             is Order.Forget -> executors.forget(order.target)
         }
     }
 
+    /** Puts [question] to the advisor. */
+    public fun ask(question: AdviceQuestion) {
+        val answered = { verdict: Verdict<Advice> ->
+            whenOpen { scheduler.advised(NodeClock.steadyMillis(), question, verdict) }
+        }
+        if (advisor == null) {
+            answered(Verdict.NotRun(Failure(FailureKind.INVALID, "no advisor is set")))
+        } else {
+            advisor.advise(question.step.tasks.first().name, question.executors, ADVICE_TIMEOUT_MILLIS, answered)
+        }
+    }
+
     private fun start(order: Order.Start) {
         executors.start(order.target, order.order, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
             whenOpen { scheduler.startAnswered(NodeClock.steadyMillis(), order.run, verdict) }
@@ -41,13 +59,6 @@
         }
     }
 
-    private fun pace(order: Order.Pace) {
-        val timeoutMillis = SchedulerSettings.ORDER_TIMEOUT_MILLIS
-        executors.pace(order.target, order.run.id, order.percent, epoch, timeoutMillis) { verdict ->
-            whenOpen { scheduler.paceAnswered(order.run, order.percent, verdict) }
-        }
-    }
-
     private fun look(order: Order.Look) {
         val timeoutMillis = (order.order.waitMillis ?: 0) + SchedulerSettings.LOOK_TIMEOUT_MILLIS
         executors.look(order.target, order.order, timeoutMillis) { verdict ->
@@ -58,4 +69,9 @@
     private fun whenOpen(action: () -> Unit) {
         post { if (!closed) action() }
     }
+
+    private companion object {
+        /** Longest wait for advice: thirty executors take the advisor about half a second, and a call may wait. */
+        const val ADVICE_TIMEOUT_MILLIS = 2_000L
+    }
 }
--- a/node/src/test/kotlin/org/gypsumturn/node/LeaseDutyTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/LeaseDutyTest.kt
@@ -140,7 +140,7 @@
     private fun duty(node: String, store: RowStore, executors: ExecutorCalls = IdleExecutors()): LeaseDuty {
         val quiet = QuietFollows(store)
         val lease = ControlLease(node, "$node/1", "10.0.0.1:1", LeaseTimes(3_000, 600, 150))
-        val ports = SessionPorts(quiet, OneExecutor, executors, null)
+        val ports = SessionPorts(quiet, OneExecutor, executors, null, null)
         return LeaseDuty(lease, quiet, 0, { it() }, ::now) { held ->
             HolderSession(held, settings, MachineTimes(0, 0, 0), ports, { _, _ -> }, { it() }) { _, _ -> }
         }
