--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/AdviceKeeper.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/AdviceKeeper.kt
@@ -24,15 +24,34 @@
     private val questions = ArrayList<AdviceQuestion>()
     private var underWay = 0
 
-    /** Those of [candidates] that may run the step of [open]; asks for more where none of them has room. */
+    /** Those of [candidates] that may run the step of [open]; asks for more where they have too little room. */
     fun allowed(nowMillis: Long, open: OpenStep, candidates: List<ExecutorState>): List<ExecutorState> {
         val terms = open.queue.advice ?: return candidates
         val advice = open.step.advice ?: StepAdvice().also { open.step.advice = it }
         val known = candidates.filter { advice.ticket(nowMillis, it.record.id) != null }
-        if (known.none { open.step.room.fitsInto(it.free) }) ask(nowMillis, open.step, advice, candidates, terms)
+        val waiting = open.step.tasks.count { it.waits(nowMillis) }
+        if (known.sumOf { placesOn(it, open.step) } < waiting) ask(nowMillis, open.step, advice, candidates, terms)
         return known
     }
 
+    /** How many tasks of [step] the executor can take now. */
+    private fun placesOn(executor: ExecutorState, step: StepState): Int {
+        var places = 0
+        var left = executor.free
+        val most = if (step.step.maxPerExecutor ==
+            0
+        ) {
+            step.step.count
+        } else {
+            step.step.maxPerExecutor - step.runsOn(executor)
+        }
+        while (places < most && step.room.fitsInto(left)) {
+            left -= step.room
+            places++
+        }
+        return places
+    }
+
     private fun ask(
         nowMillis: Long,
         step: StepState,
@@ -41,7 +60,7 @@
         terms: AdviceTerms,
     ) {
         if (advice.asking || nowMillis < advice.retryMillis || underWay >= OPEN_QUESTIONS) return
-        val asked = candidates.filter { it.record.id !in advice.refused && step.room.fitsInto(it.free) }
+        val asked = candidates.filter { advice.isOpen(nowMillis, it.record.id) && placesOn(it, step) > 0 }
             .sortedByDescending { it.record.id in advice.allowed }
             .take(ASKED_EXECUTORS)
             .map { it.record.id }
@@ -71,7 +90,8 @@
             return
         }
         val validMillis = answer.validMillis ?: question.terms.ticketMillis
-        answer.tickets.forEach { advice.allow(it, nowMillis + validMillis - TICKET_MARGIN_MILLIS) }
+        val marginMillis = minOf(TICKET_MARGIN_MILLIS, validMillis / TICKET_MARGIN_PART)
+        answer.tickets.forEach { advice.allow(it, nowMillis + validMillis - marginMillis) }
         val allowed = answer.tickets.mapTo(HashSet()) { it.executor }
         advice.refused += question.executors.filter { it !in allowed }
     }
@@ -97,5 +117,8 @@
 
         /** A ticket is not used so shortly before its end: the start takes its time, and may be repeated. */
         const val TICKET_MARGIN_MILLIS = 700L
+
+        /** The margin is at most this part of a ticket's life. */
+        const val TICKET_MARGIN_PART = 4
     }
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/StepAdvice.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/StepAdvice.kt
@@ -32,6 +32,10 @@
     public fun ticket(nowMillis: Long, executor: InstanceId): String? =
         tickets[executor]?.takeIf { nowMillis < it.untilMillis }?.text
 
+    /** Whether asking about [executor] may bring a ticket that is not held. */
+    public fun isOpen(nowMillis: Long, executor: InstanceId): Boolean =
+        executor !in refused && ticket(nowMillis, executor) == null
+
     /** Drops the ticket for [executor]. */
     public fun forget(executor: InstanceId) {
         tickets.remove(executor)
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/AdviceKeeperTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/AdviceKeeperTest.kt
@@ -70,4 +70,15 @@
         fleet.run(3_000)
         fleet.completedMillis.size shouldBe 1
     }
+
+    @Test
+    fun `a gang that needs more executors than a question names is placed after several questions`() {
+        val fleet = fleet(80)
+        fleet.policy += fleet.executors.keys.filterIndexed { number, _ -> number % 2 == 0 }
+        val gang = step(count = 24).copy(gang = true, maxPerExecutor = 1)
+        fleet.submit(job(1, gang, queue = "advised"))
+        fleet.run(4_000)
+        fleet.completedMillis.size shouldBe 1
+        fleet.questions shouldBe 2
+    }
 }
