--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -307,7 +307,7 @@
         starter.leaseMillis = leaseMillis
         if (valid) {
             retryStops(nowMillis)
-            starter.goOn(nowMillis).forEach { stop(it, "its start is not answered") }
+            starter.retryOpenStarts(nowMillis).forEach { stop(it, "its start is not answered") }
             if (nowMillis - judgedMillis >= JUDGE_INTERVAL_MILLIS) judgeRuns(nowMillis)
         }
         if (mayStart && (needsPlacement || nowMillis - placedMillis > PLACEMENT_INTERVAL_MILLIS)) {
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -202,7 +202,7 @@
      * Goes on with starts whose outcome is open: asks again for the same run, which changes nothing if it is there.
      * Returns those that were tried too often, which are to be stopped, since they may be there or not.
      */
-    fun goOn(nowMillis: Long): List<Run> {
+    fun retryOpenStarts(nowMillis: Long): List<Run> {
         val due = book.executors.values.filter { it.unreachableSinceMillis == null }.flatMap { executor ->
             executor.runs.values.filter { run ->
                 run.phase == RunPhase.STARTING && run.startRetryMillis?.let { it <= nowMillis } == true
