Test the direct way to the store with reads of its own, and decline relays while it fails

Cause: while the store was silent to a node, every 500 ms one call of the node itself was sent to it as a test and lost for its whole timeout: renewals of the lease, reads of the job feed. Nodes to which the store was silent also took relayed calls and lost them for a whole timeout. Change: a probe reads one row; all calls are relayed meanwhile. A node whose direct calls fail declines at once, up to four peers are tried, and silent ones are passed over for a while. A holder whose job feed is older than 2 s does not answer how many jobs wait. A message of a peer that can't be decoded fails its call; before, the callback was lost and with it the renewal of the lease.

--- a/node/src/main/kotlin/org/gypsumturn/node/ControlLeaseElector.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ControlLeaseElector.kt
@@ -260,7 +260,7 @@
     }
 
     override fun countPendingJobs(queue: QueueId, reply: (Int?) -> Unit) {
-        post { reply(session?.pendingJobCount(queue)) }
+        post { reply(session?.pendingJobCount(clock().steadyMillis, queue)) }
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -88,6 +88,7 @@
     private var executorsLoaded = false
     private var ready = false
     private var closed = false
+    private val jobFeedAge = FeedAge(MAX_COUNT_AGE_MILLIS)
     private val storeOutage = OutageLog("store lost", "store regained", "by" to "holder")
     private var lastRemovalMillis = 0L
 
@@ -127,8 +128,12 @@
         return scheduler.job(id)?.let { HolderAnswer.State(it.visiblePhase) } ?: HolderAnswer.NoJob
     }
 
-    /** Number of jobs of [queue] of which no task has been started; null until the stored state has been read. */
-    public fun pendingJobCount(queue: QueueId): Int? = if (ready) scheduler.pendingJobCount(queue) else null
+    /**
+     * Number of jobs of [queue] of which no task has been started; null until the stored state has been read, and while
+     * the changes of jobs have not been read for longer than a count may be old.
+     */
+    public fun pendingJobCount(nowMillis: Long, queue: QueueId): Int? =
+        if (ready && jobFeedAge.isWithinBound(nowMillis)) scheduler.pendingJobCount(queue) else null
 
     /** Does all work that is due at [now]. Does nothing until the stored state has been read. */
     public fun runDueWork(now: ClockReadings) {
@@ -155,6 +160,7 @@
             "revision" to stored.jobsRevision,
         )
         machines?.applyStoredWaves(stored.waveRows)
+        jobFeedAge.recordAnswer(nowMillis)
         jobsLoaded = true
         awaitJobChanges(stored.jobsRevision)
         becomeReadyIfLoaded()
@@ -201,6 +207,7 @@
         when (val changes = (verdict as? Verdict.Ran)?.value) {
             is RowChanges.Known -> {
                 val nowMillis = NodeClock.steadyMillis()
+                jobFeedAge.recordAnswer(nowMillis)
                 changes.rows.forEach { applyJobRow(nowMillis, it, null, neverStarted = true) }
                 awaitJobChanges(changes.revision)
             }
@@ -216,6 +223,7 @@
 
     private fun onJobsReadAgain(stored: StoredJobs) {
         val nowMillis = NodeClock.steadyMillis()
+        jobFeedAge.recordAnswer(nowMillis)
         stored.jobRows.forEach { applyJobRow(nowMillis, it, null, neverStarted = true) }
         awaitJobChanges(stored.jobsRevision)
     }
@@ -336,6 +344,9 @@
         /** Time after the end of its wait at which a long poll has failed. */
         const val POLL_TIMEOUT_MILLIS = 700L
 
+        /** Callers may get a count of waiting jobs that is at most this old. */
+        const val MAX_COUNT_AGE_MILLIS = 2_000L
+
         /** Timeout of a read or a removal. */
         const val CALL_TIMEOUT_MILLIS = 1_500L
 
--- a/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.model.Queue
@@ -83,11 +84,24 @@
             is HolderAddress.Peer ->
                 client.send(holder.endpoint, "peer", HttpCall("GET", path), timeoutMillis) { verdict ->
                     val answer = (verdict as? Verdict.Ran)?.value
-                    if (answer == null || answer.status != HttpStatus.OK) onFailure() else onAnswer(answer)
+                    if (answer == null || answer.status != HttpStatus.OK) {
+                        onFailure()
+                    } else {
+                        decodeAnswer(answer, onFailure, onAnswer)
+                    }
                 }
         }
     }
 
+    private fun decodeAnswer(answer: HttpAnswer, onFailure: () -> Unit, onAnswer: (HttpAnswer) -> Unit) {
+        try {
+            onAnswer(answer)
+        } catch (e: SerializationException) {
+            logEvent("peer answer unreadable", "why" to e.message)
+            onFailure()
+        }
+    }
+
     /**
      * Handles the query [request] of a peer. The status is 503 if this process can't answer as the lease holder, and
      * 404 for an unknown path.
--- a/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
@@ -1,10 +1,14 @@
 // A store that is called directly or, if it refuses this machine, through another node. A call that the store has
 // refused had no effect, so that it can be relayed at once. A call without an answer may have had an effect, so that
-// only the caller may repeat it. While direct calls fail, calls are relayed first. If no other node reaches the store
-// either, the store is down, and calls are not relayed for a while.
+// only the caller may repeat it. While direct calls fail, all calls are relayed, and reads of a single row test the
+// direct way: a call of a caller that went to a silent store would be lost for its whole timeout. A node whose own
+// direct calls fail declines to relay at once. If no other node reaches the store either, the store is down, and calls
+// are not relayed for a while.
 
 package org.gypsumturn.node
 
+import kotlinx.serialization.SerializationException
+import org.gypsumturn.batch.lease.LeaseRows
 import org.gypsumturn.batch.port.RowChanges
 import org.gypsumturn.batch.port.RowPage
 import org.gypsumturn.batch.port.RowStore
@@ -43,10 +47,14 @@
     @Volatile
     private var lastAnswerMillis = nowMillis()
     private var lastDirectCallMillis = 0L
+    private var probePending = false
     private var failedDirectCalls = 0
     private var peersFailedMillis = Long.MIN_VALUE / 2
     private var lastAnsweringPeer: Endpoint? = null
 
+    /** Peers that gave no answer in time, and until when they are passed over. */
+    private val silentPeers = HashMap<Endpoint, Long>()
+
     override fun transact(
         transaction: RowTransaction,
         timeoutMillis: Long,
@@ -135,10 +143,8 @@
         decode: (RelayAnswer) -> T,
         onVerdict: VerdictCallback<T>,
     ) {
-        val now = nowMillis()
-        val directFails = directFailingSinceMillis != null
-        val isProbeDue = directFails && now - lastDirectCallMillis >= DIRECT_PROBE_INTERVAL_MILLIS
-        if (directFails && !isProbeDue && mayRelay(now)) {
+        probeDirectWayIfDue()
+        if (directFailingSinceMillis != null && mayRelay(nowMillis())) {
             relay(call(), decode) { verdict ->
                 if (verdict is Verdict.NotRun) callDirect(callStore, onVerdict) else onVerdict(verdict)
             }
@@ -168,6 +174,18 @@
         }
     }
 
+    /** Reads a row directly if direct calls fail and none has been made for a while. */
+    private fun probeDirectWayIfDue() {
+        if (directFailingSinceMillis == null || probePending) return
+        if (nowMillis() - lastDirectCallMillis < DIRECT_PROBE_INTERVAL_MILLIS) return
+        probePending = true
+        lastDirectCallMillis = nowMillis()
+        direct.read(LeaseRows.LEASE_TABLE, LeaseRows.PARTITION, null, 1, PROBE_TIMEOUT_MILLIS) { verdict ->
+            probePending = false
+            recordDirectResult(verdict)
+        }
+    }
+
     private fun recordDirectResult(verdict: Verdict<*>) {
         val failure = verdict.failureOrNull()
         if (failure == null || failure.kind == FailureKind.INVALID) {
@@ -187,20 +205,32 @@
     private fun mayRelay(now: Long) = peers().isNotEmpty() && now - peersFailedMillis >= RELAY_PAUSE_MILLIS
 
     private fun <T> relay(call: RelayCall, decode: (RelayAnswer) -> T, onVerdict: VerdictCallback<T>) {
+        relayToFirstOf(peersToTry(nowMillis()), call, decode, onVerdict)
+    }
+
+    /** The peer that answered last, and then some others, without those that were silent if there are any left. */
+    private fun peersToTry(now: Long): List<Endpoint> {
+        silentPeers.values.removeIf { it <= now }
         val known = peers()
-        val first = lastAnsweringPeer?.takeIf { it in known }
-            ?: known[Math.floorMod(nowMillis(), known.size.toLong()).toInt()]
-        val others = known.filter { it != first }
-        val second = if (others.isEmpty()) null else others[Math.floorMod(nowMillis(), others.size.toLong()).toInt()]
-        relayTo(first, call, decode) { verdict ->
+        val candidates = known.filter { it !in silentPeers }.ifEmpty { known }
+        val offset = Math.floorMod(now, candidates.size.toLong()).toInt()
+        val rotated = candidates.drop(offset) + candidates.take(offset)
+        val preferred = lastAnsweringPeer?.takeIf { it in candidates }
+        return (listOfNotNull(preferred) + rotated.filter { it != preferred }).take(MAX_PEERS_TRIED)
+    }
+
+    /** Relays [call] to the peers one after the other, until one of them has not declined it. */
+    private fun <T> relayToFirstOf(
+        candidates: List<Endpoint>,
+        call: RelayCall,
+        decode: (RelayAnswer) -> T,
+        onVerdict: VerdictCallback<T>,
+    ) {
+        relayTo(candidates.first(), call, decode) { verdict ->
             when {
                 verdict !is Verdict.NotRun -> onVerdict(verdict)
-
-                second == null -> onPeersFailed(verdict, onVerdict)
-
-                else -> relayTo(second, call, decode) { retried ->
-                    if (retried is Verdict.NotRun) onPeersFailed(retried, onVerdict) else onVerdict(retried)
-                }
+                candidates.size == 1 -> onPeersFailed(verdict, onVerdict)
+                else -> relayToFirstOf(candidates.drop(1), call, decode, onVerdict)
             }
         }
     }
@@ -222,6 +252,7 @@
         client.send(peer, lane, HttpCall("POST", PATH, body), timeoutMillis) { verdict ->
             val answer = toRelayVerdict(verdict)
             lastAnsweringPeer = if (answer is Verdict.Ran) peer else lastAnsweringPeer?.takeIf { it != peer }
+            if (answer is Verdict.MayHaveRun) silentPeers[peer] = nowMillis() + SILENT_PEER_PAUSE_MILLIS
             onVerdict(answer.map(decode))
         }
     }
@@ -230,31 +261,62 @@
         if (verdict !is Verdict.Ran) return verdict.map { error("a call without an answer has no value") }
         val answer = verdict.value
         return when (answer.status) {
-            HttpStatus.OK ->
-                Verdict.Ran(relayJson.decodeFromString(RelayAnswer.serializer(), answer.body.decodeToString()))
+            HttpStatus.OK -> decodeRelayAnswer(answer)
 
             HttpStatus.UNAVAILABLE ->
                 Verdict.NotRun(Failure(FailureKind.NOT_READY, "a relaying peer does not reach the store"))
 
+            HttpStatus.BAD_REQUEST ->
+                Verdict.NotRun(Failure(FailureKind.INVALID, "a relaying peer can't read the call"))
+
             else -> Verdict.MayHaveRun(Failure(FailureKind.TIMEOUT, "a relaying peer got no answer from the store"))
         }
     }
 
-    /** Handles a peer's [request] by calling the store directly. */
+    private fun decodeRelayAnswer(answer: HttpAnswer): Verdict<RelayAnswer> = try {
+        Verdict.Ran(relayJson.decodeFromString(RelayAnswer.serializer(), answer.body.decodeToString()))
+    } catch (e: SerializationException) {
+        Verdict.MayHaveRun(Failure(FailureKind.BROKEN_ANSWER, "a peer's relay answer can't be decoded: ${e.message}"))
+    }
+
+    /**
+     * Handles a peer's [request] by calling the store directly. The status is 503 if the call had no effect, also
+     * because direct calls of this machine fail, 504 if that is not known, and 400 for a malformed request.
+     */
     public fun handle(request: ServedRequest, reply: (ServedAnswer) -> Unit) {
-        val call = relayJson.decodeFromString(RelayCall.serializer(), request.body.decodeToString())
+        val call = try {
+            relayJson.decodeFromString(RelayCall.serializer(), request.body.decodeToString())
+        } catch (e: SerializationException) {
+            logEvent("relay call unreadable", "why" to e.message)
+            reply(ServedAnswer(HttpStatus.BAD_REQUEST, ByteArray(0)))
+            return
+        }
+        runOnThread {
+            probeDirectWayIfDue()
+            if (directFailingSinceMillis != null) {
+                reply(ServedAnswer(HttpStatus.UNAVAILABLE, ByteArray(0)))
+            } else {
+                callForPeer(call, reply)
+            }
+        }
+    }
+
+    private fun callForPeer(call: RelayCall, reply: (ServedAnswer) -> Unit) {
         when (call.kind) {
             RelayKind.TRANSACT -> direct.transact(call.toTransaction(), call.timeoutMillis) { verdict ->
+                recordDirectResult(verdict)
                 reply(toServedAnswer(verdict.map { relayAnswerOf(it) }))
             }
 
             RelayKind.READ ->
                 direct.read(call.table, call.partition, call.from, call.limit, call.timeoutMillis) { verdict ->
+                    recordDirectResult(verdict)
                     reply(toServedAnswer(verdict.map { relayAnswerOf(it) }))
                 }
 
             RelayKind.FOLLOW ->
                 direct.awaitChanges(call.table, Revision(call.after), call.waitMillis, call.timeoutMillis) { verdict ->
+                    recordDirectResult(verdict)
                     reply(toServedAnswer(verdict.map { relayAnswerOf(it) }))
                 }
         }
@@ -275,9 +337,18 @@
         /** Path of relayed calls between nodes. */
         public const val PATH: String = "/store"
 
-        /** Time between two direct calls while direct calls fail. */
+        /** Time between two tests of the direct way while direct calls fail. */
         private const val DIRECT_PROBE_INTERVAL_MILLIS = 500L
 
+        /** Timeout of a test of the direct way. A slow store takes about half a second. */
+        private const val PROBE_TIMEOUT_MILLIS = 800L
+
+        /** Peers to which a call is relayed before it fails, as long as they decline it. */
+        private const val MAX_PEERS_TRIED = 4
+
+        /** Time for which a peer without an answer is passed over. */
+        private const val SILENT_PEER_PAUSE_MILLIS = 3_000L
+
         /** Number of consecutive busy answers after which the store is taken to refuse this machine. */
         private const val BUSY_ANSWERS_FOR_REFUSAL = 4
 
--- a/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
@@ -21,6 +21,8 @@
 import org.gypsumturn.transport.HttpClient
 import org.gypsumturn.transport.HttpClientLimits
 import org.gypsumturn.transport.HttpServer
+import org.gypsumturn.transport.ServedAnswer
+import org.gypsumturn.transport.ServedRequest
 import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
@@ -43,12 +45,24 @@
         nowMillis = 0
         localStore = MemoryRowStore()
         peerStore = MemoryRowStore()
-        val peer = Endpoint("127.0.0.1", ServerSocket(0).use { it.localPort })
-        val peerRelay = RelayedRowStore(peerStore, client, { emptyList() }, { nowMillis }) { loop.execute(it) }
-        HttpServer(loop, peer, 1_000_000, peerRelay::handle).start()
-        store = RelayedRowStore(localStore, client, { listOf(peer) }, { nowMillis }) { loop.execute(it) }
+        val peer = startPeerOf(peerStore)
+        store = storeWithPeers(peer)
     }
 
+    private fun startPeerOf(directStore: MemoryRowStore): Endpoint {
+        val peerRelay = RelayedRowStore(directStore, client, { emptyList() }, { nowMillis }) { loop.execute(it) }
+        return startServer(peerRelay::handle)
+    }
+
+    private fun startServer(handler: (ServedRequest, (ServedAnswer) -> Unit) -> Unit): Endpoint {
+        val endpoint = Endpoint("127.0.0.1", ServerSocket(0).use { it.localPort })
+        HttpServer(loop, endpoint, 1_000_000, handler).start()
+        return endpoint
+    }
+
+    private fun storeWithPeers(vararg peers: Endpoint) =
+        RelayedRowStore(localStore, client, { peers.toList() }, { nowMillis }) { loop.execute(it) }
+
     @AfterAll
     fun stopEventLoop() {
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
@@ -126,6 +140,41 @@
         peerStore.callCount shouldBe callCountBefore
     }
 
+    @Test
+    fun `while the store is silent to this machine, no call of a caller tests the direct way`() {
+        localStore.failureMode = StoreFailureMode.SILENT
+        write()
+        repeat(5) { number ->
+            nowMillis += 600
+            write(Revision(number.toLong())).shouldBeInstanceOf<Verdict.Ran<TransactionOutcome>>()
+        }
+        peerStore.rows.getValue(row).revision shouldBe Revision(5)
+    }
+
+    @Test
+    fun `a peer to which the store is silent declines at once, and the call goes to another peer`() {
+        val silentStore = MemoryRowStore().apply { failureMode = StoreFailureMode.SILENT }
+        val silentPeer = startPeerOf(silentStore)
+        localStore.failureMode = StoreFailureMode.REFUSES
+        store = storeWithPeers(silentPeer)
+        write().shouldBeInstanceOf<Verdict.MayHaveRun>()
+        store = storeWithPeers(silentPeer, startPeerOf(peerStore))
+        write().shouldBeInstanceOf<Verdict.Ran<TransactionOutcome>>()
+        silentStore.rows.size shouldBe 0
+        peerStore.rows.size shouldBe 1
+    }
+
+    @Test
+    fun `an answer of a peer that can't be read counts as possibly run, and an unreadable call is refused`() {
+        localStore.failureMode = StoreFailureMode.REFUSES
+        store = storeWithPeers(startServer { _, reply -> reply(ServedAnswer(200, "{\"rows\":7".encodeToByteArray())) })
+        write().shouldBeInstanceOf<Verdict.MayHaveRun>()
+        val answer = CompletableFuture<ServedAnswer>()
+        val request = ServedRequest("POST", RelayedRowStore.PATH, "", "{}".encodeToByteArray()) { null }
+        store.handle(request) { answer.complete(it) }
+        answer.get(10, TimeUnit.SECONDS).status shouldBe 400
+    }
+
     @Test
     fun `a relayed write whose answer was lost is reported as possibly run`() {
         localStore.failureMode = StoreFailureMode.REFUSES
