Place tasks only in pools in which something has changed

Cause: each report of an executor let all jobs of all pools be looked at again, with every task of every step. Change: pools are marked as stale by ended runs, new jobs, finished steps and executors that become usable; a full pass follows every 100 ms. Steps count their unstarted tasks and runs, and the order of steps computes each slack once. It matters with hundreds of waiting steps. Behaviour is unchanged but for executors that become usable by time alone, which are seen up to 100 ms later, as before.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -68,14 +68,22 @@
     private var lastChangeNumber = 0L
     private var lastPlacementMillis = 0L
     private var lagCheckedMillis = 0L
-    private var needsPlacement = true
+
+    /** Pools whose free capacity or waiting tasks have changed since tasks were last placed there. */
+    private val stalePools = HashSet<PoolId>()
+    private var allPoolsStale = true
+
+    /** Jobs that have not ended, by queue, and those of them that repeat. */
+    private val activeJobsByQueue = HashMap<QueueId, MutableSet<JobState>>()
+    private val repeatingJobs = LinkedHashSet<JobState>()
+    private val mutableActiveJobs = LinkedHashSet<JobState>()
 
     init {
         reportHandler.maxFailures = { job -> queues[job.job.queue]?.maxAttempts ?: Int.MAX_VALUE }
     }
 
     /** Jobs that have not ended. */
-    public val activeJobs: MutableSet<JobState> = LinkedHashSet()
+    public val activeJobs: Set<JobState> get() = mutableActiveJobs
 
     /** Known executors by id. */
     public val executors: Map<InstanceId, ExecutorState> get() = registry.executors
@@ -91,19 +99,19 @@
 
     /** Number of jobs of [queue] of which no task has been started. */
     public fun pendingJobCount(queue: QueueId): Int =
-        activeJobs.count { it.job.queue == queue && it.phase == JobPhase.QUEUED }
+        activeJobsByQueue[queue].orEmpty().count { it.phase == JobPhase.QUEUED }
 
     /** Applies [configuration]. */
     public fun configure(configuration: FleetConfiguration) {
         this.configuration = configuration
         configuration.queues.forEach { queues[it.id] = it }
-        needsPlacement = true
+        allPoolsStale = true
     }
 
     /** Handles a new or changed entry of an executor in the store. */
     public fun onExecutorListed(nowMillis: Long, record: ExecutorRecord) {
         registry.onListed(nowMillis, record)?.let { handleNewIncarnation(nowMillis, it) }
-        needsPlacement = true
+        stalePools += record.pool
     }
 
     /** Handles the removal of the entry of executor [id] from the store. Its runs are kept, as it may still be up. */
@@ -119,7 +127,6 @@
         reportHandler.onIncarnationEnded(nowMillis, executor)
         faultDetector.forget(executor)
         registry.removeExecutor(executor)
-        needsPlacement = true
     }
 
     /**
@@ -152,8 +159,7 @@
             return
         }
         if (job.repeats == 0 && 0 !in state.occurrences) state.addOccurrence(0, nowMillis)
-        activeJobs += state
-        needsPlacement = true
+        activate(state)
         if (neverStarted) {
             log(
                 "job queued",
@@ -166,6 +172,29 @@
         }
     }
 
+    private fun activate(state: JobState) {
+        mutableActiveJobs += state
+        activeJobsByQueue.getOrPut(state.job.queue) { LinkedHashSet() } += state
+        if (state.job.repeats > 0) repeatingJobs += state
+        markPoolStale(state)
+    }
+
+    private fun deactivate(state: JobState) {
+        mutableActiveJobs -= state
+        repeatingJobs -= state
+        activeJobsByQueue[state.job.queue]?.remove(state)
+    }
+
+    /** Lets the waiting tasks of the pool of [job] be placed in the next pass. */
+    internal fun markPoolStale(job: JobState) {
+        queues[job.job.queue]?.let { stalePools += it.pool }
+    }
+
+    /** Lets waiting tasks be placed on the executors of [pool] in the next pass. */
+    internal fun markPoolStale(pool: PoolId) {
+        stalePools += pool
+    }
+
     /** Cancels job [id], whose cancellation has been stored. */
     public fun cancelJob(nowMillis: Long, id: JobId) {
         val job = jobsById[id] ?: return
@@ -185,10 +214,9 @@
         log("job ended", arrayOf("job" to job.job.id, "phase" to phase))
         job.phase = phase
         job.endedMillis = nowMillis
-        activeJobs -= job
+        deactivate(job)
         markChanged(job)
         job.runs().forEach { stopRun(it, "job ended") }
-        needsPlacement = true
     }
 
     /**
@@ -206,12 +234,13 @@
     /** Handles the answer of executor [id] to a poll, or its failure. */
     public fun onPollAnswered(nowMillis: Long, id: InstanceId, verdict: Verdict<PollAnswer>) {
         val executor = registry.executors[id] ?: return
+        val wasUsable = executor.canTakeNewRuns(nowMillis)
         when (val result = registry.onPollAnswered(nowMillis, executor, verdict)) {
             is PollResult.Report -> {
                 if (result.newIncarnation) handleNewIncarnation(nowMillis, executor)
                 recovery.markSeen(id)
                 reportHandler.handleReport(nowMillis, executor, result.report)
-                needsPlacement = true
+                if (!wasUsable) stalePools += executor.record.pool
             }
 
             PollResult.AddressReused -> onExecutorGone(nowMillis, id)
@@ -243,7 +272,7 @@
     /** Handles the answer of the advisor to [question], or its failure. */
     public fun onAdviceAnswered(nowMillis: Long, question: AdviceQuestion, verdict: Verdict<Advice>) {
         adviceCache.onAnswer(nowMillis, question, verdict)
-        needsPlacement = true
+        markPoolStale(question.step.job)
     }
 
     /** Handles the answer of executor [id] to the stop of [run], or its failure. */
@@ -327,13 +356,12 @@
     public fun runSchedulingPass(nowMillis: Long, wallMillis: Long, overdueMillis: Long): List<ExecutorOrder> {
         recovery.takeRecoveredPools(nowMillis).forEach { pool ->
             log("recovery over", arrayOf("epoch" to epoch, "pool" to pool, "active" to activeJobs.size))
-            needsPlacement = true
+            stalePools += pool
         }
         addDueOccurrences(nowMillis, wallMillis)
         registry.findLapsedExecutors(nowMillis).forEach { executor ->
             recovery.markSeen(executor.record.id)
             reportHandler.onLeasesLapsed(nowMillis, executor)
-            needsPlacement = true
         }
         val valid = overdueMillis < 0
         val leaseMillis = settings.leaseMillis - maxOf(0, overdueMillis)
@@ -343,33 +371,44 @@
             registry.takeDueRetries(nowMillis).forEach { repeatOrder(nowMillis, it) }
             if (nowMillis - lagCheckedMillis >= LAG_CHECK_INTERVAL_MILLIS) moveLaggingRuns(nowMillis)
         }
-        if (mayStart && (needsPlacement || nowMillis - lastPlacementMillis > PLACEMENT_INTERVAL_MILLIS)) {
-            placeWaitingTasks(nowMillis, if (valid) nowMillis else nowMillis - overdueMillis)
-        }
+        if (mayStart) placeWaitingTasks(nowMillis, if (valid) nowMillis else nowMillis - overdueMillis)
         registry.enqueueDuePolls(nowMillis, leaseMillis.takeIf { mayStart })
         return registry.takeOrders(mayStart)
     }
 
-    /** Starts waiting tasks, considering only jobs and executors that were known at [knownMillis]. */
+    /**
+     * Starts waiting tasks of the pools in which something has changed, and from time to time of all pools. Considers
+     * only jobs and executors that were known at [knownMillis].
+     */
     private fun placeWaitingTasks(nowMillis: Long, knownMillis: Long) {
-        needsPlacement = false
-        lastPlacementMillis = nowMillis
-        if (configuration == null) return
+        if (nowMillis - lastPlacementMillis > PLACEMENT_INTERVAL_MILLIS) allPoolsStale = true
+        if (configuration == null || (!allPoolsStale && stalePools.isEmpty())) return
         val waiting = HashMap<PoolId, MutableList<WaitingStep>>()
-        activeJobs.forEach { job ->
-            val queue = queues[job.job.queue] ?: return@forEach
-            if (job.firstAttempt > 1 && !recovery.isOverFor(queue.pool)) return@forEach
-            if (job.acceptedMillis > knownMillis) return@forEach
-            val steps = job.occurrences.values.flatMap { waitingSteps(nowMillis, queue, it) }
+        queues.values.filter { allPoolsStale || it.pool in stalePools }.forEach { queue ->
+            val steps = waitingSteps(nowMillis, knownMillis, queue)
             if (steps.isNotEmpty()) waiting.getOrPut(queue.pool) { ArrayList() } += steps
         }
+        if (allPoolsStale) lastPlacementMillis = nowMillis
+        allPoolsStale = false
+        stalePools.clear()
         waiting.forEach { (pool, steps) -> starter.placePool(nowMillis, knownMillis, pool, steps) }
     }
 
-    private fun waitingSteps(nowMillis: Long, queue: Queue, occurrence: Occurrence): List<WaitingStep> =
-        occurrence.readySteps()
-            .filter { step -> step.tasks.any { it.needsRun(nowMillis) } }
-            .map { WaitingStep(queue, occurrence, it) }
+    private fun waitingSteps(nowMillis: Long, knownMillis: Long, queue: Queue): List<WaitingStep> {
+        val found = ArrayList<WaitingStep>()
+        activeJobsByQueue[queue.id]?.forEach { job ->
+            val isRecovering = job.firstAttempt > 1 && !recovery.isOverFor(queue.pool)
+            if (isRecovering || job.acceptedMillis > knownMillis) return@forEach
+            job.occurrences.values.forEach { occurrence ->
+                occurrence.steps.forEach { step ->
+                    if (step.hasWaitingTask(nowMillis) && occurrence.isReady(step)) {
+                        found += WaitingStep(queue, occurrence, step)
+                    }
+                }
+            }
+        }
+        return found
+    }
 
     private fun onRunStarted(run: Run) {
         val job = run.task.step.job
@@ -380,12 +419,10 @@
 
     private fun onRunNotStarted(nowMillis: Long, run: Run) {
         reportHandler.removeRun(nowMillis, run)
-        needsPlacement = true
     }
 
     private fun addDueOccurrences(nowMillis: Long, wallMillis: Long) {
-        for (job in activeJobs) {
-            if (job.job.repeats == 0) continue
+        for (job in repeatingJobs) {
             val next = maxOf(
                 job.occurrences.keys.maxOrNull() ?: -1,
                 job.completedOccurrences.maxOrNull() ?: -1,
@@ -394,7 +431,7 @@
             val dueWall = job.job.startAtMillis + next * job.job.intervalMillis
             if (dueWall <= wallMillis) {
                 job.addOccurrence(next, nowMillis + dueWall - wallMillis)
-                needsPlacement = true
+                markPoolStale(job)
             }
         }
     }
@@ -418,7 +455,7 @@
                 ),
             )
             run.lagging = true
-            needsPlacement = true
+            markPoolStale(task.step.job)
             if (!task.step.step.speculative && !task.step.step.gang &&
                 run.id.attempt - task.firstAttempt < MAX_LAG_RESTARTS
             ) {
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -89,13 +89,11 @@
         if (task.done) return
         val step = task.step
         val members = if (step.step.gang) step.tasks else listOf(task)
-        members.filter { !it.done }.forEach {
-            it.done = true
-            step.doneCount++
-        }
+        members.forEach { it.markDone() }
         val job = step.job
         if (job.phase == JobPhase.QUEUED) job.phase = JobPhase.RUNNING
         scheduler.markChanged(job)
+        scheduler.markPoolStale(job)
         task.runs.toList().forEach { scheduler.stopRun(it, "another copy has ended") }
         val occurrence = job.occurrences.getValue(step.occurrence)
         if (!occurrence.complete) return
@@ -141,7 +139,7 @@
         run.phase = RunPhase.RUNNING
         run.confirmedClockMillis = Long.MIN_VALUE
         task.highestAttempt = maxOf(task.highestAttempt, listedRun.run.attempt)
-        task.runs += run
+        task.addRun(run)
         executor.addRun(run)
         if (job.phase == JobPhase.QUEUED) job.phase = JobPhase.RUNNING
         if (job.visiblePhase == JobPhase.QUEUED) job.visiblePhase = JobPhase.RUNNING
@@ -183,6 +181,8 @@
 
     private fun detachRun(run: Run) {
         run.executor.removeRun(run)
-        run.task.runs -= run
+        run.task.removeRun(run)
+        scheduler.markPoolStale(run.executor.record.pool)
+        scheduler.markPoolStale(run.task.step.job)
     }
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskOrder.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskOrder.kt
@@ -30,7 +30,7 @@
 
 /** Sorts steps by slack, the time left beside the remaining work. Late steps come last. */
 public val orderBySlack: StepOrder = { nowMillis, steps, _ ->
-    steps.sortedWith(compareBy({ priorityClass(nowMillis, it) }, { slackMillis(nowMillis, it) }))
+    steps.map { rank(nowMillis, it) }.sortedWith(bySlack).map { it.waiting }
 }
 
 /**
@@ -38,54 +38,60 @@
  * those last that cannot be done in time.
  */
 public val orderByPlan: StepOrder = { nowMillis, steps, capacity ->
-    val (inTime, late) = splitByPlan(nowMillis, orderBySlack(nowMillis, steps, capacity), capacity)
-    if (late.isEmpty()) {
+    val ranked = steps.map { rank(nowMillis, it) }
+    val (inTime, late) = splitByPlan(ranked.sortedWith(bySlack), capacity)
+    val sorted = if (late.isEmpty()) {
         inTime
     } else {
-        val newest = compareBy<WaitingStep>({ priorityClass(nowMillis, it) }, { -it.occurrence.dueMillis })
-        val (planned, shed) = splitByPlan(nowMillis, steps.sortedWith(newest), capacity)
+        val (planned, shed) = splitByPlan(ranked.sortedWith(newestFirst), capacity)
         planned + shed
     }
+    sorted.map { it.waiting }
 }
 
-/** Long-running steps first, then jobs in time that have begun, then other jobs in time, then late jobs. */
-private fun priorityClass(nowMillis: Long, open: WaitingStep): Int = when {
-    open.step.step.longRunning -> LONG_RUNNING
-    slackMillis(nowMillis, open) < 0 -> LATE + open.queue.priority
-    hasBegun(open) -> BEGUN + open.queue.priority
-    else -> NOT_BEGUN + open.queue.priority
-}
-
-private fun hasBegun(open: WaitingStep): Boolean =
-    open.step.job.phase != JobPhase.QUEUED && open.occurrence.steps.any { step -> step.doneCount > 0 || step.hasRuns }
+/**
+ * A waiting step with what decides its place in the order.
+ *
+ * @property priorityClass long-running steps first, then jobs in time that have begun, then other jobs in time, then
+ * late jobs
+ * @property slackMillis time until the objective of the job, less its remaining critical path; negative if the
+ * objective will be missed
+ */
+private class RankedStep(val waiting: WaitingStep, val priorityClass: Int, val slackMillis: Long, val begun: Boolean)
 
-private val StepState.hasRuns: Boolean get() = tasks.any { it.runs.isNotEmpty() }
+private val bySlack = compareBy<RankedStep>({ it.priorityClass }, { it.slackMillis })
+private val newestFirst = compareBy<RankedStep>({ it.priorityClass }, { -it.waiting.occurrence.dueMillis })
 
-/** Time until the objective of the job, less its remaining critical path; negative if the objective will be missed. */
-private fun slackMillis(nowMillis: Long, open: WaitingStep): Long {
-    val job = open.step.job
-    return job.objectiveMillis(open.queue, open.occurrence) - nowMillis -
-        job.remainingCriticalPathMillis(open.occurrence)
+private fun rank(nowMillis: Long, waiting: WaitingStep): RankedStep {
+    val job = waiting.step.job
+    val slackMillis = job.objectiveMillis(waiting.queue, waiting.occurrence) - nowMillis -
+        job.remainingCriticalPathMillis(waiting.occurrence)
+    val begun = hasBegun(waiting)
+    val priorityClass = when {
+        waiting.step.step.longRunning -> LONG_RUNNING
+        slackMillis < 0 -> LATE + waiting.queue.priority
+        begun -> BEGUN + waiting.queue.priority
+        else -> NOT_BEGUN + waiting.queue.priority
+    }
+    return RankedStep(waiting, priorityClass, slackMillis, begun)
 }
 
+private fun hasBegun(open: WaitingStep): Boolean = open.step.job.phase != JobPhase.QUEUED &&
+    open.occurrence.steps.any { step -> step.doneCount > 0 || step.runCount > 0 }
+
 /** Splits [sorted] into the steps that can be done in time, one after another with [capacity], and the others. */
-private fun splitByPlan(
-    nowMillis: Long,
-    sorted: List<WaitingStep>,
-    capacity: PoolCapacity,
-): Pair<List<WaitingStep>, List<WaitingStep>> {
-    val planned = ArrayList<WaitingStep>()
-    val shed = ArrayList<WaitingStep>()
+private fun splitByPlan(sorted: List<RankedStep>, capacity: PoolCapacity): Pair<List<RankedStep>, List<RankedStep>> {
+    val planned = ArrayList<RankedStep>()
+    val shed = ArrayList<RankedStep>()
     var workCpuMillis = 0.0
-    for (open in sorted) {
-        val work = waitingWork(open)
+    for (ranked in sorted) {
         val startsInMillis = workCpuMillis / maxOf(1L, capacity.cpuMillis)
-        val notBegun = !open.step.step.longRunning && !hasBegun(open)
-        if (notBegun && slackMillis(nowMillis, open) in 0 until startsInMillis.toLong()) {
-            shed += open
+        val notBegun = !ranked.waiting.step.step.longRunning && !ranked.begun
+        if (notBegun && ranked.slackMillis in 0 until startsInMillis.toLong()) {
+            shed += ranked
         } else {
-            planned += open
-            if (slackMillis(nowMillis, open) >= 0) workCpuMillis += work
+            planned += ranked
+            if (ranked.slackMillis >= 0) workCpuMillis += waitingWork(ranked.waiting)
         }
     }
     return planned to shed
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -117,7 +117,7 @@
     fun startRun(nowMillis: Long, task: Task, executor: ExecutorState, attempt: Long) {
         val run = Run(RunId(task.name, attempt), task, executor, nowMillis)
         task.highestAttempt = attempt
-        task.runs += run
+        task.addRun(run)
         executor.addRun(run)
         sendStart(nowMillis, run)
         log(
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -101,9 +101,14 @@
     /** Highest attempt number used so far. */
     public var highestAttempt: Long = 0
 
+    /** Whether a run of the task has succeeded. */
     public var done: Boolean = false
+        private set
+
+    private val mutableRuns = ArrayList<Run>(1)
 
-    public val runs: MutableList<Run> = ArrayList(1)
+    /** Runs of the task that have not ended, as far as is known. */
+    public val runs: List<Run> get() = mutableRuns
 
     /** Numbers of the attempts that failed. */
     public val failedAttempts: MutableSet<Long> = HashSet(0)
@@ -124,6 +129,24 @@
 
     public val name: TaskName get() = TaskName(step.job.job.id, step.occurrence, step.index, index)
 
+    /** Adds [run], which is or may be on its executor from now on. */
+    public fun addRun(run: Run) {
+        mutableRuns += run
+        step.onRunAdded(this, run)
+    }
+
+    /** Removes [run], which is no longer on its executor. */
+    public fun removeRun(run: Run) {
+        if (mutableRuns.remove(run)) step.onRunRemoved(this, run)
+    }
+
+    /** Marks the task as done; has no effect if it is done already. */
+    public fun markDone() {
+        if (done) return
+        done = true
+        step.onTaskDone(this)
+    }
+
     /** Whether the task waits for a start, or for a copy of a run that is in doubt. */
     public fun needsRun(nowMillis: Long): Boolean =
         !done && notBeforeMillis <= nowMillis && (runs.isEmpty() || needsCopy())
@@ -143,8 +166,19 @@
     /** Advice of the placement advisor; null if it was not asked about this step. */
     public var advice: StepAdvice? = null
 
+    private val runCountByExecutor = HashMap<ExecutorState, Int>()
+
     /** Number of tasks that are done. */
     public var doneCount: Int = 0
+        private set
+
+    /** Number of tasks that are not done and have no run. */
+    public var unstartedCount: Int = step.count
+        private set
+
+    /** Number of runs of all tasks. */
+    public var runCount: Int = 0
+        private set
 
     /** Number of runs that succeeded, and the sum of their times. */
     public var succeededRuns: Int = 0
@@ -158,20 +192,37 @@
 
     public val complete: Boolean get() = doneCount == tasks.size
 
-    /** Number of tasks that are not done and have no run. */
-    public val unstartedCount: Int get() = tasks.count { !it.done && it.runs.isEmpty() }
-
     /** Number of runs of the step on [executor]. */
-    public fun runsOn(executor: ExecutorState): Int = executor.runs.values.count { it.task.step === this }
+    public fun runsOn(executor: ExecutorState): Int = runCountByExecutor[executor] ?: 0
+
+    /** Whether a task waits for a start, or for a copy of a run that is in doubt. */
+    public fun hasWaitingTask(nowMillis: Long): Boolean =
+        (unstartedCount > 0 || step.speculative) && tasks.any { it.needsRun(nowMillis) }
+
+    internal fun onRunAdded(task: Task, run: Run) {
+        runCount++
+        runCountByExecutor.merge(run.executor, 1, Int::plus)
+        if (!task.done && task.runs.size == 1) unstartedCount--
+    }
+
+    internal fun onRunRemoved(task: Task, run: Run) {
+        runCount--
+        runCountByExecutor.computeIfPresent(run.executor) { _, count -> (count - 1).takeIf { it > 0 } }
+        if (!task.done && task.runs.isEmpty()) unstartedCount++
+    }
+
+    internal fun onTaskDone(task: Task) {
+        doneCount++
+        if (task.runs.isEmpty()) unstartedCount--
+    }
 }
 
 /** Occurrence [number] of a job, with the state of each step. It became due at [dueMillis]. */
 public class Occurrence(public val number: Int, public val steps: List<StepState>, public val dueMillis: Long) {
     public val complete: Boolean get() = steps.all { it.complete }
 
-    /** Steps whose predecessors are complete and that are not complete themselves. */
-    public fun readySteps(): List<StepState> =
-        steps.filter { step -> !step.complete && step.step.after.all { steps[it].complete } }
+    /** Whether all predecessors of [step] are complete, and [step] itself is not. */
+    public fun isReady(step: StepState): Boolean = !step.complete && step.step.after.all { steps[it].complete }
 }
 
 /**
@@ -229,17 +280,17 @@
     }
 
     /** Time on the steady clock by which [occurrence] should be complete according to the objective of [queue]. */
-    public fun objectiveMillis(queue: Queue, occurrence: Occurrence): Long {
-        val chain = criticalPathMillis()
-        return occurrence.dueMillis + (queue.stretch * chain).toLong() + queue.targetDurationMillis
-    }
+    public fun objectiveMillis(queue: Queue, occurrence: Occurrence): Long =
+        occurrence.dueMillis + (queue.stretch * criticalPathMillis).toLong() + queue.targetDurationMillis
 
     /** Estimated time of the longest chain of dependent steps. */
-    public fun criticalPathMillis(): Long {
-        val ends = LongArray(job.steps.size)
-        job.steps.forEachIndexed { index, step ->
-            ends[index] = (step.after.maxOfOrNull { ends[it] } ?: 0) + step.estimateMillis
-        }
-        return ends.maxOrNull() ?: 0
+    public val criticalPathMillis: Long = criticalPathMillis(job)
+}
+
+private fun criticalPathMillis(job: BatchJob): Long {
+    val ends = LongArray(job.steps.size)
+    job.steps.forEachIndexed { index, step ->
+        ends[index] = (step.after.maxOfOrNull { ends[it] } ?: 0) + step.estimateMillis
     }
+    return ends.maxOrNull() ?: 0
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
@@ -66,10 +66,7 @@
         val (occurrence, step) = place.split('.').map { it.toInt() }
         numbers.forEach { index ->
             val task = job.findOrAddTask(TaskName(job.job.id, occurrence, step, index), nowMillis)
-            if (task != null && !task.done) {
-                task.done = true
-                task.step.doneCount++
-            }
+            task?.markDone()
         }
     }
     record.failed.forEach { (place, attempts) ->
