Hand the lease over when the holder reaches the store only through other nodes

A holder behind relays keeps its lease but reads jobs late. Change: a holder whose direct calls have failed for 300 ms while peers relay its calls ends its session and releases the lease; it claims again after 1.5 s if nobody else has. Processes that reach the store only through others claim a second later. If the store is away for all, nothing is handed over. Tests: two of ControlLeaseElectorTest; the first can't pass without the hand-over.

--- a/node/src/main/kotlin/org/gypsumturn/node/ControlLeaseElector.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ControlLeaseElector.kt
@@ -29,7 +29,12 @@
 /**
  * Claims, renews and releases the control lease for one process.
  *
+ * A holder that reaches the store only through other nodes hands the lease over to one that reaches it directly: each
+ * change of a job and each write of progress would cost it a further hop, or the whole timeout of a call when the other
+ * node loses its way too.
+ *
  * @param claimDelayMillis how long the lease must have been claimable before this process claims it
+ * @param reachesStoreOnlyThroughPeers whether other nodes reach the store, and this one does not, at a steady time
  * @param newSession creates the session of a new term
  */
 public class ControlLeaseElector(
@@ -38,6 +43,7 @@
     private val claimDelayMillis: Long,
     private val post: Post,
     private val clock: () -> ClockReadings = NodeClock::readings,
+    private val reachesStoreOnlyThroughPeers: (nowMillis: Long) -> Boolean = { false },
     private val newSession: SessionFactory,
 ) : LocalHolderQueries {
     private var session: HolderSession? = null
@@ -49,6 +55,12 @@
     private var claimableSinceMillis: Long? = null
     private var nextCallMillis = 0L
     private var releasing = false
+
+    /** Whether the lease is to be given up so that another node claims it. */
+    private var handingOver = false
+
+    /** After a hand-over, this process claims the lease again at this time if no other has. */
+    private var claimAgainMillis = 0L
     private val renewalOutage = OutageLog("lease not renewed", "lease renewed again")
 
     /**
@@ -89,8 +101,16 @@
     /** Does all work that is due. It must be called after each event and at short intervals. */
     public fun runDueWork() {
         val now = clock()
+        if (session != null && !handingOver && !releasing && reachesStoreOnlyThroughPeers(now.steadyMillis)) {
+            handingOver = true
+            dropSession("handed over")
+        }
         if (now.steadyMillis >= nextCallMillis) {
             when {
+                handingOver -> if (!writePending) renewLease()
+
+                lease.isHeld && !releasing && now.steadyMillis < claimAgainMillis -> readLease()
+
                 lease.isHeld && !releasing && session == null && lease.epoch == lastSessionEpoch ->
                     if (!writePending) claimLease()
 
@@ -115,7 +135,8 @@
             return
         }
         val since = claimableSinceMillis ?: nowMillis.also { claimableSinceMillis = it }
-        if (nowMillis - since >= claimDelayMillis) claimLease() else readLease()
+        val relayedDelayMillis = if (reachesStoreOnlyThroughPeers(nowMillis)) RELAYED_CLAIM_DELAY_MILLIS else 0
+        if (nowMillis - since >= claimDelayMillis + relayedDelayMillis) claimLease() else readLease()
     }
 
     private fun readLease() {
@@ -197,13 +218,17 @@
     private fun renewLease() {
         writePending = true
         val beforeSending = clock()
-        val isRelease = releasing
+        val isHandOver = handingOver
+        val isRelease = releasing || isHandOver
         transact(lease.renewalTransaction(isRelease)) { verdict ->
             when (val outcome = (verdict as? Verdict.Ran)?.value) {
                 is TransactionOutcome.Committed -> {
                     lease.onRenewalCommitted(outcome, beforeSending)
                     when {
-                        isRelease -> notifyReleased()
+                        isRelease -> {
+                            if (isHandOver) claimAgainMillis = clock().steadyMillis + CLAIM_AGAIN_MILLIS
+                            if (releasing) notifyReleased()
+                        }
 
                         // An earlier claim took effect although its answer was lost, as the rows have shown.
                         !releasing && session == null && lease.epoch != lastSessionEpoch -> startSession()
@@ -214,6 +239,7 @@
 
                 null -> delayNextCall(RETRY_MILLIS)
             }
+            handingOver = false
             renewalOutage.recordResult(verdict, "epoch" to lease.epoch)
             if (!lease.isHeld && session != null) dropSession("taken over")
         }
@@ -282,6 +308,15 @@
         /** Pause after a failed call, or after an executor has fenced the session off. */
         const val RETRY_MILLIS = 150L
 
+        /**
+         * How much longer a process that reaches the store only through other nodes waits before it claims a claimable
+         * lease.
+         */
+        const val RELAYED_CLAIM_DELAY_MILLIS = 1_000L
+
+        /** Time after a hand-over in which another process must have claimed the lease. */
+        const val CLAIM_AGAIN_MILLIS = 1_500L
+
         /** Rows that are read at most. The table holds only two. */
         const val PAGE_ROWS = 10
     }
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -65,7 +65,13 @@
         if (!controlThread.offer(action)) log.error("event queue of the control thread is full; an event was dropped")
     }
     private val leaseElector: ControlLeaseElector =
-        ControlLeaseElector(lease, store, claimDelayMillis(), post) { held ->
+        ControlLeaseElector(
+            lease,
+            store,
+            claimDelayMillis(),
+            post,
+            reachesStoreOnlyThroughPeers = store::isReachedOnlyThroughPeers,
+        ) { held ->
             HolderSession(
                 held,
                 schedulerSettings(),
--- a/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
@@ -46,6 +46,9 @@
 
     @Volatile
     private var lastAnswerMillis = nowMillis()
+
+    @Volatile
+    private var lastRelayedAnswerMillis = Long.MIN_VALUE / 2
     private var lastDirectCallMillis = 0L
     private var probePending = false
     private var failedDirectCalls = 0
@@ -123,6 +126,17 @@
     public fun isUnreachable(nowMillis: Long): Boolean =
         directFailingSinceMillis != null && nowMillis - lastAnswerMillis >= UNREACHABLE_AFTER_MILLIS
 
+    /**
+     * Whether peers have relayed calls at [nowMillis] and shortly before, and direct calls have failed for longer than
+     * a single one takes. May be called from any thread.
+     */
+    public fun isReachedOnlyThroughPeers(nowMillis: Long): Boolean {
+        val failingSinceMillis = directFailingSinceMillis ?: return false
+        return nowMillis - failingSinceMillis >= RELAYED_ONLY_AFTER_MILLIS &&
+            lastRelayedAnswerMillis >= failingSinceMillis &&
+            nowMillis - lastRelayedAnswerMillis <= RECENT_RELAY_MILLIS
+    }
+
     private fun <T> callAndTrackAnswers(
         callStore: (VerdictCallback<T>) -> Unit,
         call: () -> RelayCall,
@@ -252,6 +266,7 @@
         client.send(peer, lane, HttpCall("POST", PATH, body), timeoutMillis) { verdict ->
             val answer = toRelayVerdict(verdict)
             lastAnsweringPeer = if (answer is Verdict.Ran) peer else lastAnsweringPeer?.takeIf { it != peer }
+            if (answer is Verdict.Ran) lastRelayedAnswerMillis = nowMillis()
             if (answer is Verdict.MayHaveRun) silentPeers[peer] = nowMillis() + SILENT_PEER_PAUSE_MILLIS
             onVerdict(answer.map(decode))
         }
@@ -361,6 +376,12 @@
          */
         private const val UNREACHABLE_AFTER_MILLIS = 1_000L
 
+        /** Time for which direct calls must have failed before a node counts as cut from the store. */
+        private const val RELAYED_ONLY_AFTER_MILLIS = 300L
+
+        /** Time for which a relayed answer shows that other nodes reach the store. */
+        private const val RECENT_RELAY_MILLIS = 1_000L
+
         /** Time that a relayed call may take in addition to the call of the store by the peer. */
         private const val HOP_TIMEOUT_MILLIS = 100L
     }
--- a/node/src/test/kotlin/org/gypsumturn/node/ControlLeaseElectorTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/ControlLeaseElectorTest.kt
@@ -158,11 +158,12 @@
         node: String,
         store: RowStore,
         executors: ExecutorCalls = IdleExecutors(),
+        reachesStoreOnlyThroughPeers: (Long) -> Boolean = { false },
     ): ControlLeaseElector {
         val rowStore = UnansweredLongPolls(store)
         val lease = ControlLease(node, "$node/1", "10.0.0.1:1", LeaseTimes(3_000, 600, 150))
         val ports = SessionPorts(rowStore, SingleExecutorFeed, executors, null, null)
-        return ControlLeaseElector(lease, rowStore, 0, { it() }, ::now) { heldLease ->
+        return ControlLeaseElector(lease, rowStore, 0, { it() }, ::now, reachesStoreOnlyThroughPeers) { heldLease ->
             HolderSession(heldLease, settings, MachineTimes(0, 0, 0), ports, { _, _ -> }, { it() }) { _, _ -> }
         }
     }
@@ -242,6 +243,39 @@
         executors.starts.single().attempt shouldBe SchedulerSettings.ATTEMPTS_PER_EPOCH + 1
     }
 
+    @Test
+    fun `a holder that reaches the store only through peers hands the lease over to a node that reaches it directly`() {
+        val store = SlowStore()
+        var cutOff = false
+        val firstElector = elector("a", store) { cutOff }
+        runFor(firstElector, 100)
+        firstElector.schedulesJobs() shouldBe true
+        cutOff = true
+        firstElector.runDueWork()
+        firstElector.schedulesJobs() shouldBe false
+        val secondElector = elector("b", SlowStore(store.memory))
+        runFor(secondElector, 100)
+        secondElector.schedulesJobs() shouldBe true
+        runFor(firstElector, 3_000)
+        firstElector.schedulesJobs() shouldBe false
+        store.memory.rows.getValue(LeaseRows.OWNER).value!!.decodeToString().contains("\"epoch\":2,") shouldBe true
+    }
+
+    @Test
+    fun `a holder whose lease nobody has claimed after a hand-over schedules again in a new epoch`() {
+        val store = SlowStore()
+        var cutOff = false
+        val elector = elector("a", store) { cutOff }
+        runFor(elector, 100)
+        cutOff = true
+        runFor(elector, 100)
+        elector.schedulesJobs() shouldBe false
+        cutOff = false
+        runFor(elector, 2_000)
+        elector.schedulesJobs() shouldBe true
+        store.memory.rows.getValue(LeaseRows.OWNER).value!!.decodeToString().contains("\"epoch\":2,") shouldBe true
+    }
+
     @Test
     fun `a holder that gives up the lease stops scheduling before the release is stored`() {
         val store = SlowStore()
