Do not take executors for lost because the holder itself is late

It handles the timeouts of its polls long after they are due, and takes 371 executors for lost that answer; 354 come back. This is also a report of other operators: a machine that was only slow to report had its work started again. Change: a poll that fails long after its timeout says nothing about the executor. It is repeated and extends the leases, three times in a row at most.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -145,9 +145,14 @@
         executor.pollInFlight = false
         executor.lastPollMillis = nowMillis
         if (verdict !is Verdict.Ran) {
-            addFailure(nowMillis, executor, "look")
+            if (isInconclusive(nowMillis, executor)) {
+                executor.inconclusivePolls++
+            } else {
+                addFailure(nowMillis, executor, "look")
+            }
             return PollResult.NoReport
         }
+        executor.inconclusivePolls = 0
         return when (val answer = verdict.value) {
             is PollAnswer.Reported -> onReport(nowMillis, executor, answer.report)
 
@@ -158,6 +163,16 @@
         }
     }
 
+    /**
+     * Whether the failure of a poll says nothing about [executor], since this process handles it long after the poll's
+     * timeout: a process that is so late may have had the answer and not read it in time. Such an executor is polled
+     * again and its leases are extended, a few times at most.
+     */
+    private fun isInconclusive(nowMillis: Long, executor: ExecutorState): Boolean =
+        nowMillis - executor.pollTimeoutAtMillis >= OWN_DELAY_MILLIS &&
+            executor.unreachableSinceMillis == null &&
+            executor.inconclusivePolls < MAX_INCONCLUSIVE_POLLS
+
     private fun onReport(nowMillis: Long, executor: ExecutorState, report: ExecutorReport): PollResult {
         val incarnation = report.incarnation
         val newIncarnation = incarnation != null && executor.incarnation != null && incarnation != executor.incarnation
@@ -248,6 +263,7 @@
         executor.pollInFlight = true
         executor.lastPollMillis = nowMillis
         val wait = if (busy) SchedulerSettings.POLL_WAIT_MILLIS else null
+        executor.pollTimeoutAtMillis = nowMillis + (wait ?: 0) + SchedulerSettings.POLL_TIMEOUT_MILLIS
         orders += ExecutorOrder.Poll(
             executor.target,
             PollOrder(epoch, executor.acknowledgedEndNumber, leaseEndMillis, wait),
@@ -257,5 +273,11 @@
     private companion object {
         /** Failed calls in a row after which an executor counts as lost. */
         const val FAILED_CALLS_UNTIL_LOST = 2
+
+        /** Delay between a poll's timeout and its handling from which on this process counts as late. */
+        const val OWN_DELAY_MILLIS = 150L
+
+        /** Inconclusive polls in a row after which a further one counts as a failed call. */
+        const val MAX_INCONCLUSIVE_POLLS = 3
     }
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -51,6 +51,12 @@
 
     public var lastPollMillis: Long = 0
 
+    /** Time at which the timeout of the last poll ends. */
+    public var pollTimeoutAtMillis: Long = 0
+
+    /** Number of polls in a row that failed while this process was late itself. */
+    public var inconclusivePolls: Int = 0
+
     /** Whether its machine is about to be moved or taken down, so that it gets no new runs. */
     public var cordoned: Boolean = false
 
