Split the elector's due work, and end a hand-over only with its own release

Change: only the release ends the hand-over, and a new session starts without one. Steps that wait are collected by filters instead of nested loops.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -394,21 +394,17 @@
         waiting.forEach { (pool, steps) -> starter.placePool(nowMillis, knownMillis, pool, steps) }
     }
 
-    private fun waitingSteps(nowMillis: Long, knownMillis: Long, queue: Queue): List<WaitingStep> {
-        val found = ArrayList<WaitingStep>()
-        activeJobsByQueue[queue.id]?.forEach { job ->
-            val isRecovering = job.firstAttempt > 1 && !recovery.isOverFor(queue.pool)
-            if (isRecovering || job.acceptedMillis > knownMillis) return@forEach
-            job.occurrences.values.forEach { occurrence ->
-                occurrence.steps.forEach { step ->
-                    if (step.hasWaitingTask(nowMillis) && occurrence.isReady(step)) {
-                        found += WaitingStep(queue, occurrence, step)
-                    }
-                }
-            }
-        }
-        return found
-    }
+    private fun waitingSteps(nowMillis: Long, knownMillis: Long, queue: Queue): List<WaitingStep> =
+        activeJobsByQueue[queue.id].orEmpty()
+            .filter { job -> job.firstAttempt == 1L || recovery.isOverFor(queue.pool) }
+            .filter { job -> job.acceptedMillis <= knownMillis }
+            .flatMap { job -> job.occurrences.values }
+            .flatMap { occurrence -> waitingSteps(nowMillis, queue, occurrence) }
+
+    private fun waitingSteps(nowMillis: Long, queue: Queue, occurrence: Occurrence): List<WaitingStep> =
+        occurrence.steps
+            .filter { step -> step.hasWaitingTask(nowMillis) && occurrence.isReady(step) }
+            .map { step -> WaitingStep(queue, occurrence, step) }
 
     private fun onRunStarted(run: Run) {
         val job = run.task.step.job
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LateHolderTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LateHolderTest.kt
@@ -1,5 +1,5 @@
-// A holder that is short of processor time handles the timeouts of its polls late. What it then misses says nothing about
-// the executors, and their runs must neither lapse nor be started again.
+// A holder that is short of processor time handles the timeouts of its polls late. What it then misses says nothing
+// about the executors, and their runs must neither lapse nor be started again.
 
 package org.gypsumturn.batch.schedule
 
--- a/node/src/main/kotlin/org/gypsumturn/node/ControlLeaseElector.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ControlLeaseElector.kt
@@ -101,22 +101,15 @@
     /** Does all work that is due. It must be called after each event and at short intervals. */
     public fun runDueWork() {
         val now = clock()
-        if (session != null && !handingOver && !releasing && reachesStoreOnlyThroughPeers(now.steadyMillis)) {
+        if (shouldHandOver(now.steadyMillis)) {
             handingOver = true
             dropSession("handed over")
         }
         if (now.steadyMillis >= nextCallMillis) {
             when {
-                handingOver -> if (!writePending) renewLease()
-
-                lease.isHeld && !releasing && now.steadyMillis < claimAgainMillis -> readLease()
-
-                lease.isHeld && !releasing && session == null && lease.epoch == lastSessionEpoch ->
-                    if (!writePending) claimLease()
-
-                lease.isHeld -> if (!writePending && (releasing || lease.isRenewalDue(now))) renewLease()
-
-                !releasing -> competeForLease(now.steadyMillis)
+                !lease.isHeld -> if (!releasing) competeForLease(now.steadyMillis)
+                releasing || handingOver -> giveUpLease()
+                else -> keepLease(now)
             }
         }
         session?.runDueWork(now)
@@ -127,6 +120,23 @@
         updateHolder()
     }
 
+    private fun shouldHandOver(nowMillis: Long): Boolean =
+        session != null && !handingOver && reachesStoreOnlyThroughPeers(nowMillis)
+
+    private fun giveUpLease() {
+        if (!writePending) renewLease()
+    }
+
+    /** Renews the lease, or claims it again for a new session after the last one has ended. */
+    private fun keepLease(now: ClockReadings) {
+        when {
+            now.steadyMillis < claimAgainMillis -> readLease()
+            writePending -> Unit
+            session == null && lease.epoch == lastSessionEpoch -> claimLease()
+            lease.isRenewalDue(now) -> renewLease()
+        }
+    }
+
     private fun competeForLease(nowMillis: Long) {
         if (writePending) return
         if (!lease.isClaimable()) {
@@ -209,6 +219,7 @@
         logEvent("lease held", "epoch" to lease.epoch)
         val started = newSession(lease)
         session = started
+        handingOver = false
         lastSessionEpoch = lease.epoch
         configuration?.let(started::configure)
         waves.values.forEach(started::addWave)
@@ -239,7 +250,7 @@
 
                 null -> delayNextCall(RETRY_MILLIS)
             }
-            handingOver = false
+            if (isHandOver) handingOver = false
             renewalOutage.recordResult(verdict, "epoch" to lease.epoch)
             if (!lease.isHeld && session != null) dropSession("taken over")
         }
--- a/node/src/main/kotlin/org/gypsumturn/node/FeedAge.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/FeedAge.kt
@@ -1,5 +1,5 @@
-// Age of what a feed has told. A reader that has lost its feed does not see what is new, and must not answer as if there
-// were nothing new.
+// Age of what a feed has told. A reader that has lost its feed does not see what is new, and must not answer as if
+// there were nothing new.
 
 package org.gypsumturn.node
 
