Refuse new connections from the moment a shutdown has stopped accepting

A server channel that is registered with a selector keeps its socket open until the next selection; the close of the channel is reported before that, and another event loop closes idle connections meanwhile. Change: stopAccepting waits for a task of the channel's event loop, which selects before it runs tasks. Ruled out: the order of the two closes in shutDown, which is right.

--- a/entry/src/main/kotlin/org/gypsumturn/entry/http/CallerServer.kt
+++ b/entry/src/main/kotlin/org/gypsumturn/entry/http/CallerServer.kt
@@ -63,9 +63,12 @@
                 .channel()
     }
 
-    /** Stops listening, so that new connections are refused. Open connections continue. */
+    /** Stops listening, so that new connections are refused once this returns. Open connections continue. */
     fun stopAccepting() {
         listeningChannel.close().sync()
+        // A channel that is registered with a selector keeps its socket open until the next selection. The event loop
+        // selects before it runs a task, so that the socket is closed when the task is done.
+        listeningChannel.eventLoop().submit { }.sync()
     }
 
     /** Closes each connection after all requests that it has received are answered. */
