Log each run that is lost with its executor

Cause: the lines of a lost executor give a number of runs, so that no line tells which tasks were on it and for how long. Change: a line 'run lost' for each, with the time for which the executor had reported the run; it counts in the metric of events like the others. No decision changed.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -164,7 +164,18 @@
 
     /** Removes all runs of an executor that has ended or restarted. */
     fun onIncarnationEnded(nowMillis: Long, executor: ExecutorState) {
-        executor.runs.values.toList().forEach { removeRun(nowMillis, it) }
+        executor.runs.values.toList().forEach { run ->
+            log(
+                "run lost",
+                arrayOf(
+                    "task" to run.id.task,
+                    "attempt" to run.id.attempt,
+                    "executor" to executor.record.id,
+                    "survived_ms" to run.survivedMillis,
+                ),
+            )
+            removeRun(nowMillis, run)
+        }
     }
 
     /** Removes all runs of a silent executor, since all of their leases have lapsed. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -40,6 +40,9 @@
     /** Time on the executor's clock of the last report that listed the run. */
     public var lastReportClockMillis: Long = 0
 
+    /** Time for which the executor has reported the run; it may have gone on for longer since the last report. */
+    public val survivedMillis: Long get() = firstSeenClockMillis?.let { lastReportClockMillis - it } ?: 0
+
     /** Time that the run took for its present progress. */
     public val progressDurationMillis: Long get() = firstSeenClockMillis?.let { progressChangedClockMillis - it } ?: 0
 
