Reproduce tasks that crash executor after executor, failing

What callers see: jobs that share executors with such a task are lost with them again and again, and come late or not at all; the job of the task itself stays 'running' for ever. Change: the simulated fleet can crash an executor 10 ms after the start of a task, with three ways in which holders learn of it: the list of machines, a restart under the same id, or nothing but silence.

--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -76,12 +76,30 @@
 
 internal val TEST_SETTINGS = SchedulerSettings(5_000, 120)
 
+/** Time from the start of a crashing task to the crash, and until the executor is back. */
+private const val CRASH_DELAY_MILLIS = 10L
+private const val RESTART_MILLIS = 3_200L
+
+/** Times after a crash at which the list of machines shows it, and at which the executor's entry lapses. */
+private const val LIST_DELAY_MILLIS = 2_100L
+private const val ENTRY_LAPSE_MILLIS = 4_500L
+
+/** A task may be started this often after so many executors have crashed under it. */
+private const val ALLOWED_CRASHES = 3
+private const val ALLOWED_LATE_STARTS = 2
+
 /**
  * Fault of one start order. `ANSWER_LOST`, `APPLIED_LATE` and `NEVER_APPLIED` lose the answer; the order is carried out
  * at once, late or never. `NO_ROOM` refuses the order and `UNREACHABLE` does not deliver it.
  */
 internal enum class StartFault { ANSWER_LOST, APPLIED_LATE, NEVER_APPLIED, NO_ROOM, UNREACHABLE }
 
+/**
+ * How the holder learns of an executor that a task has crashed. `LISTED`: the list of machines shows its end and it is
+ * back under another id. `SAME_ID`: it is back under its id. `SILENT`: its entry lapses, and nothing else tells.
+ */
+internal enum class CrashNotice { LISTED, SAME_ID, SILENT }
+
 /** One executor of the simulated fleet. */
 internal class VirtualExecutor(
     val id: InstanceId,
@@ -156,6 +174,14 @@
     val completedMillis = HashMap<JobId, Long>()
     val log = ArrayList<String>()
 
+    /** Tasks that crash each executor that starts them, and how holders learn of the crashes. */
+    val crashingTasks = HashSet<TaskName>()
+    var crashNotice = CrashNotice.LISTED
+
+    /** Number of executors that have crashed while the task was on them, and of its starts after the third of these. */
+    val crashesByTask = HashMap<TaskName, Int>()
+    private val startsAfterThirdCrash = HashMap<TaskName, Int>()
+
     /** Tasks whose success a holder has seen, and tasks that have succeeded. */
     private val doneTasks = HashSet<TaskName>()
     private val succeededTasks = HashSet<TaskName>()
@@ -387,12 +413,53 @@
         executor.leaseEndMillis = maxOf(executor.leaseEndMillis, order.order.leaseEndMillis)
         checkStart(id)
         executor.runs[id] = VirtualExecutor.VirtualRun(id, nowMillis, size)
+        if (id.task in crashingTasks) after(CRASH_DELAY_MILLIS) { if (id in executor.runs) crash(executor) }
         return OrderAnswer.Done(nowMillis)
     }
 
+    /** Ends [executor] with all of its runs. It is back after some seconds, as [crashNotice] tells. */
+    fun crash(executor: VirtualExecutor) {
+        executor.runs.keys.forEach { crashesByTask.merge(it.task, 1, Int::plus) }
+        executor.runs.clear()
+        executor.ends.clear()
+        executor.reachable = false
+        when (crashNotice) {
+            CrashNotice.LISTED -> {
+                after(LIST_DELAY_MILLIS) { scheduler.onExecutorGone(nowMillis, executor.id) }
+                after(LIST_DELAY_MILLIS) { scheduler.onExecutorUnlisted(nowMillis, executor.id) }
+                after(RESTART_MILLIS) { replace(executor) }
+            }
+
+            CrashNotice.SAME_ID -> after(RESTART_MILLIS) { restart(executor) }
+
+            CrashNotice.SILENT -> {
+                after(ENTRY_LAPSE_MILLIS) { scheduler.onExecutorUnlisted(nowMillis, executor.id) }
+                after(RESTART_MILLIS) { replace(executor) }
+            }
+        }
+    }
+
+    private fun replace(executor: VirtualExecutor) {
+        executors -= executor.id
+        add("${executor.id}'", executor.capacity, executor.pool, executor.labels)
+    }
+
+    private fun restart(executor: VirtualExecutor) {
+        executor.incarnationStartMillis = nowMillis
+        executor.endNumber = 0
+        executor.highestPastAttempt.clear()
+        executor.highestEpoch = 0
+        executor.leaseEndMillis = 0
+        executor.reachable = true
+    }
+
     private fun checkStart(id: RunId) {
         starts += id
         val job = submittedJobs.getValue(id.task.job)
+        if (id.task in crashingTasks && (crashesByTask[id.task] ?: 0) >= ALLOWED_CRASHES) {
+            val count = startsAfterThirdCrash.merge(id.task, 1, Int::plus)!!
+            if (count > ALLOWED_LATE_STARTS) breaches += "$id starts $count times after its third crash"
+        }
         if (id.task in doneTasks) breaches += "$id starts although its task is done"
         val step = job.steps[id.task.step]
         val twice = executors.values.any { other -> other.runs.keys.any { it.task == id.task } }
--- /dev/null
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
@@ -0,0 +1,49 @@
+// A task that crashes each executor that starts it. It must be given up after a few crashes, while the jobs that shared
+// executors with it complete.
+
+package org.gypsumturn.batch.schedule
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import org.gypsumturn.batch.CrashNotice
+import org.gypsumturn.batch.VirtualFleet
+import org.gypsumturn.batch.job
+import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.model.TaskName
+import org.gypsumturn.batch.step
+
+class CrashingTaskTest : AnnotationSpec() {
+    /** Submits a job every [EVERY_MILLIS], the second of which has a crashing task. Returns the fleet after the run. */
+    private fun runWithCrashingTask(notice: CrashNotice, copies: Boolean): VirtualFleet {
+        val fleet = VirtualFleet(6)
+        fleet.crashNotice = notice
+        fleet.crashingTasks += TaskName(CRASHING_JOB.id, 0, 0, 1)
+        fleet.run(100)
+        repeat(20) { number ->
+            fleet.submit(job(number, step(count = 6, cpuMillis = 2_000).copy(speculative = copies)))
+            fleet.run(EVERY_MILLIS)
+        }
+        fleet.run(40_000)
+        return fleet
+    }
+
+    // Guards against: a task whose executors crash under it is started again without end, on executor after executor.
+    @Test
+    fun `a task that crashes each executor that starts it is given up and all other jobs complete`() {
+        CrashNotice.entries.forEach { notice ->
+            listOf(false, true).forEach { copies ->
+                val fleet = runWithCrashingTask(notice, copies)
+                fleet.breaches.shouldBeEmpty()
+                fleet.scheduler.jobs.filter { it.visiblePhase == JobPhase.FAILED }.map { it.job.id } shouldBe
+                    listOf(CRASHING_JOB.id)
+                fleet.completedMillis.size shouldBe 19
+            }
+        }
+    }
+
+    private companion object {
+        val CRASHING_JOB = job(1)
+        const val EVERY_MILLIS = 150L
+    }
+}
