Count crashes of executors against the tasks that they had just started

Cause: attempts were bounded by ends reported as failed only. A run that is lost with its executor has no such end, so nothing bounded its starts. Change: a crash counts against each task that the executor had not yet reported for a second. Planned ends (moves, upkeep, drained executors) are no crashes. Why it works: each crash that the holder learns of raises the count of the task at fault, while a task that only shared an executor with it survives its next start. Evidence: the two tests of CrashingTaskTest with crashes that are noticed failed before and pass; the one with silent crashes is still red and listed.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
@@ -73,10 +73,12 @@
         }
         val down = machines.filter { it.state != MachineState.UP }.mapNotNullTo(HashSet()) { it.executor }
         val present = machines.mapNotNullTo(HashSet()) { it.executor } - down
+        val planned = machines.filter { it.state == MachineState.MOVING || it.state == MachineState.UPKEEP }
+            .mapNotNullTo(HashSet()) { it.executor }
         scheduler.executors.values
             .filter { hasEnded(nowMillis, it, down, present) }
             .map { it.record.id }
-            .forEach { id -> scheduler.onExecutorGone(nowMillis, id) }
+            .forEach { id -> scheduler.onExecutorGone(nowMillis, id, planned = id in planned) }
     }
 
     /**
@@ -255,7 +257,7 @@
         openOrder.stage = MachineOrderStage.CARRIED_OUT
         openOrder.carriedOutMillis = nowMillis
         val order = openOrder.order
-        if (openOrder.endsExecutor) order.executor?.let { scheduler.onExecutorGone(nowMillis, it) }
+        if (openOrder.endsExecutor) order.executor?.let { scheduler.onExecutorGone(nowMillis, it, planned = true) }
         if (order is MachineOrder.Upkeep) {
             val progress = waves[order.wave] ?: return
             progress.done += order.machine
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -55,7 +55,7 @@
     private val registry = ExecutorRegistry(settings, epoch, log)
     private val recovery = TakeoverRecovery()
     private val faultDetector = FaultyExecutorDetector(registry, log)
-    private val reportHandler = ExecutorReportHandler(this, registry, faultDetector, log)
+    private val reportHandler = ExecutorReportHandler(this, registry, faultDetector, CrashAttribution(this, log), log)
     private val adviceCache = PlacementAdviceCache(log)
     private val starter = TaskStarter(epoch, adviceCache, registry, log, stepOrder)
     private var configuration: FleetConfiguration? = null
@@ -119,12 +119,16 @@
         registry.onUnlisted(nowMillis, id)
     }
 
-    /** Handles that executor [id] no longer runs: its runs have ended, and their tasks may be started elsewhere. */
-    public fun onExecutorGone(nowMillis: Long, id: InstanceId) {
+    /**
+     * Handles that executor [id] no longer runs: its runs have ended, and their tasks may be started elsewhere.
+     * [planned] tells that its machine was moved or taken down on purpose; otherwise it has crashed, unless it was
+     * draining.
+     */
+    public fun onExecutorGone(nowMillis: Long, id: InstanceId, planned: Boolean) {
         recovery.markSeen(id)
         val executor = registry.executors[id] ?: return
         log("executor gone", arrayOf("executor" to id, "runs" to executor.runs.size))
-        reportHandler.onIncarnationEnded(nowMillis, executor)
+        reportHandler.onIncarnationEnded(nowMillis, executor, planned || hasPlannedEnd(executor))
         faultDetector.forget(executor)
         registry.removeExecutor(executor)
     }
@@ -243,17 +247,19 @@
                 if (!wasUsable) stalePools += executor.record.pool
             }
 
-            PollResult.AddressReused -> onExecutorGone(nowMillis, id)
+            PollResult.AddressReused -> onExecutorGone(nowMillis, id, planned = false)
 
             PollResult.NoReport -> Unit
         }
     }
 
     private fun handleNewIncarnation(nowMillis: Long, executor: ExecutorState) {
-        reportHandler.onIncarnationEnded(nowMillis, executor)
+        reportHandler.onIncarnationEnded(nowMillis, executor, hasPlannedEnd(executor))
         faultDetector.forget(executor)
     }
 
+    private fun hasPlannedEnd(executor: ExecutorState) = executor.terminating || executor.record.draining
+
     /** Handles the answer to the start of [run], or its failure. */
     public fun onStartAnswered(nowMillis: Long, run: Run, verdict: Verdict<OrderAnswer>) {
         if (run.executor.runs[run.id] !== run) return
@@ -261,7 +267,7 @@
             StartResult.STARTED -> onRunStarted(run)
             StartResult.NOT_STARTED -> onRunNotStarted(nowMillis, run)
             StartResult.MAY_START_LATE -> stopRun(run, "an earlier start order for it may still be carried out")
-            StartResult.EXECUTOR_GONE -> onExecutorGone(nowMillis, run.executor.record.id)
+            StartResult.EXECUTOR_GONE -> onExecutorGone(nowMillis, run.executor.record.id, planned = false)
             StartResult.OPEN -> Unit
         }
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -21,6 +21,7 @@
     private val scheduler: BatchScheduler,
     private val registry: ExecutorRegistry,
     private val faultDetector: FaultyExecutorDetector,
+    private val crashAttribution: CrashAttribution,
     private val log: DecisionLog,
 ) {
     /** Returns the number of failed attempts of one task with which the given job fails. */
@@ -162,8 +163,15 @@
         }
     }
 
-    /** Removes all runs of an executor that has ended or restarted. */
-    fun onIncarnationEnded(nowMillis: Long, executor: ExecutorState) {
+    /**
+     * Removes all runs of an executor that has ended or restarted. Unless [planned], it has crashed with these runs.
+     */
+    fun onIncarnationEnded(nowMillis: Long, executor: ExecutorState, planned: Boolean) {
+        if (!planned) crashAttribution.onExecutorCrashed(nowMillis, executor)
+        removeRuns(nowMillis, executor)
+    }
+
+    private fun removeRuns(nowMillis: Long, executor: ExecutorState) {
         executor.runs.values.toList().forEach { run ->
             log(
                 "run lost",
@@ -181,7 +189,7 @@
     /** Removes all runs of a silent executor, since all of their leases have lapsed. */
     fun onLeasesLapsed(nowMillis: Long, executor: ExecutorState) {
         log("leases lapsed", arrayOf("executor" to executor.record.id, "runs" to executor.runs.size))
-        onIncarnationEnded(nowMillis, executor)
+        removeRuns(nowMillis, executor)
     }
 
     /** Removes a run that is not on its executor. Its task waits to be started again unless it is done. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -83,12 +83,27 @@
      * has capacity, and never for a copy.
      */
     private fun chooseExecutorFor(task: Task, candidates: List<ExecutorState>): ExecutorState? {
-        if (task.runs.isEmpty() && task.failedOn.isEmpty()) return chooseExecutor(task.step, candidates)
+        if (task.runs.isEmpty() && task.failedOn.isEmpty() && !task.suspected) {
+            return chooseExecutor(task.step, candidates)
+        }
         val others = candidates.filter { candidate -> task.runs.none { it.executor === candidate } }
+        if (task.suspected) return chooseExecutorForSuspect(task, others)
         return chooseExecutor(task.step, others.filter { it.record.id !in task.failedOn })
             ?: chooseExecutor(task.step, others).takeIf { task.runs.isEmpty() }
     }
 
+    /**
+     * Chooses an executor for a task that may crash it: one with the fewest other suspected tasks, so that a further
+     * crash tells them apart, and among these one with the fewest runs, which would be lost with it.
+     */
+    private fun chooseExecutorForSuspect(task: Task, candidates: List<ExecutorState>): ExecutorState? {
+        val order = compareBy<ExecutorState>(
+            { executor -> executor.runs.values.count { it.task.suspected && !it.survivedStart } },
+            { executor -> executor.runs.size },
+        )
+        return candidates.sortedWith(order).firstOrNull { chooseExecutor(task.step, listOf(it)) != null }
+    }
+
     /** Starts all members of a gang, or none of them if they do not all fit. */
     private fun placeGang(nowMillis: Long, step: StepState, waiting: List<Task>, candidates: List<ExecutorState>) {
         if (waiting.size != step.tasks.size) return
@@ -119,6 +134,7 @@
         task.highestAttempt = attempt
         task.addRun(run)
         executor.addRun(run)
+        if (task.crashes.atStart.size >= CrashAttribution.TRIAL_CRASHES) executor.trial = run
         sendStart(nowMillis, run)
         log(
             "task started",
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -66,6 +66,9 @@
     /** It gets no new runs before this time. */
     public var avoidUntilMillis: Long = 0
 
+    /** The run that is on trial here, if any. While it has not survived its start, the executor gets no other runs. */
+    public var trial: Run? = null
+
     /**
      * Until this time it gets no new runs, because it refused one for lack of capacity although its counted capacity
      * seemed enough.
@@ -99,7 +102,8 @@
     /** Whether new runs may be sent to it at [nowMillis]. */
     public fun canTakeNewRuns(nowMillis: Long): Boolean =
         (listed || nowMillis < presumedListedUntilMillis) && knowsEpoch && !record.draining && !cordoned &&
-            unreachableSinceMillis == null && avoidUntilMillis <= nowMillis && clockMillis != null
+            unreachableSinceMillis == null && avoidUntilMillis <= nowMillis && clockMillis != null &&
+            trial?.survivedStart != false
 
     /** Adds a run that may be on the executor and reserves capacity for it. */
     public fun addRun(run: Run) {
@@ -109,6 +113,7 @@
     /** Removes a run that is no longer on the executor and releases its capacity. */
     public fun removeRun(run: Run) {
         if (runs.remove(run.id) != null) used -= run.reservedSize
+        if (trial === run) trial = null
     }
 
     /** Records the executor's clock, which was read at [nowMillis] or shortly before. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -12,6 +12,9 @@
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.Revision
 
+/** Time for which an executor must report a run before it counts as having survived the start of the task. */
+private const val START_SURVIVED_MILLIS = 1_000L
+
 /** Phase of a run as the scheduler knows it. */
 public enum class RunPhase { STARTING, RUNNING, STOPPING }
 
@@ -43,6 +46,9 @@
     /** Time for which the executor has reported the run; it may have gone on for longer since the last report. */
     public val survivedMillis: Long get() = firstSeenClockMillis?.let { lastReportClockMillis - it } ?: 0
 
+    /** Whether the executor has reported the run for so long that the start of the task has not crashed it. */
+    public val survivedStart: Boolean get() = survivedMillis >= START_SURVIVED_MILLIS
+
     /** Time that the run took for its present progress. */
     public val progressDurationMillis: Long get() = firstSeenClockMillis?.let { progressChangedClockMillis - it } ?: 0
 
@@ -116,6 +122,9 @@
     /** Numbers of the attempts that failed. */
     public val failedAttempts: MutableSet<Long> = HashSet(0)
 
+    /** Crashes of executors on which the task ran. */
+    public val crashes: CrashHistory = CrashHistory()
+
     public var checkpoint: String = ""
 
     /** Executors on which the task failed. Others are preferred. */
@@ -124,6 +133,9 @@
     /** The task is not started before this time. */
     public var notBeforeMillis: Long = 0
 
+    /** Whether the task may crash the executors that start it. */
+    public val suspected: Boolean get() = crashes.atStart.isNotEmpty()
+
     /** Time at which the last run of the task ended; 0 if there was none. */
     public var idleSinceMillis: Long = 0
 
@@ -154,7 +166,9 @@
     public fun needsRun(nowMillis: Long): Boolean =
         !done && notBeforeMillis <= nowMillis && (runs.isEmpty() || needsCopy())
 
-    private fun needsCopy() = step.step.speculative && runs.size == 1 && runs.single().doubtful
+    // A copy of a task that may be crashing its executors would crash another one before the first crash is known.
+    private fun needsCopy() =
+        step.step.speculative && crashes.atStart.isEmpty() && runs.size == 1 && runs.single().doubtful
 }
 
 /** State of [step], which has number [index], in one occurrence of [job]. */
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -425,7 +425,7 @@
         executor.reachable = false
         when (crashNotice) {
             CrashNotice.LISTED -> {
-                after(LIST_DELAY_MILLIS) { scheduler.onExecutorGone(nowMillis, executor.id) }
+                after(LIST_DELAY_MILLIS) { scheduler.onExecutorGone(nowMillis, executor.id, planned = false) }
                 after(LIST_DELAY_MILLIS) { scheduler.onExecutorUnlisted(nowMillis, executor.id) }
                 after(RESTART_MILLIS) { replace(executor) }
             }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
@@ -28,18 +28,32 @@
         return fleet
     }
 
+    private fun checkGivenUp(notice: CrashNotice) {
+        listOf(false, true).forEach { copies ->
+            val fleet = runWithCrashingTask(notice, copies)
+            fleet.breaches.shouldBeEmpty()
+            fleet.scheduler.jobs.filter { it.visiblePhase == JobPhase.FAILED }.map { it.job.id } shouldBe
+                listOf(CRASHING_JOB.id)
+            fleet.completedMillis.size shouldBe 19
+        }
+    }
+
     // Guards against: a task whose executors crash under it is started again without end, on executor after executor.
     @Test
     fun `a task that crashes each executor that starts it is given up and all other jobs complete`() {
-        CrashNotice.entries.forEach { notice ->
-            listOf(false, true).forEach { copies ->
-                val fleet = runWithCrashingTask(notice, copies)
-                fleet.breaches.shouldBeEmpty()
-                fleet.scheduler.jobs.filter { it.visiblePhase == JobPhase.FAILED }.map { it.job.id } shouldBe
-                    listOf(CRASHING_JOB.id)
-                fleet.completedMillis.size shouldBe 19
-            }
-        }
+        checkGivenUp(CrashNotice.LISTED)
+    }
+
+    // Guards against: the same with executors that are back before anything tells that they were down.
+    @Test
+    fun `a task is given up too when its executors restart under the same ids`() {
+        checkGivenUp(CrashNotice.SAME_ID)
+    }
+
+    // Guards against: the same with executors of which nothing tells that they crashed, so that their leases lapse.
+    @Test
+    fun `a task is given up too when its executors crash and nothing tells of it`() {
+        checkGivenUp(CrashNotice.SILENT)
     }
 
     private companion object {
