Store the suspicion against tasks, and count silent executors as possible crashes

What callers saw: with executors that crash and answer nobody, or holders that are replaced, a task went on crashing executors without end even when crashes were counted. Cause: two ways in which the knowledge was lost. An executor that falls silent ends by its leases, which is not known to be a crash; and the count was in the memory of the holder alone. Change: tasks that an executor had only just started when it fell silent are suspected at once, and that is stored. A suspected task is started only after its attempt is stored as open; an attempt of which no executor ever tells an end counts as a possible crash, and the third ends the job. An executor that comes back in the same incarnation clears its tasks. Why it works: what is stored before a start outlives the holder, so that each lost holder costs no uncounted crash but one within the time of a write.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -55,9 +55,10 @@
     private val registry = ExecutorRegistry(settings, epoch, log)
     private val recovery = TakeoverRecovery()
     private val faultDetector = FaultyExecutorDetector(registry, log)
-    private val reportHandler = ExecutorReportHandler(this, registry, faultDetector, CrashAttribution(this, log), log)
+    private val crashAttribution = CrashAttribution(this, log)
+    private val reportHandler = ExecutorReportHandler(this, registry, faultDetector, crashAttribution, log)
     private val adviceCache = PlacementAdviceCache(log)
-    private val starter = TaskStarter(epoch, adviceCache, registry, log, stepOrder)
+    private val starter = TaskStarter(epoch, adviceCache, registry, crashAttribution, ::markChanged, log, stepOrder)
     private var configuration: FleetConfiguration? = null
 
     /**
@@ -337,7 +338,10 @@
             }
             .take(limit)
             .toList()
-        expired.forEach { jobsById.remove(it.job.id) }
+        expired.forEach {
+            jobsById.remove(it.job.id)
+            crashAttribution.forget(it)
+        }
         return expired
     }
 
@@ -365,6 +369,7 @@
             stalePools += pool
         }
         addDueOccurrences(nowMillis, wallMillis)
+        registry.takeNewlyLost().forEach(crashAttribution::onExecutorLost)
         registry.findLapsedExecutors(nowMillis).forEach { executor ->
             recovery.markSeen(executor.record.id)
             reportHandler.onLeasesLapsed(nowMillis, executor)
@@ -377,7 +382,10 @@
             registry.takeDueRetries(nowMillis).forEach { repeatOrder(nowMillis, it) }
             if (nowMillis - lagCheckedMillis >= LAG_CHECK_INTERVAL_MILLIS) moveLaggingRuns(nowMillis)
         }
-        if (mayStart) placeWaitingTasks(nowMillis, if (valid) nowMillis else nowMillis - overdueMillis)
+        if (mayStart) {
+            starter.releaseHeldStarts(nowMillis).forEach { onRunNotStarted(nowMillis, it) }
+            placeWaitingTasks(nowMillis, if (valid) nowMillis else nowMillis - overdueMillis)
+        }
         registry.enqueueDuePolls(nowMillis, leaseMillis.takeIf { mayStart })
         return registry.takeOrders(mayStart)
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
@@ -3,6 +3,9 @@
 // it had run for longer hardly are. Suspected tasks are started apart from each other, and a task that is suspected
 // twice is on trial: its executor starts nothing else until the task has survived its start. A job is given up when the
 // evidence against one of its tasks is clear, or when too many executors have crashed under the task.
+//
+// A silent executor may have crashed or be cut off. Until it is known which, its just started tasks are suspected too.
+// That is stored as soon as the executor falls silent, and before each start of a suspected task.
 
 package org.gypsumturn.batch.schedule
 
@@ -10,50 +13,118 @@
 import org.gypsumturn.batch.state.ExecutorState
 import org.gypsumturn.batch.state.JobState
 import org.gypsumturn.batch.state.Run
+import org.gypsumturn.batch.state.Task
 
 /** Attributes crashes to the jobs of [scheduler], and ends jobs whose tasks crash executors. */
 internal class CrashAttribution(private val scheduler: BatchScheduler, private val log: DecisionLog) {
-    /** Records the crash of [executor] against the runs on it, which must still be known. */
+    /** Just started runs that were lost in one crash, for each crash that no given-up job explains. */
+    private val unexplainedCrashes = ArrayList<List<Run>>()
+
+    /** Jobs that this holder has given up, whose lost runs explain crashes. */
+    private val givenUpJobs = HashSet<JobState>()
+
+    /** Suspects the tasks that [executor] had only just started when it fell silent. */
+    fun onExecutorLost(executor: ExecutorState) {
+        openRuns(executor).filter { !it.survivedStart && !it.task.step.job.phase.ended }.forEach { run ->
+            run.task.crashes.unresolved += run.id.attempt
+            scheduler.markChanged(run.task.step.job)
+        }
+    }
+
+    /** Records the crash of [executor] against the runs that were on it. */
     fun onExecutorCrashed(nowMillis: Long, executor: ExecutorState) {
-        val runs = executor.runs.values.filter { !it.task.done && !it.task.step.job.phase.ended }
+        val runs = openRuns(executor)
         val suspects = runs.filter { !it.survivedStart }
-        suspects.forEach { it.task.crashes.atStart += it.id.attempt }
+        if (suspects.any { it.task.step.job in givenUpJobs }) {
+            suspects.forEach { clear(it.task, it.id.attempt) }
+            return
+        }
+        suspects.forEach { run ->
+            run.task.crashes.unresolved -= run.id.attempt
+            run.task.crashes.atStart += run.id.attempt
+        }
         runs.filter { it.survivedStart && !it.task.step.step.longRunning }
             .forEach { it.task.crashes.later += it.id.attempt }
-        runs.mapTo(LinkedHashSet()) { it.task.step.job }.forEach { scheduler.markChanged(it) }
-        val twiceSuspected = suspects.filter { it.task.crashes.atStart.size >= TRIAL_CRASHES }
-        val onlyJob = twiceSuspected.mapTo(HashSet()) { it.task.step.job }.singleOrNull()
-        runs.filter { it.task.crashes.count >= MAX_CRASHES || (it in twiceSuspected && isAtFault(it, onlyJob)) }
-            .forEach { giveUp(nowMillis, it) }
+        runs.mapTo(LinkedHashSet()) {
+            it.task.step.job
+        }.filter { !it.phase.ended }.forEach { scheduler.markChanged(it) }
+        if (suspects.isNotEmpty()) unexplainedCrashes += suspects
+        val suspectedBefore = suspects.filter { it.task.crashes.suspicion >= TRIAL_SUSPICION }
+        val onlyJob = suspectedBefore.mapTo(HashSet()) { it.task.step.job }.singleOrNull()
+        suspectedBefore.firstOrNull { isAtFault(it, onlyJob, runs) }?.let { giveUp(nowMillis, it.task) }
+        runs.filter { isExhausted(it.task) }.forEach { giveUp(nowMillis, it.task) }
+    }
+
+    /** Runs of tasks that are not done whose start was sent to the present incarnation of [executor]. */
+    private fun openRuns(executor: ExecutorState): List<Run> =
+        (executor.runs.values + executor.lapsedRuns).filter { it.orderedMillis != null && !it.task.done }
+
+    /** Records that attempt number [attempt] of [task] has not crashed its executor. */
+    fun clear(task: Task, attempt: Long) {
+        if (attempt !in task.crashes.unresolved) return
+        task.crashes.unresolved -= attempt
+        if (!task.step.job.phase.ended) scheduler.markChanged(task.step.job)
     }
 
+    /** Whether so many executors have crashed under [task] that it must not be started again. */
+    fun isExhausted(task: Task): Boolean = task.crashes.suspicion >= MAX_SUSPICION || task.crashes.count >= MAX_CRASHES
+
     /**
      * Whether [run] is the cause of the crash of its executor beyond reasonable doubt: its job is the only one on the
      * executor with a task that was suspected before, and no other job's task was started there at about the same time
-     * or later.
+     * or later. [runs] are all runs that were on the executor.
      */
-    private fun isAtFault(run: Run, onlySuspectedBefore: JobState?): Boolean {
+    private fun isAtFault(run: Run, onlyJobSuspectedBefore: JobState?, runs: List<Run>): Boolean {
         val job = run.task.step.job
-        return job === onlySuspectedBefore && run.executor.runs.values.none {
-            it.task.step.job !== job && it.startedMillis > run.startedMillis - SIMULTANEOUS_MILLIS
+        val orderedMillis = run.orderedMillis ?: return false
+        return job === onlyJobSuspectedBefore && runs.none {
+            it.task.step.job !== job && it.orderedMillis!! > orderedMillis - SIMULTANEOUS_MILLIS
         }
     }
 
-    private fun giveUp(nowMillis: Long, run: Run) {
-        val job = run.task.step.job
+    /** Ends the job of [task] as failed. */
+    fun giveUp(nowMillis: Long, task: Task) {
+        val job = task.step.job
         if (job.phase.ended) return
         log(
             "job hopeless",
-            arrayOf("job" to job.job.id, "task" to run.task.name, "crashes" to run.task.crashes.count),
+            arrayOf(
+                "job" to job.job.id,
+                "task" to task.name,
+                "crashes" to task.crashes.count,
+                "suspected" to task.crashes.unresolved.size,
+            ),
         )
         scheduler.endJob(nowMillis, job, JobPhase.FAILED)
+        givenUpJobs += job
+        clearOthersInCrashesOf(job)
+    }
+
+    /** Clears the other tasks that were lost in crashes which [job] explains. */
+    private fun clearOthersInCrashesOf(job: JobState) {
+        val (explained, open) = unexplainedCrashes.partition { crash -> crash.any { it.task.step.job === job } }
+        unexplainedCrashes.clear()
+        unexplainedCrashes += open
+        explained.flatten().filter { !it.task.step.job.phase.ended }.forEach { run ->
+            run.task.crashes.atStart -= run.id.attempt
+            scheduler.markChanged(run.task.step.job)
+        }
+    }
+
+    /** Drops what is kept of [job], whose state is no longer needed. */
+    fun forget(job: JobState) {
+        givenUpJobs -= job
+        unexplainedCrashes.removeAll { crash -> crash.all { it.task.step.job === job || it.task.step.job.phase.ended } }
     }
 
     companion object {
-        /** Crashes soon after a start of the task, from which on the task is on trial. */
-        const val TRIAL_CRASHES = 2
+        /** Number of executors that a task may have crashed, from which on it is on trial. */
+        const val TRIAL_SUSPICION = 2
+
+        /** Number of executors that a task may have crashed by its start, at which its job is given up in any case. */
+        private const val MAX_SUSPICION = 3
 
-        /** Crashes after which a job is given up however unclear the evidence is. */
+        /** Number of crashes, soon after the start or later, at which the job is given up in any case. */
         private const val MAX_CRASHES = 5
 
         /** Starts within this time of each other can't be told apart by which of them the crash followed. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -45,9 +45,14 @@
     private val endedById = HashMap<InstanceId, Incarnation>()
     private var outageSettledMillis = Long.MIN_VALUE
 
+    private val newlyLost = ArrayList<ExecutorState>()
+
     var fencedOff = false
         private set
 
+    /** Removes and returns the executors that have been lost since the last call. */
+    fun takeNewlyLost(): List<ExecutorState> = newlyLost.toList().also { newlyLost.clear() }
+
     fun enqueueOrder(order: ExecutorOrder) {
         orders += order
     }
@@ -213,6 +218,7 @@
         executor.failedCalls++
         if (executor.unreachableSinceMillis != null || executor.failedCalls < FAILED_CALLS_UNTIL_LOST) return
         executor.unreachableSinceMillis = nowMillis
+        newlyLost += executor
         log(
             "executor lost",
             arrayOf("executor" to executor.record.id, "call" to call, "runs" to executor.runs.size),
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -32,6 +32,8 @@
             executor.lastHandledEndNumber = end.endNumber
             onRunEnded(nowMillis, executor, report.clockMillis, end)
         }
+        executor.lapsedRuns.forEach { crashAttribution.clear(it.task, it.id.attempt) }
+        executor.lapsedRuns.clear()
         val listed = HashSet<Any>()
         report.running.forEach { listedRun ->
             listed += listedRun.run
@@ -51,6 +53,7 @@
             return
         }
         logEnd(executor, end)
+        crashAttribution.clear(task, end.run.attempt)
         task.highestAttempt = maxOf(task.highestAttempt, end.run.attempt)
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
         task.idleSinceMillis = nowMillis
@@ -122,6 +125,7 @@
         val run = executor.runs[listedRun.run] ?: adoptRun(nowMillis, executor, listedRun) ?: return
         if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
         run.recordReport(clockMillis, listedRun.percent)
+        if (run.survivedStart) crashAttribution.clear(run.task, run.id.attempt)
         run.load = listedRun.load
         if (listedRun.checkpoint.isNotEmpty()) run.task.checkpoint = listedRun.checkpoint
     }
@@ -139,6 +143,7 @@
         val run = Run(listedRun.run, task, executor, nowMillis)
         run.phase = RunPhase.RUNNING
         run.confirmedClockMillis = Long.MIN_VALUE
+        run.orderedMillis = nowMillis
         task.highestAttempt = maxOf(task.highestAttempt, listedRun.run.attempt)
         task.addRun(run)
         executor.addRun(run)
@@ -168,10 +173,13 @@
      */
     fun onIncarnationEnded(nowMillis: Long, executor: ExecutorState, planned: Boolean) {
         if (!planned) crashAttribution.onExecutorCrashed(nowMillis, executor)
-        removeRuns(nowMillis, executor)
+        executor.lapsedRuns.forEach { crashAttribution.clear(it.task, it.id.attempt) }
+        executor.lapsedRuns.clear()
+        logLostRuns(executor)
+        executor.runs.values.toList().forEach { removeRun(nowMillis, it) }
     }
 
-    private fun removeRuns(nowMillis: Long, executor: ExecutorState) {
+    private fun logLostRuns(executor: ExecutorState) {
         executor.runs.values.toList().forEach { run ->
             log(
                 "run lost",
@@ -182,18 +190,33 @@
                     "survived_ms" to run.survivedMillis,
                 ),
             )
-            removeRun(nowMillis, run)
         }
     }
 
-    /** Removes all runs of a silent executor, since all of their leases have lapsed. */
+    /**
+     * Removes all runs of a silent executor, since all of their leases have lapsed. Whether the executor has crashed
+     * stays open.
+     */
     fun onLeasesLapsed(nowMillis: Long, executor: ExecutorState) {
         log("leases lapsed", arrayOf("executor" to executor.record.id, "runs" to executor.runs.size))
-        removeRuns(nowMillis, executor)
+        logLostRuns(executor)
+        executor.runs.values.toList().forEach { run ->
+            if (run.orderedMillis == null) {
+                removeRun(nowMillis, run)
+            } else {
+                executor.lapsedRuns += run
+                detachRun(run)
+                run.task.idleSinceMillis = nowMillis
+            }
+        }
     }
 
-    /** Removes a run that is not on its executor. Its task waits to be started again unless it is done. */
+    /**
+     * Removes a run that is not on its executor, and has not crashed it. Its task waits to be started again unless it
+     * is done.
+     */
     fun removeRun(nowMillis: Long, run: Run) {
+        crashAttribution.clear(run.task, run.id.attempt)
         detachRun(run)
         run.task.idleSinceMillis = nowMillis
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/Placement.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/Placement.kt
@@ -30,7 +30,11 @@
     var best: ExecutorState? = null
     var bestScore = Double.MAX_VALUE
     for (executor in candidates) {
-        if (!step.reservedSize.fitsInto(freeOf(executor)) || !stepAllows(step, executor)) continue
+        if (executor.holdsTrial || !step.reservedSize.fitsInto(freeOf(executor)) ||
+            !stepAllows(step, executor)
+        ) {
+            continue
+        }
         val score = score(step, executor)
         if (score < bestScore) {
             best = executor
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -9,6 +9,7 @@
 import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.port.StartOrder
 import org.gypsumturn.batch.state.ExecutorState
+import org.gypsumturn.batch.state.JobState
 import org.gypsumturn.batch.state.Run
 import org.gypsumturn.batch.state.RunPhase
 import org.gypsumturn.batch.state.StepState
@@ -23,17 +24,25 @@
  */
 internal enum class StartResult { STARTED, NOT_STARTED, MAY_START_LATE, EXECUTOR_GONE, OPEN }
 
-/** Starts tasks on the executors of [registry]. */
+/**
+ * Starts tasks on the executors of [registry]. [recordChange] marks the progress of a job as changed and returns the
+ * number of the change.
+ */
 internal class TaskStarter(
     private val epoch: Epoch,
     private val adviceCache: PlacementAdviceCache,
     private val registry: ExecutorRegistry,
+    private val crashAttribution: CrashAttribution,
+    private val recordChange: (JobState) -> Long,
     private val log: DecisionLog,
     private val stepOrder: StepOrder,
 ) {
     /** Length of the lease that start orders give from now on. */
     var leaseMillis = 0L
 
+    /** Runs of suspected tasks whose starts are sent once the suspicion is stored. */
+    private val heldStarts = ArrayList<Run>()
+
     /** Starts waiting tasks of [steps] on the executors of [pool] that were known at [knownMillis]. */
     fun placePool(nowMillis: Long, knownMillis: Long, pool: PoolId, steps: List<WaitingStep>) {
         val candidates = registry.executors.values.filter {
@@ -60,7 +69,12 @@
         candidates: List<ExecutorState>,
         unplaceableSizes: MutableList<ResourceAmounts>,
     ) {
+        if (step.job.phase.ended) return
         val waiting = step.tasks.filter { it.needsRun(nowMillis) }
+        waiting.firstOrNull { it.runs.isEmpty() && crashAttribution.isExhausted(it) }?.let { exhausted ->
+            crashAttribution.giveUp(nowMillis, exhausted)
+            return
+        }
         if (step.step.gang) {
             placeGang(nowMillis, step, waiting, candidates)
             return
@@ -68,7 +82,7 @@
         for (task in waiting) {
             val executor = chooseExecutorFor(task, candidates)
             if (executor != null) {
-                startRun(nowMillis, task, executor, nextAttempt(task))
+                startRun(nowMillis, task, executor, nextAttempt(task), task.suspected)
             } else if (task.runs.isEmpty()) {
                 // The other tasks of the step are as large, so they do not fit either. A copy that cannot be placed
                 // proves nothing, since it must not run on the executor of its original.
@@ -94,14 +108,17 @@
 
     /**
      * Chooses an executor for a task that may crash it: one with the fewest other suspected tasks, so that a further
-     * crash tells them apart, and among these one with the fewest runs, which would be lost with it.
+     * crash tells them apart, and among these one with the fewest runs, which would be lost with it. A task on trial
+     * waits for an executor without other suspected tasks.
      */
     private fun chooseExecutorForSuspect(task: Task, candidates: List<ExecutorState>): ExecutorState? {
-        val order = compareBy<ExecutorState>(
-            { executor -> executor.runs.values.count { it.task.suspected && !it.survivedStart } },
-            { executor -> executor.runs.size },
-        )
-        return candidates.sortedWith(order).firstOrNull { chooseExecutor(task.step, listOf(it)) != null }
+        val suspects = candidates.associateWith { executor ->
+            executor.runs.values.count { it.task.suspected && !it.survivedStart }
+        }
+        val onTrial = task.crashes.suspicion >= CrashAttribution.TRIAL_SUSPICION
+        return candidates.filter { !onTrial || suspects[it] == 0 }
+            .sortedWith(compareBy({ suspects[it] }, { it.runs.size }))
+            .firstOrNull { chooseExecutor(task.step, listOf(it)) != null }
     }
 
     /** Starts all members of a gang, or none of them if they do not all fit. */
@@ -110,7 +127,8 @@
         val groups = if (step.step.sameRack) candidates.groupBy { it.record.rack }.values else listOf(candidates)
         val plan = groups.firstNotNullOfOrNull { gangPlan(step, it) } ?: gangPlan(step, candidates) ?: return
         val attempt = waiting.maxOf { nextAttempt(it) }
-        waiting.forEachIndexed { index, task -> startRun(nowMillis, task, plan[index], attempt) }
+        val anySuspected = waiting.any { it.suspected }
+        waiting.forEachIndexed { index, task -> startRun(nowMillis, task, plan[index], attempt, anySuspected) }
     }
 
     private fun gangPlan(step: StepState, candidates: List<ExecutorState>): List<ExecutorState>? {
@@ -128,14 +146,17 @@
 
     private fun nextAttempt(task: Task): Long = maxOf(task.highestAttempt + 1, task.firstAttempt)
 
-    /** Starts [task] on [executor] as attempt number [attempt]. */
-    fun startRun(nowMillis: Long, task: Task, executor: ExecutorState, attempt: Long) {
+    /**
+     * Starts [task] on [executor] as attempt number [attempt]. With [storeFirst] the attempt is stored as suspected
+     * before the start is sent, so that a later holder knows of it if the executor crashes.
+     */
+    private fun startRun(nowMillis: Long, task: Task, executor: ExecutorState, attempt: Long, storeFirst: Boolean) {
         val run = Run(RunId(task.name, attempt), task, executor, nowMillis)
         task.highestAttempt = attempt
         task.addRun(run)
         executor.addRun(run)
-        if (task.crashes.atStart.size >= CrashAttribution.TRIAL_CRASHES) executor.trial = run
-        sendStart(nowMillis, run)
+        if (task.crashes.suspicion >= CrashAttribution.TRIAL_SUSPICION) executor.trial = run
+        if (storeFirst) holdStart(run) else sendStart(nowMillis, run)
         log(
             "task started",
             arrayOf(
@@ -148,9 +169,29 @@
         )
     }
 
+    private fun holdStart(run: Run) {
+        run.task.crashes.unresolved += run.id.attempt
+        run.startAfterChange = recordChange(run.task.step.job)
+        heldStarts += run
+    }
+
+    /**
+     * Sends the held starts whose suspicion is stored. Returns the runs that can't be started any more, since their
+     * executors can't be used.
+     */
+    fun releaseHeldStarts(nowMillis: Long): List<Run> {
+        heldStarts.removeAll { it.executor.runs[it.id] !== it || it.phase != RunPhase.STARTING }
+        val due = heldStarts.filter { it.task.step.job.storedChangeNumber >= it.startAfterChange }
+        heldStarts.removeAll(due.toSet())
+        val (usable, unusable) = due.partition { it.executor.isUsable(nowMillis) }
+        usable.forEach { sendStart(nowMillis, it) }
+        return unusable
+    }
+
     private fun sendStart(nowMillis: Long, run: Run) {
         val executor = run.executor
         val leaseEndMillis = executor.leaseEndMillis(nowMillis, leaseMillis) ?: return
+        run.orderedMillis = run.orderedMillis ?: nowMillis
         executor.recordLeaseEnd(leaseEndMillis)
         val spec = run.task.step.job.job.spec
         val ticket = run.task.step.advice?.ticket(nowMillis, executor.record.id)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/CrashHistory.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/CrashHistory.kt
@@ -1,5 +1,6 @@
 // Crashes of executors under one task. An executor that crashes reports no end of its runs, so that these crashes are
-// counted apart from the ends that executors report as failed.
+// counted apart from the ends that executors report as failed. All of it is stored with the progress of the job, since
+// a later holder of the control lease has no other way to learn it.
 
 package org.gypsumturn.batch.state
 
@@ -11,6 +12,15 @@
     /** Attempts whose executor crashed after it had run the task for longer. */
     public var later: Set<Long> = emptySet()
 
-    /** Number of executors that have crashed under the task. */
+    /**
+     * Attempts that may have crashed their executor, as far as is known: it has been silent since shortly after their
+     * start, or the task is suspected and has not survived the start yet.
+     */
+    public var unresolved: Set<Long> = emptySet()
+
+    /** Number of executors that have crashed under the task, as far as is known for certain. */
     public val count: Int get() = atStart.size + later.size
+
+    /** Number of executors that the task may have crashed by its start. */
+    public val suspicion: Int get() = atStart.size + unresolved.size
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -66,6 +66,12 @@
     /** It gets no new runs before this time. */
     public var avoidUntilMillis: Long = 0
 
+    /**
+     * Runs of the present incarnation whose leases have lapsed while it was silent, so that it is not known how they
+     * ended.
+     */
+    public val lapsedRuns: MutableList<Run> = ArrayList(0)
+
     /** The run that is on trial here, if any. While it has not survived its start, the executor gets no other runs. */
     public var trial: Run? = null
 
@@ -99,11 +105,16 @@
 
     public val free: ResourceAmounts get() = record.capacity - used
 
-    /** Whether new runs may be sent to it at [nowMillis]. */
-    public fun canTakeNewRuns(nowMillis: Long): Boolean =
+    /** Whether new runs may be assigned to it at [nowMillis]. */
+    public fun canTakeNewRuns(nowMillis: Long): Boolean = isUsable(nowMillis) && !holdsTrial
+
+    /** Whether a run is on trial here that has not survived its start. */
+    public val holdsTrial: Boolean get() = trial?.survivedStart == false
+
+    /** Whether a run that is assigned to it may be sent to it at [nowMillis]. */
+    public fun isUsable(nowMillis: Long): Boolean =
         (listed || nowMillis < presumedListedUntilMillis) && knowsEpoch && !record.draining && !cordoned &&
-            unreachableSinceMillis == null && avoidUntilMillis <= nowMillis && clockMillis != null &&
-            trial?.survivedStart != false
+            unreachableSinceMillis == null && avoidUntilMillis <= nowMillis && clockMillis != null
 
     /** Adds a run that may be on the executor and reserves capacity for it. */
     public fun addRun(run: Run) {
@@ -149,6 +160,7 @@
         lastHandledEndNumber = 0
         acknowledgedEndNumber = 0
         pendingEnds.clear()
+        lapsedRuns.clear()
         knowsEpoch = false
     }
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -18,7 +18,7 @@
 /** Phase of a run as the scheduler knows it. */
 public enum class RunPhase { STARTING, RUNNING, STOPPING }
 
-/** One run of [task] on [executor], whose start was ordered at [startedMillis]. */
+/** One run of [task] on [executor], whose start was decided at [startedMillis]. */
 public class Run(
     public val id: RunId,
     public val task: Task,
@@ -27,6 +27,12 @@
 ) {
     public var phase: RunPhase = RunPhase.STARTING
 
+    /** Time at which its start was first sent; null while it waits until the suspicion against its task is stored. */
+    public var orderedMillis: Long? = null
+
+    /** Number of the change of the job's progress that must be stored before the start is sent. */
+    public var startAfterChange: Long = 0
+
     /** Progress as last reported. */
     public var percent: Int = 0
         private set
@@ -134,7 +140,7 @@
     public var notBeforeMillis: Long = 0
 
     /** Whether the task may crash the executors that start it. */
-    public val suspected: Boolean get() = crashes.atStart.isNotEmpty()
+    public val suspected: Boolean get() = crashes.suspicion > 0
 
     /** Time at which the last run of the task ended; 0 if there was none. */
     public var idleSinceMillis: Long = 0
@@ -166,9 +172,10 @@
     public fun needsRun(nowMillis: Long): Boolean =
         !done && notBeforeMillis <= nowMillis && (runs.isEmpty() || needsCopy())
 
-    // A copy of a task that may be crashing its executors would crash another one before the first crash is known.
+    // A copy of a task that is suspected for more than the run in doubt may crash another executor before it is known.
     private fun needsCopy() =
-        step.step.speculative && crashes.atStart.isEmpty() && runs.size == 1 && runs.single().doubtful
+        step.step.speculative && runs.size == 1 && runs.single().doubtful && crashes.suspicion <= 1 &&
+            crashes.atStart.isEmpty()
 }
 
 /** State of [step], which has number [index], in one occurrence of [job]. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
@@ -1,5 +1,5 @@
-// Stored progress of a job: its phase, the tasks that are done, and the attempts that failed. Everything else about a
-// job can be learned again from the executors.
+// Stored progress of a job: its phase, the tasks that are done, the attempts that failed, and those under which their
+// executor crashed or may have crashed. Everything else about a job can be learned again from the executors.
 
 package org.gypsumturn.batch.state
 
@@ -18,6 +18,10 @@
  *
  * @property done indices of the done tasks, by `occurrence.step`
  * @property failed numbers of the failed attempts, by `occurrence.step.index`
+ * @property crashedAtStart numbers of the attempts whose executor crashed soon after their start, by
+ * `occurrence.step.index`; likewise the next two
+ * @property crashedLater numbers of the attempts whose executor crashed later
+ * @property unresolved numbers of the attempts that may have crashed their executor
  * @property completed numbers of the complete occurrences
  */
 @Serializable
@@ -26,6 +30,9 @@
     public val done: Map<String, List<Int>> = emptyMap(),
     public val failed: Map<String, List<Long>> = emptyMap(),
     public val completed: List<Int> = emptyList(),
+    public val crashedAtStart: Map<String, List<Long>> = emptyMap(),
+    public val crashedLater: Map<String, List<Long>> = emptyMap(),
+    public val unresolved: Map<String, List<Long>> = emptyMap(),
 ) {
     /** Encodes the record as the value of its row. */
     public fun encode(): ByteArray = json.encodeToString(serializer(), this).encodeToByteArray()
@@ -44,19 +51,29 @@
 public fun progressRecordOf(job: JobState): ProgressRecord {
     if (job.phase.ended) return ProgressRecord(job.phase)
     val done = HashMap<String, List<Int>>()
-    val failed = HashMap<String, List<Long>>()
     for (occurrence in job.occurrences.values) {
         for (step in occurrence.steps) {
             val numbers = step.tasks.filter { it.done }.map { it.index }
             if (numbers.isNotEmpty()) done["${occurrence.number}.${step.index}"] = numbers
-            step.tasks.filter { it.failedAttempts.isNotEmpty() }.forEach {
-                failed["${occurrence.number}.${step.index}.${it.index}"] = it.failedAttempts.toList()
-            }
         }
     }
-    return ProgressRecord(job.phase, done, failed, job.completedOccurrences.toList())
+    return ProgressRecord(
+        job.phase,
+        done,
+        attemptsByTask(job) { it.failedAttempts },
+        job.completedOccurrences.toList(),
+        attemptsByTask(job) { it.crashes.atStart },
+        attemptsByTask(job) { it.crashes.later },
+        attemptsByTask(job) { it.crashes.unresolved },
+    )
 }
 
+/** The attempts that [attemptsOf] selects, by `occurrence.step.index` of their task. Tasks without any are left out. */
+private fun attemptsByTask(job: JobState, attemptsOf: (Task) -> Set<Long>): Map<String, List<Long>> =
+    job.occurrences.values.flatMap { it.steps }.flatMap { it.tasks }
+        .filter { attemptsOf(it).isNotEmpty() }
+        .associate { "${it.step.occurrence}.${it.step.index}.${it.index}" to attemptsOf(it).toList() }
+
 /** Applies the stored [record] to [job], and adds the occurrences that the record names. */
 public fun applyProgress(job: JobState, record: ProgressRecord, nowMillis: Long) {
     job.phase = record.phase
@@ -69,13 +86,23 @@
             task?.markDone()
         }
     }
-    record.failed.forEach { (place, attempts) ->
+    applyAttempts(job, record.failed, nowMillis) { task, attempts -> task.failedAttempts += attempts }
+    applyAttempts(job, record.crashedAtStart, nowMillis) { task, attempts -> task.crashes.atStart += attempts }
+    applyAttempts(job, record.crashedLater, nowMillis) { task, attempts -> task.crashes.later += attempts }
+    applyAttempts(job, record.unresolved, nowMillis) { task, attempts -> task.crashes.unresolved += attempts }
+}
+
+private fun applyAttempts(
+    job: JobState,
+    attemptsByTask: Map<String, List<Long>>,
+    nowMillis: Long,
+    apply: (Task, List<Long>) -> Unit,
+) {
+    attemptsByTask.forEach { (place, attempts) ->
         val (occurrence, step, index) = place.split('.').map { it.toInt() }
-        val task = job.findOrAddTask(TaskName(job.job.id, occurrence, step, index), nowMillis)
-        if (task != null) {
-            task.failedAttempts += attempts
-            task.highestAttempt = maxOf(task.highestAttempt, attempts.max())
-        }
+        val task = job.findOrAddTask(TaskName(job.job.id, occurrence, step, index), nowMillis) ?: return@forEach
+        apply(task, attempts)
+        task.highestAttempt = maxOf(task.highestAttempt, attempts.max())
     }
 }
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
@@ -3,6 +3,7 @@
 
 package org.gypsumturn.batch.schedule
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
@@ -12,6 +13,7 @@
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.model.TaskName
 import org.gypsumturn.batch.step
+import kotlin.random.Random
 
 class CrashingTaskTest : AnnotationSpec() {
     /** Submits a job every [EVERY_MILLIS], the second of which has a crashing task. Returns the fleet after the run. */
@@ -56,6 +58,41 @@
         checkGivenUp(CrashNotice.SILENT)
     }
 
+    /** Plays a random day on which new holders take over again and again while tasks crash executors. */
+    private fun simulateTakeovers(seed: Long): VirtualFleet {
+        val random = Random(seed)
+        val fleet = VirtualFleet(8)
+        fleet.crashNotice = CrashNotice.entries[random.nextInt(CrashNotice.entries.size)]
+        val crashing = List(1 + random.nextInt(2)) { random.nextInt(12) }.toSet()
+        crashing.forEach { fleet.crashingTasks += TaskName(job(it).id, 0, 0, random.nextInt(4)) }
+        fleet.run(100)
+        repeat(12) { number ->
+            fleet.submit(job(number, step(count = 4, cpuMillis = 2_000).copy(speculative = random.nextBoolean())))
+            fleet.run(random.nextLong(50, 600))
+        }
+        repeat(4) { number ->
+            fleet.run(random.nextLong(200, 6_000))
+            fleet.takeOver(2L + number)
+        }
+        fleet.run(60_000)
+        return fleet
+    }
+
+    // Guards against: a new holder counts from zero, so that each takeover allows a task to crash more executors.
+    @Test
+    fun `crashes are still counted after takeovers, and no other job is given up`() {
+        (1L..60L).forEach { seed ->
+            val fleet = simulateTakeovers(seed)
+            val crashing = fleet.crashingTasks.map { it.job }.toSet()
+            withClue("seed $seed") {
+                fleet.breaches.shouldBeEmpty()
+                fleet.scheduler.jobs.filter { it.visiblePhase == JobPhase.FAILED }.map { it.job.id }.toSet() shouldBe
+                    crashing
+                fleet.scheduler.activeJobs.shouldBeEmpty()
+            }
+        }
+    }
+
     private companion object {
         val CRASHING_JOB = job(1)
         const val EVERY_MILLIS = 150L
