Count the capacity of runs that no job needs until they have ended

What callers see: on executors that start whatever they are told to, more runs than there is room for, all of them slower. Cause: a holder that finds a run of an ended job orders its stop, but never reserved capacity for it, and fills its place at once. Change: the sizes of reported runs that no job needs count as used until a report no longer lists them, and an executor with such runs is polled like one with runs. Why it works: placement takes its room from what is used, which now holds all that the executor has reported. Evidence: ExecutorCapacityTest, 'a run of an ended job takes up capacity until it has stopped', failed before with 'exceeds the capacity of x0'.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/model/BatchJob.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/model/BatchJob.kt
@@ -74,6 +74,12 @@
     public val fills: Boolean = false,
     public val mayMiss: Int = 0,
 ) {
+    /**
+     * Capacity that is reserved for one task. No processors are reserved for steps that only use what others leave
+     * idle.
+     */
+    public val reservedSize: ResourceAmounts get() = if (fills) size.copy(cpuMillis = 0) else size
+
     /** A one-line summary of the step for the log. */
     public fun describe(): String = buildString {
         append("$count x ${size.cpuMillis}m/${size.memoryMb}M ${estimateMillis}ms")
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -255,14 +255,16 @@
         executor.unreachableSinceMillis != null -> executor.lastPollMillis + SchedulerSettings.RETRY_MILLIS
         !executor.knowsEpoch || executor.failedCalls > 0 -> 0
         executor.pendingEnds.isNotEmpty() -> executor.lastPollMillis + SchedulerSettings.POLL_GAP_MILLIS
-        executor.runs.isNotEmpty() || executor.acknowledgeableEndNumber() > executor.acknowledgedEndNumber -> 0
+        executor.runs.isNotEmpty() || executor.hasUnwantedRuns -> 0
+        executor.acknowledgeableEndNumber() > executor.acknowledgedEndNumber -> 0
         else -> executor.lastPollMillis + SchedulerSettings.IDLE_POLL_MILLIS
     }
 
     private fun enqueuePoll(nowMillis: Long, executor: ExecutorState, leaseMillis: Long?) {
         val reachable = executor.unreachableSinceMillis == null
         val extend = reachable && executor.knowsEpoch && executor.runs.isNotEmpty()
-        val busy = extend && executor.failedCalls == 0
+        val awaitsEnds = reachable && executor.knowsEpoch && (executor.runs.isNotEmpty() || executor.hasUnwantedRuns)
+        val busy = awaitsEnds && executor.failedCalls == 0
         val leaseEndMillis = leaseMillis?.takeIf { extend }?.let { executor.leaseEndMillis(nowMillis, it) }
         leaseEndMillis?.let(executor::recordLeaseEnd)
         executor.acknowledgedEndNumber = executor.acknowledgeableEndNumber()
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -7,7 +7,9 @@
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.model.ReportedRun
 import org.gypsumturn.batch.model.ReportedRunEnd
+import org.gypsumturn.batch.model.ResourceAmounts
 import org.gypsumturn.batch.model.RunEnd
+import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.state.ExecutorState
 import org.gypsumturn.batch.state.JobState
 import org.gypsumturn.batch.state.PendingEnd
@@ -35,10 +37,17 @@
         executor.lapsedRuns.forEach { crashAttribution.clear(it.task, it.id.attempt) }
         executor.lapsedRuns.clear()
         val listed = HashSet<Any>()
+        val unwanted = HashMap<RunId, ResourceAmounts>(0)
         report.running.forEach { listedRun ->
             listed += listedRun.run
-            onRunListed(nowMillis, executor, report.clockMillis, listedRun)
+            val run = executor.runs[listedRun.run] ?: adoptRun(nowMillis, executor, listedRun)
+            if (run == null) {
+                unwanted[listedRun.run] = sizeOf(listedRun.run)
+            } else {
+                onRunListed(run, report.clockMillis, listedRun)
+            }
         }
+        executor.setUnwantedRuns(unwanted)
         removeVanishedRuns(nowMillis, executor, report.clockMillis, listed)
     }
 
@@ -121,8 +130,11 @@
         }
     }
 
-    private fun onRunListed(nowMillis: Long, executor: ExecutorState, clockMillis: Long, listedRun: ReportedRun) {
-        val run = executor.runs[listedRun.run] ?: adoptRun(nowMillis, executor, listedRun) ?: return
+    /** The size of [run]; nothing if its job is not known any more. */
+    private fun sizeOf(run: RunId): ResourceAmounts =
+        scheduler.job(run.task.job)?.job?.steps?.getOrNull(run.task.step)?.reservedSize ?: ResourceAmounts.NONE
+
+    private fun onRunListed(run: Run, clockMillis: Long, listedRun: ReportedRun) {
         if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
         run.recordReport(clockMillis, listedRun.percent)
         if (run.survivedStart) crashAttribution.clear(run.task, run.id.attempt)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -98,8 +98,16 @@
     private var latestLeaseEndMillis: Long = 0
 
     /** Capacity that is reserved for the runs in [runs]. */
-    public var used: ResourceAmounts = ResourceAmounts.NONE
-        private set
+    private var reserved: ResourceAmounts = ResourceAmounts.NONE
+
+    /** Sizes of the reported runs that no job needs. They are being stopped and take up capacity until then. */
+    private var unwantedRuns: Map<RunId, ResourceAmounts> = emptyMap()
+
+    /** Whether it has reported runs that no job needs and that have not ended yet. */
+    public val hasUnwantedRuns: Boolean get() = unwantedRuns.isNotEmpty()
+
+    /** Capacity that is in use or reserved. */
+    public val used: ResourceAmounts get() = unwantedRuns.values.fold(reserved) { sum, size -> sum + size }
 
     public val target: ExecutorTarget get() = ExecutorTarget(record.id, record.address)
 
@@ -118,12 +126,17 @@
 
     /** Adds a run that may be on the executor and reserves capacity for it. */
     public fun addRun(run: Run) {
-        if (runs.put(run.id, run) == null) used += run.reservedSize
+        if (runs.put(run.id, run) == null) reserved += run.reservedSize
+    }
+
+    /** Replaces the reported runs that no job needs by [sizes], the capacity that each of them takes up. */
+    public fun setUnwantedRuns(sizes: Map<RunId, ResourceAmounts>) {
+        unwantedRuns = sizes
     }
 
     /** Removes a run that is no longer on the executor and releases its capacity. */
     public fun removeRun(run: Run) {
-        if (runs.remove(run.id) != null) used -= run.reservedSize
+        if (runs.remove(run.id) != null) reserved -= run.reservedSize
         if (trial === run) trial = null
     }
 
@@ -161,6 +174,7 @@
         acknowledgedEndNumber = 0
         pendingEnds.clear()
         lapsedRuns.clear()
+        unwantedRuns = emptyMap()
         knowsEpoch = false
     }
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -208,11 +208,8 @@
     public var succeededRuns: Int = 0
     public var succeededRunsTotalMillis: Long = 0
 
-    /**
-     * Capacity that is reserved for one task. No processors are reserved for steps that only use what others leave
-     * idle.
-     */
-    public val reservedSize: ResourceAmounts = if (step.fills) step.size.copy(cpuMillis = 0) else step.size
+    /** Capacity that is reserved for one task. */
+    public val reservedSize: ResourceAmounts = step.reservedSize
 
     public val complete: Boolean get() = doneCount == tasks.size
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -104,9 +104,12 @@
 internal class VirtualExecutor(
     val id: InstanceId,
     val pool: PoolId,
-    val capacity: ResourceAmounts,
+    var capacity: ResourceAmounts,
     val labels: Set<String>,
 ) {
+    /** Whether it refuses runs that do not fit. If not, it starts them, which is a breach by the scheduler. */
+    var guardsCapacity = true
+
     class VirtualRun(val id: RunId, val startedMillis: Long, val size: ResourceAmounts, var stopAtMillis: Long? = null)
 
     val runs = LinkedHashMap<RunId, VirtualRun>()
@@ -405,13 +408,17 @@
             order.order.leaseEndMillis < nowMillis -> RefusalReason.LATE
             !holdsTicket(executor, order) -> RefusalReason.TICKET
             id.attempt <= (executor.highestPastAttempt[id.task] ?: 0) -> RefusalReason.SUPERSEDED
-            !(executor.used + size).fitsInto(executor.capacity) -> RefusalReason.NO_ROOM
+            executor.guardsCapacity && !(executor.used + size).fitsInto(executor.capacity) -> RefusalReason.NO_ROOM
             else -> null
         }
         if (reason != null) return OrderAnswer.Refused(reason, nowMillis)
         executor.highestEpoch = order.order.epoch.value
         executor.leaseEndMillis = maxOf(executor.leaseEndMillis, order.order.leaseEndMillis)
         checkStart(id)
+        if (!(executor.used + size).fitsInto(executor.capacity)) {
+            breaches +=
+                "$id exceeds the capacity of ${executor.id}"
+        }
         executor.runs[id] = VirtualExecutor.VirtualRun(id, nowMillis, size)
         if (id.task in crashingTasks) after(CRASH_DELAY_MILLIS) { if (id in executor.runs) crash(executor) }
         return OrderAnswer.Done(nowMillis)
