Repeat no start on an executor that has shrunk

Cause: the room of a run is taken when it is assigned. Its start may go out later, repeated after a lost answer or held until a suspicion is stored, and the executor's capacity may have shrunk in between. Change: neither is sent while the runs that are assigned to the executor exceed its capacity. A repeated start is ruled out by a stop, a held one is placed again. Evidence: ExecutorCapacityTest, 'a start without an answer is not repeated on an executor that has shrunk meanwhile', failed before with 'exceeds the capacity of x0'.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -488,7 +488,7 @@
         if (run.phase == RunPhase.STOPPING) {
             registry.enqueueOrder(ExecutorOrder.Stop(run.executor.target, run.id))
         } else if (starter.repeatStart(nowMillis, run)) {
-            stopRun(run, "executor did not answer its start orders")
+            stopRun(run, "its start can't be repeated")
         }
     }
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -177,13 +177,13 @@
 
     /**
      * Sends the held starts whose suspicion is stored. Returns the runs that can't be started any more, since their
-     * executors can't be used.
+     * executors can't be used or have no room for them.
      */
     fun releaseHeldStarts(nowMillis: Long): List<Run> {
         heldStarts.removeAll { it.executor.runs[it.id] !== it || it.phase != RunPhase.STARTING }
         val due = heldStarts.filter { it.task.step.job.storedChangeNumber >= it.startAfterChange }
         heldStarts.removeAll(due.toSet())
-        val (usable, unusable) = due.partition { it.executor.isUsable(nowMillis) }
+        val (usable, unusable) = due.partition { it.executor.isUsable(nowMillis) && it.executor.fitsAll }
         usable.forEach { sendStart(nowMillis, it) }
         return unusable
     }
@@ -278,10 +278,11 @@
 
     /**
      * Repeats the start order of [run], which changes nothing if the executor has the run already. Returns true without
-     * sending if it was sent too often; the run is then to be stopped, since the executor may or may not have it.
+     * sending if it was sent too often, or if the executor has no room for it any more; the run is then to be stopped,
+     * since the executor may or may not have it.
      */
     fun repeatStart(nowMillis: Long, run: Run): Boolean {
-        if (run.unansweredStarts >= SchedulerSettings.START_TRIES) return true
+        if (run.unansweredStarts >= SchedulerSettings.START_TRIES || !run.executor.fitsAll) return true
         sendStart(nowMillis, run)
         return false
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -113,6 +113,9 @@
 
     public val free: ResourceAmounts get() = record.capacity - used
 
+    /** Whether all that is assigned to it fits into its capacity, which may have shrunk since. */
+    public val fitsAll: Boolean get() = ResourceAmounts.NONE.fitsInto(free)
+
     /** Whether new runs may be assigned to it at [nowMillis]. */
     public fun canTakeNewRuns(nowMillis: Long): Boolean = isUsable(nowMillis) && !holdsTrial
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/ExecutorCapacityTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/ExecutorCapacityTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
+import org.gypsumturn.batch.StartFault
 import org.gypsumturn.batch.VirtualExecutor
 import org.gypsumturn.batch.VirtualFleet
 import org.gypsumturn.batch.job
@@ -59,4 +60,21 @@
         fleet.breaches.shouldBeEmpty()
         fleet.completedMillis.size shouldBe 3
     }
+
+    // Guards against: the repetition of an unanswered start, for which there is no room left.
+    @Test
+    fun `a start without an answer is not repeated on an executor that has shrunk meanwhile`() {
+        val fleet = unguardedFleet(1)
+        val only = fleet.executors.values.single()
+        only.startFaults += StartFault.NEVER_APPLIED
+        fleet.submit(job(1, step(cpuMillis = 12_000)))
+        fleet.run(100)
+        fleet.changeCapacity(only, 8_000)
+        fleet.run(3_000)
+        fleet.breaches.shouldBeEmpty()
+        fleet.changeCapacity(only, 16_000)
+        fleet.run(4_000)
+        fleet.breaches.shouldBeEmpty()
+        fleet.completedMillis.size shouldBe 1
+    }
 }
