Start nothing by capacities that could not be read for seconds

Cause: the capacity of an executor is known by its entry in the store. A holder goes on without the store for some seconds with what it read last, which an executor that does not check for itself takes as it comes. Change: nothing is placed in pools whose executors do not check admission while the entries are older than 3 s. Evidence: ExecutorCapacityTest, 'an executor that does not guard its capacity gets nothing new while its entry can't be read', failed with the bound taken away ('exceeds the capacity of x0').

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -68,6 +68,7 @@
     private val queues = HashMap<QueueId, Queue>()
     private var lastChangeNumber = 0L
     private var lastPlacementMillis = 0L
+    private var executorsReadMillis = Long.MIN_VALUE / 2
     private var lagCheckedMillis = 0L
 
     /** Pools whose free capacity or waiting tasks have changed since tasks were last placed there. */
@@ -115,6 +116,11 @@
         stalePools += record.pool
     }
 
+    /** Records that the entries of all executors were up to date at [nowMillis]. */
+    public fun onExecutorsRead(nowMillis: Long) {
+        executorsReadMillis = nowMillis
+    }
+
     /** Handles the removal of the entry of executor [id] from the store. Its runs are kept, as it may still be up. */
     public fun onExecutorUnlisted(nowMillis: Long, id: InstanceId) {
         registry.onUnlisted(nowMillis, id)
@@ -405,9 +411,18 @@
         if (allPoolsStale) lastPlacementMillis = nowMillis
         allPoolsStale = false
         stalePools.clear()
-        waiting.forEach { (pool, steps) -> starter.placePool(nowMillis, knownMillis, pool, steps) }
+        waiting.filterKeys { hasKnownCapacity(nowMillis, it) }
+            .forEach { (pool, steps) -> starter.placePool(nowMillis, knownMillis, pool, steps) }
     }
 
+    /**
+     * Whether the capacities of the executors of [pool] are known well enough to start tasks there. Executors that do
+     * not check for themselves whether a run fits must not be filled by capacities that may have changed since.
+     */
+    private fun hasKnownCapacity(nowMillis: Long, pool: PoolId): Boolean =
+        configuration?.pools?.get(pool)?.checksAdmission != false ||
+            nowMillis - executorsReadMillis <= MAX_CAPACITY_AGE_MILLIS
+
     private fun waitingSteps(nowMillis: Long, knownMillis: Long, queue: Queue): List<WaitingStep> =
         activeJobsByQueue[queue.id].orEmpty()
             .filter { job -> job.firstAttempt == 1L || recovery.isOverFor(queue.pool) }
@@ -495,6 +510,9 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
 
+        /** Age of the executors' entries from which on their capacities are not relied on. */
+        const val MAX_CAPACITY_AGE_MILLIS = 3_000L
+
         /** Time for which an ended job is kept beyond the promised one. */
         const val EXPIRY_SLACK_MILLIS = 30_000L
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -55,8 +55,8 @@
     stretch: Double = 1.6,
 ): Queue = Queue(queueId(HOST, "/$name/"), HOST, "/$name/", pool, priority, maxAttempts, stretch, 600, 3_000, null)
 
-internal fun configuration(vararg queues: Queue, version: Long = 1): FleetConfiguration {
-    val pools = queues.map { it.pool }.distinct().map { PoolRecord(it, true, false, "/health") }
+internal fun configuration(vararg queues: Queue, version: Long = 1, guarded: Boolean = true): FleetConfiguration {
+    val pools = queues.map { it.pool }.distinct().map { PoolRecord(it, guarded, false, "/health") }
     return FleetConfiguration(version, queues.toList(), pools.associateBy { it.id }, CallerLimits(262_144))
 }
 
@@ -167,6 +167,9 @@
 ) {
     var nowMillis = 1_000L
 
+    /** Whether the holder can read the entries of the executors. */
+    var executorsCanBeRead = true
+
     /** Time at which the control lease of the holder lapses. */
     var validUntilMillis = Long.MAX_VALUE / 2
     val executors = LinkedHashMap<InstanceId, VirtualExecutor>()
@@ -263,6 +266,7 @@
                     .forEach { deliver(old, it) }
             }
             val holder = scheduler
+            if (executorsCanBeRead) holder.onExecutorsRead(nowMillis)
             holder.runSchedulingPass(nowMillis, nowMillis, nowMillis - validUntilMillis).forEach { deliver(holder, it) }
             holder.takeQuestions().forEach { question ->
                 questionCount++
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/ExecutorCapacityTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/ExecutorCapacityTest.kt
@@ -9,13 +9,15 @@
 import org.gypsumturn.batch.StartFault
 import org.gypsumturn.batch.VirtualExecutor
 import org.gypsumturn.batch.VirtualFleet
+import org.gypsumturn.batch.configuration
 import org.gypsumturn.batch.job
 import org.gypsumturn.batch.model.ResourceAmounts
+import org.gypsumturn.batch.queue
 import org.gypsumturn.batch.step
 
 class ExecutorCapacityTest : AnnotationSpec() {
     private fun unguardedFleet(executors: Int): VirtualFleet {
-        val fleet = VirtualFleet(executors)
+        val fleet = VirtualFleet(executors, configuration = configuration(queue(), guarded = false))
         fleet.executors.values.forEach { it.guardsCapacity = false }
         fleet.run(100)
         return fleet
@@ -61,6 +63,24 @@
         fleet.completedMillis.size shouldBe 3
     }
 
+    // Guards against: starts by capacities that nobody has been able to read for seconds, since the store is away.
+    @Test
+    fun `an executor that does not guard its capacity gets nothing new while its entry can't be read`() {
+        val fleet = unguardedFleet(1)
+        val only = fleet.executors.values.single()
+        fleet.executorsCanBeRead = false
+        only.capacity = ResourceAmounts(8_000, 32_000, 0)
+        fleet.run(3_100)
+        fleet.submit(job(1, step(count = 4, cpuMillis = 4_000)))
+        fleet.run(2_000)
+        fleet.breaches.shouldBeEmpty()
+        fleet.executorsCanBeRead = true
+        fleet.changeCapacity(only, 8_000)
+        fleet.run(4_000)
+        fleet.breaches.shouldBeEmpty()
+        fleet.completedMillis.size shouldBe 1
+    }
+
     // Guards against: the repetition of an unanswered start, for which there is no room left.
     @Test
     fun `a start without an answer is not repeated on an executor that has shrunk meanwhile`() {
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -246,6 +246,7 @@
         val nowMillis = NodeClock.steadyMillis()
         scheduler.executors.keys.filter { it !in listed }.forEach { scheduler.onExecutorUnlisted(nowMillis, it) }
         updates.forEach(::applyExecutorUpdate)
+        scheduler.onExecutorsRead(nowMillis)
         executorsLoaded = true
         awaitExecutorUpdates(page.revision)
         becomeReadyIfLoaded()
@@ -275,6 +276,7 @@
 
             else -> {
                 page.updates.orEmpty().forEach(::applyExecutorUpdate)
+                scheduler.onExecutorsRead(NodeClock.steadyMillis())
                 postDelayed(POLL_GAP_MILLIS) { if (!closed) awaitExecutorUpdates(page.revision) }
             }
         }
