Give a durable job up once it was lost with five workers in a row

What callers would see: a job that takes its workers down with it is assigned to worker after worker without end, and the jobs beside it are lost with them. A lapsed attempt of an idempotent job put it back in the queue, and nothing counted how often; only reported failures were. Change: the record keeps the workers on which attempts were lost since the job was last reported by any worker. At five different ones the job ends as QUARANTINED, with a reason that names them. A checkpoint, a failure or a stop that a worker reports clears them. The record is stored, so that a new owner goes on counting. Evidence: JobLifecycleTest, 'a job is given up once its attempts were lost on five workers in a row', failed before ('expected QUARANTINED but was ACCEPTED').

--- a/model/src/main/kotlin/org/gypsumturn/model/Job.kt
+++ b/model/src/main/kotlin/org/gypsumturn/model/Job.kt
@@ -49,6 +49,7 @@
  * @property worker worker of the latest attempt
  * @property failures number of failed attempts
  * @property failedOn workers on which an attempt is known to have failed through a fault of the job itself
+ * @property lostOn workers on which the attempts since the last report of the job were lost
  * @property cancelRequested whether cancellation was requested while an attempt may have been running
  * @property checkpoint state from which a later attempt resumes the work of an earlier one
  * @property reason why the job is in its state, as text for operators
@@ -65,6 +66,7 @@
     public val finishedAtMillis: Long = 0,
     public val failures: Int = 0,
     public val failedOn: List<InstanceId> = emptyList(),
+    public val lostOn: List<InstanceId> = emptyList(),
     public val cancelRequested: Boolean = false,
     public val checkpoint: String? = null,
     public val reason: String = "",
--- a/placement/src/main/kotlin/org/gypsumturn/placement/JobLifecycle.kt
+++ b/placement/src/main/kotlin/org/gypsumturn/placement/JobLifecycle.kt
@@ -107,9 +107,10 @@
 
     is JobEvent.Failed -> fail(event.detail, nowMillis)
 
-    is JobEvent.Stopped -> requeueIfIdempotent("the attempt was stopped on $worker", nowMillis)
+    is JobEvent.Stopped ->
+        copy(lostOn = emptyList()).requeueIfIdempotent("the attempt was stopped on $worker", nowMillis)
 
-    is JobEvent.Lapsed -> requeueIfIdempotent("the lease of attempt $attempt on $worker lapsed", nowMillis)
+    is JobEvent.Lapsed -> lose(nowMillis)
 
     is JobEvent.CancelRequested ->
         if (cancelRequested) Transition.Ignored else Transition.Changed(copy(cancelRequested = true))
@@ -119,12 +120,26 @@
 
 private fun JobRecord.resumeFrom(checkpoint: String, nowMillis: Long): Transition {
     if (cancelRequested) return end(JobState.CANCELLED, "cancelled while attempt $attempt was running", nowMillis)
-    return Transition.Changed(copy(state = JobState.CHECKPOINTED, checkpoint = checkpoint, worker = null))
+    val resumable = copy(state = JobState.CHECKPOINTED, checkpoint = checkpoint, worker = null, lostOn = emptyList())
+    return Transition.Changed(resumable)
 }
 
+/** The attempt was lost without a report, with its worker or by its lease. The job itself may be the cause. */
+private fun JobRecord.lose(nowMillis: Long): Transition {
+    val lost = copy(lostOn = (lostOn + listOfNotNull(worker)).distinct())
+    if (spec.idempotent && !cancelRequested && lost.lostOn.size >= MAX_LOST_WORKERS) {
+        val reason = "its attempts were lost on ${lost.lostOn.size} workers in a row: ${lost.lostOn.joinToString()}"
+        return lost.end(JobState.QUARANTINED, reason, nowMillis)
+    }
+    return lost.requeueIfIdempotent("the lease of attempt $attempt on $worker lapsed", nowMillis)
+}
+
+/** Number of different workers on which the attempts of a job may be lost in a row before it counts as unrunnable. */
+private const val MAX_LOST_WORKERS = 5
+
 private fun JobRecord.fail(detail: String, nowMillis: Long): Transition {
     val failedWorkers = (failedOn + listOfNotNull(worker)).distinct()
-    val failed = copy(failures = failures + 1, failedOn = failedWorkers)
+    val failed = copy(failures = failures + 1, failedOn = failedWorkers, lostOn = emptyList())
     return failed.requeueIfIdempotent("attempt $attempt failed on $worker: $detail", nowMillis)
 }
 
--- a/placement/src/test/kotlin/org/gypsumturn/placement/JobLifecycleTest.kt
+++ b/placement/src/test/kotlin/org/gypsumturn/placement/JobLifecycleTest.kt
@@ -46,6 +46,29 @@
         ended.forEach { record -> events.forEach { next(record, it) shouldBe null } }
     }
 
+    private fun afterLoss(record: JobRecord, worker: Int): JobRecord {
+        val assigned = next(record, JobEvent.Assigned(InstanceId("worker-$worker"), Epoch(1)))!!
+        return next(assigned, JobEvent.Lapsed)!!
+    }
+
+    // Guards against: a job that takes its workers down with it is assigned to worker after worker without end.
+    @Test
+    fun `a job is given up once its attempts were lost on five workers in a row`() {
+        val lost = (1..4).fold(JobRecord(jobSpec("a")), ::afterLoss)
+        lost.state shouldBe JobState.ACCEPTED
+        afterLoss(lost, 4).state shouldBe JobState.ACCEPTED
+        afterLoss(lost, 5).state shouldBe JobState.QUARANTINED
+    }
+
+    @Test
+    fun `a report of the job from any worker clears the lost attempts before it`() {
+        listOf(JobEvent.Checkpointed("at 5"), JobEvent.Failed("exit 1"), JobEvent.Stopped).forEach { event ->
+            val lost = (1..4).fold(JobRecord(jobSpec("a")), ::afterLoss)
+            val reported = next(next(lost, JobEvent.Assigned(InstanceId("worker-5"), Epoch(1)))!!, event)!!
+            afterLoss(reported, 6).state.isWaiting shouldBe true
+        }
+    }
+
     @Test
     fun `a job that is not idempotent waits again only if it did not start or was checkpointed`() {
         val waitsAgain = setOf(JobEvent.NotStarted::class, JobEvent.Checkpointed::class)
