Blame a task only for crashes that it can have caused

Cause: a start that was refused because another incarnation answers was charged with the crash of the executor that it never reached, as the latest start there; and a silent executor, which may only be cut off, counted like a proven crash. Change: a refused start is taken away before the executor's runs are charged; giving up after two crashes needs two proven ones and a confirmed start; silence alone counts up to four. Why it works: the clear case now rests on crashes alone, and all bounds still end a task within two starts after its third.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -272,9 +272,17 @@
         if (run.executor.runs[run.id] !== run) return
         when (starter.onStartAnswered(nowMillis, run, verdict)) {
             StartResult.STARTED -> onRunStarted(run)
+
             StartResult.NOT_STARTED -> onRunNotStarted(nowMillis, run)
+
             StartResult.MAY_START_LATE -> stopRun(run, "an earlier start order for it may still be carried out")
-            StartResult.EXECUTOR_GONE -> onExecutorGone(nowMillis, run.executor.record.id, planned = false)
+
+            StartResult.EXECUTOR_GONE -> {
+                // The executor ended before this start, so the run can't be the cause.
+                if (run.unansweredStarts == 0) onRunNotStarted(nowMillis, run)
+                onExecutorGone(nowMillis, run.executor.record.id, planned = false)
+            }
+
             StartResult.OPEN -> Unit
         }
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
@@ -36,7 +36,7 @@
         val runs = openRuns(executor)
         val suspects = runs.filter { !it.survivedStart }
         if (suspects.any { it.task.step.job in givenUpJobs }) {
-            suspects.forEach { clear(it.task, it.id.attempt) }
+            suspects.filter { !it.task.step.job.phase.ended }.forEach(::clear)
             return
         }
         suspects.forEach { run ->
@@ -44,14 +44,16 @@
             run.task.crashes.atStart += run.id.attempt
         }
         runs.filter { it.survivedStart && !it.task.step.step.longRunning }
-            .forEach { it.task.crashes.later += it.id.attempt }
+            .forEach { it.task.crashes.cleared += it.id.attempt }
         runs.mapTo(LinkedHashSet()) {
             it.task.step.job
         }.filter { !it.phase.ended }.forEach { scheduler.markChanged(it) }
         if (suspects.isNotEmpty()) unexplainedCrashes += suspects
         val suspectedBefore = suspects.filter { it.task.crashes.suspicion >= TRIAL_SUSPICION }
         val onlyJob = suspectedBefore.mapTo(HashSet()) { it.task.step.job }.singleOrNull()
-        suspectedBefore.firstOrNull { isAtFault(it, onlyJob, runs) }?.let { giveUp(nowMillis, it.task) }
+        suspectedBefore.filter { it.task.crashes.atStart.size >= MIN_PROVEN_CRASHES }
+            .firstOrNull { isAtFault(it, onlyJob, runs) }
+            ?.let { giveUp(nowMillis, it.task) }
         runs.filter { isExhausted(it.task) }.forEach { giveUp(nowMillis, it.task) }
     }
 
@@ -60,24 +62,25 @@
         (executor.runs.values + executor.lapsedRuns).filter { it.orderedMillis != null && !it.task.done }
 
     /** Records that attempt number [attempt] of [task] has not crashed its executor. */
-    fun clear(task: Task, attempt: Long) {
+    fun resolve(task: Task, attempt: Long) {
         if (attempt !in task.crashes.unresolved) return
         task.crashes.unresolved -= attempt
         if (!task.step.job.phase.ended) scheduler.markChanged(task.step.job)
     }
 
     /** Whether so many executors have crashed under [task] that it must not be started again. */
-    fun isExhausted(task: Task): Boolean = task.crashes.suspicion >= MAX_SUSPICION || task.crashes.count >= MAX_CRASHES
+    fun isExhausted(task: Task): Boolean = task.crashes.atStart.size >= MAX_START_CRASHES ||
+        task.crashes.suspicion >= MAX_SUSPICION || task.crashes.total >= MAX_CRASHES
 
     /**
-     * Whether [run] is the cause of the crash of its executor beyond reasonable doubt: its job is the only one on the
-     * executor with a task that was suspected before, and no other job's task was started there at about the same time
-     * or later. [runs] are all runs that were on the executor.
+     * Whether [run] is the cause of the crash of its executor beyond reasonable doubt: the executor had confirmed the
+     * start, its job is the only one there with a task that was suspected before, and no other job's task was started
+     * there at about the same time or later. [runs] are all runs that were on the executor.
      */
     private fun isAtFault(run: Run, onlyJobSuspectedBefore: JobState?, runs: List<Run>): Boolean {
         val job = run.task.step.job
         val orderedMillis = run.orderedMillis ?: return false
-        return job === onlyJobSuspectedBefore && runs.none {
+        return run.firstSeenClockMillis != null && job === onlyJobSuspectedBefore && runs.none {
             it.task.step.job !== job && it.orderedMillis!! > orderedMillis - SIMULTANEOUS_MILLIS
         }
     }
@@ -91,8 +94,9 @@
             arrayOf(
                 "job" to job.job.id,
                 "task" to task.name,
-                "crashes" to task.crashes.count,
-                "suspected" to task.crashes.unresolved.size,
+                "crashes" to task.crashes.atStart.size,
+                "unresolved" to task.crashes.unresolved.size,
+                "cleared" to task.crashes.cleared.size,
             ),
         )
         scheduler.endJob(nowMillis, job, JobPhase.FAILED)
@@ -105,10 +109,16 @@
         val (explained, open) = unexplainedCrashes.partition { crash -> crash.any { it.task.step.job === job } }
         unexplainedCrashes.clear()
         unexplainedCrashes += open
-        explained.flatten().filter { !it.task.step.job.phase.ended }.forEach { run ->
-            run.task.crashes.atStart -= run.id.attempt
-            scheduler.markChanged(run.task.step.job)
-        }
+        explained.flatten().filter { !it.task.step.job.phase.ended }.forEach(::clear)
+    }
+
+    /** Records that the crash of the executor of [run] has another cause. It counts towards the total only. */
+    private fun clear(run: Run) {
+        val crashes = run.task.crashes
+        crashes.atStart -= run.id.attempt
+        crashes.unresolved -= run.id.attempt
+        crashes.cleared += run.id.attempt
+        scheduler.markChanged(run.task.step.job)
     }
 
     /** Drops what is kept of [job], whose state is no longer needed. */
@@ -121,10 +131,17 @@
         /** Number of executors that a task may have crashed, from which on it is on trial. */
         const val TRIAL_SUSPICION = 2
 
-        /** Number of executors that a task may have crashed by its start, at which its job is given up in any case. */
-        private const val MAX_SUSPICION = 3
+        /** Crashes soon after a start, from which on a job is given up if the evidence is clear, or in any case. */
+        private const val MIN_PROVEN_CRASHES = 2
+        private const val MAX_START_CRASHES = 3
+
+        /**
+         * Number of executors that have crashed soon after a start or have been silent since then, at which the job is
+         * given up in any case. It is higher, since a silent executor may only be cut off.
+         */
+        private const val MAX_SUSPICION = 4
 
-        /** Number of crashes, soon after the start or later, at which the job is given up in any case. */
+        /** Number of crashes, whatever their cause, at which the job is given up in any case. */
         private const val MAX_CRASHES = 5
 
         /** Starts within this time of each other can't be told apart by which of them the crash followed. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -34,7 +34,7 @@
             executor.lastHandledEndNumber = end.endNumber
             onRunEnded(nowMillis, executor, report.clockMillis, end)
         }
-        executor.lapsedRuns.forEach { crashAttribution.clear(it.task, it.id.attempt) }
+        executor.lapsedRuns.forEach { crashAttribution.resolve(it.task, it.id.attempt) }
         executor.lapsedRuns.clear()
         val listed = HashSet<Any>()
         val unwanted = HashMap<RunId, ResourceAmounts>(0)
@@ -62,7 +62,7 @@
             return
         }
         logEnd(executor, end)
-        crashAttribution.clear(task, end.run.attempt)
+        crashAttribution.resolve(task, end.run.attempt)
         task.highestAttempt = maxOf(task.highestAttempt, end.run.attempt)
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
         task.idleSinceMillis = nowMillis
@@ -137,7 +137,7 @@
     private fun onRunListed(run: Run, clockMillis: Long, listedRun: ReportedRun) {
         if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
         run.recordReport(clockMillis, listedRun.percent)
-        if (run.survivedStart) crashAttribution.clear(run.task, run.id.attempt)
+        if (run.survivedStart) crashAttribution.resolve(run.task, run.id.attempt)
         run.load = listedRun.load
         if (listedRun.checkpoint.isNotEmpty()) run.task.checkpoint = listedRun.checkpoint
     }
@@ -185,7 +185,7 @@
      */
     fun onIncarnationEnded(nowMillis: Long, executor: ExecutorState, planned: Boolean) {
         if (!planned) crashAttribution.onExecutorCrashed(nowMillis, executor)
-        executor.lapsedRuns.forEach { crashAttribution.clear(it.task, it.id.attempt) }
+        executor.lapsedRuns.forEach { crashAttribution.resolve(it.task, it.id.attempt) }
         executor.lapsedRuns.clear()
         logLostRuns(executor)
         executor.runs.values.toList().forEach { removeRun(nowMillis, it) }
@@ -228,7 +228,7 @@
      * is done.
      */
     fun removeRun(nowMillis: Long, run: Run) {
-        crashAttribution.clear(run.task, run.id.attempt)
+        crashAttribution.resolve(run.task, run.id.attempt)
         detachRun(run)
         run.task.idleSinceMillis = nowMillis
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/CrashHistory.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/CrashHistory.kt
@@ -9,8 +9,11 @@
     /** Attempts whose executor crashed soon after their start, which the task may have caused. */
     public var atStart: Set<Long> = emptySet()
 
-    /** Attempts whose executor crashed after it had run the task for longer. */
-    public var later: Set<Long> = emptySet()
+    /**
+     * Attempts whose executor crashed for which the task is hardly to blame: it had run for longer, or another job was
+     * found to be the cause.
+     */
+    public var cleared: Set<Long> = emptySet()
 
     /**
      * Attempts that may have crashed their executor, as far as is known: it has been silent since shortly after their
@@ -18,9 +21,9 @@
      */
     public var unresolved: Set<Long> = emptySet()
 
-    /** Number of executors that have crashed under the task, as far as is known for certain. */
-    public val count: Int get() = atStart.size + later.size
-
     /** Number of executors that the task may have crashed by its start. */
     public val suspicion: Int get() = atStart.size + unresolved.size
+
+    /** Number of executors that have or may have crashed under the task, whatever the cause. */
+    public val total: Int get() = suspicion + cleared.size
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
@@ -20,7 +20,7 @@
  * @property failed numbers of the failed attempts, by `occurrence.step.index`
  * @property crashedAtStart numbers of the attempts whose executor crashed soon after their start, by
  * `occurrence.step.index`; likewise the next two
- * @property crashedLater numbers of the attempts whose executor crashed later
+ * @property crashCleared numbers of the attempts whose executor crashed for another cause
  * @property unresolved numbers of the attempts that may have crashed their executor
  * @property completed numbers of the complete occurrences
  */
@@ -31,7 +31,7 @@
     public val failed: Map<String, List<Long>> = emptyMap(),
     public val completed: List<Int> = emptyList(),
     public val crashedAtStart: Map<String, List<Long>> = emptyMap(),
-    public val crashedLater: Map<String, List<Long>> = emptyMap(),
+    public val crashCleared: Map<String, List<Long>> = emptyMap(),
     public val unresolved: Map<String, List<Long>> = emptyMap(),
 ) {
     /** Encodes the record as the value of its row. */
@@ -63,7 +63,7 @@
         attemptsByTask(job) { it.failedAttempts },
         job.completedOccurrences.toList(),
         attemptsByTask(job) { it.crashes.atStart },
-        attemptsByTask(job) { it.crashes.later },
+        attemptsByTask(job) { it.crashes.cleared },
         attemptsByTask(job) { it.crashes.unresolved },
     )
 }
@@ -88,7 +88,7 @@
     }
     applyAttempts(job, record.failed, nowMillis) { task, attempts -> task.failedAttempts += attempts }
     applyAttempts(job, record.crashedAtStart, nowMillis) { task, attempts -> task.crashes.atStart += attempts }
-    applyAttempts(job, record.crashedLater, nowMillis) { task, attempts -> task.crashes.later += attempts }
+    applyAttempts(job, record.crashCleared, nowMillis) { task, attempts -> task.crashes.cleared += attempts }
     applyAttempts(job, record.unresolved, nowMillis) { task, attempts -> task.crashes.unresolved += attempts }
 }
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -90,9 +90,9 @@
 
 /**
  * Fault of one start order. `ANSWER_LOST`, `APPLIED_LATE` and `NEVER_APPLIED` lose the answer; the order is carried out
- * at once, late or never. `NO_ROOM` refuses the order and `UNREACHABLE` does not deliver it.
+ * at once, late or never. `NO_ROOM` and `OTHER_INSTANCE` refuse the order and `UNREACHABLE` does not deliver it.
  */
-internal enum class StartFault { ANSWER_LOST, APPLIED_LATE, NEVER_APPLIED, NO_ROOM, UNREACHABLE }
+internal enum class StartFault { ANSWER_LOST, APPLIED_LATE, NEVER_APPLIED, NO_ROOM, OTHER_INSTANCE, UNREACHABLE }
 
 /**
  * How the holder learns of an executor that a task has crashed. `LISTED`: the list of machines shows its end and it is
@@ -372,6 +372,9 @@
             StartFault.NO_ROOM ->
                 after(1) { answered(Verdict.Ran(OrderAnswer.Refused(RefusalReason.NO_ROOM, nowMillis))) }
 
+            StartFault.OTHER_INSTANCE ->
+                after(1) { answered(Verdict.Ran(OrderAnswer.Refused(RefusalReason.OTHER_INSTANCE, nowMillis))) }
+
             StartFault.UNREACHABLE ->
                 after(1) { answered(Verdict.NotRun(Failure(FailureKind.UNREACHABLE, "no path"))) }
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
@@ -8,6 +8,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import org.gypsumturn.batch.CrashNotice
+import org.gypsumturn.batch.StartFault
 import org.gypsumturn.batch.VirtualFleet
 import org.gypsumturn.batch.job
 import org.gypsumturn.batch.model.JobPhase
@@ -93,6 +94,40 @@
         }
     }
 
+    private fun crashExecutorOf(fleet: VirtualFleet, task: TaskName) {
+        fleet.crash(fleet.executors.values.first { executor -> executor.runs.keys.any { it.task == task } })
+    }
+
+    // Guards against: a start that found the executor's successor counts as a crash that the task has caused.
+    @Test
+    fun `a start that was refused since the executor had ended before is no crash of the task`() {
+        val fleet = VirtualFleet(3)
+        fleet.run(100)
+        val only = job(1, step())
+        fleet.submit(only)
+        fleet.run(50)
+        crashExecutorOf(fleet, TaskName(only.id, 0, 0, 0))
+        fleet.executors.values.filter { it.reachable }.forEach { it.startFaults += StartFault.OTHER_INSTANCE }
+        fleet.run(8_000)
+        (only.id in fleet.completedMillis) shouldBe true
+    }
+
+    // Guards against: executors that were only cut off are held against a task like executors that have crashed.
+    @Test
+    fun `a job is not given up after one crash and a silence that may have been a cut link`() {
+        val fleet = VirtualFleet(3)
+        fleet.run(100)
+        val only = job(1, step())
+        fleet.submit(only)
+        fleet.run(50)
+        fleet.executors.values.first { it.runs.isNotEmpty() }.reachable = false
+        fleet.run(5_500) { fleet.executors.values.filter { !it.reachable }.forEach { it.runs.clear() } }
+        fleet.run(300)
+        crashExecutorOf(fleet, TaskName(only.id, 0, 0, 0))
+        fleet.run(6_000)
+        (only.id in fleet.completedMillis) shouldBe true
+    }
+
     private companion object {
         val CRASHING_JOB = job(1)
         const val EVERY_MILLIS = 150L
