Clear a task of earlier crashes once it has survived a start

What callers would see: a long-running job shown as failed after two or three crashes of its executors in its whole life, each soon after a start, with hours of sound work in between. Cause: crashes that were held against a task were never forgotten while its job lived. Change: a run that its executor has reported for a second clears its task. The crashes still count towards the total of five, but not for long-running tasks, which must be started again however they end. Why it works: a task that crashes each executor that starts it never survives a start. Evidence: CrashingTaskTest, 'crashes before a start that the task survived are no longer held against it', failed before ('expected RUNNING but was FAILED').

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
@@ -61,6 +61,20 @@
     private fun openRuns(executor: ExecutorState): List<Run> =
         (executor.runs.values + executor.lapsedRuns).filter { it.orderedMillis != null && !it.task.done }
 
+    /**
+     * Clears the task of [run], which has survived its start, of earlier crashes. Those of a long-running task are
+     * forgotten altogether, since it may meet any number of crashes in its life.
+     */
+    fun onStartSurvived(run: Run) {
+        resolve(run.task, run.id.attempt)
+        val crashes = run.task.crashes
+        val cleared = if (run.task.step.step.longRunning) emptySet() else crashes.cleared + crashes.atStart
+        if (crashes.atStart.isEmpty() && crashes.cleared == cleared) return
+        crashes.atStart = emptySet()
+        crashes.cleared = cleared
+        scheduler.markChanged(run.task.step.job)
+    }
+
     /** Records that attempt number [attempt] of [task] has not crashed its executor. */
     fun resolve(task: Task, attempt: Long) {
         if (attempt !in task.crashes.unresolved) return
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -137,7 +137,7 @@
     private fun onRunListed(run: Run, clockMillis: Long, listedRun: ReportedRun) {
         if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
         run.recordReport(clockMillis, listedRun.percent)
-        if (run.survivedStart) crashAttribution.resolve(run.task, run.id.attempt)
+        if (run.survivedStart) crashAttribution.onStartSurvived(run)
         run.load = listedRun.load
         if (listedRun.checkpoint.isNotEmpty()) run.task.checkpoint = listedRun.checkpoint
     }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
@@ -112,6 +112,26 @@
         (only.id in fleet.completedMillis) shouldBe true
     }
 
+    // Guards against: a long-running job that is given up for crashes that lie far apart, with sound runs in between.
+    @Test
+    fun `crashes before a start that the task survived are no longer held against it`() {
+        val fleet = VirtualFleet(3)
+        fleet.run(100)
+        val lasting = job(1, step().copy(longRunning = true))
+        fleet.submit(lasting) { Long.MAX_VALUE / 1_000 }
+        fleet.run(20)
+        repeat(6) {
+            fleet.scheduler.job(lasting.id)?.visiblePhase shouldBe JobPhase.RUNNING
+            fleet.run(50)
+            crashExecutorOf(fleet, TaskName(lasting.id, 0, 0, 0))
+            fleet.run(8_000)
+            fleet.executors.values.filter { it.runs.isNotEmpty() }.forEach { executor ->
+                executor.runs.values.toList().forEach { it.stopAtMillis = fleet.nowMillis }
+            }
+            fleet.run(600)
+        }
+    }
+
     // Guards against: executors that were only cut off are held against a task like executors that have crashed.
     @Test
     fun `a job is not given up after one crash and a silence that may have been a cut link`() {
