Take no start without an answer for a proven crash

Cause: a start that had got no answer before its executor was known to have crashed counted as a crash that the task had caused. The executor may have crashed before the start arrived, and here it had. Change: the crash of an executor is proven against a task only if the executor has confirmed or reported the run. Why it works: a job is now given up after two crashes only if the task is known to have run on both executors. Evidence: CrashingTaskTest, 'a start without an answer on an executor that has crashed proves nothing', failed before. In the simulated fleet, a call that is under way when its executor crashes gets no answer now; before, the dead executor answered with an empty report, which hid this case.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
@@ -39,10 +39,7 @@
             suspects.filter { !it.task.step.job.phase.ended }.forEach(::clear)
             return
         }
-        suspects.forEach { run ->
-            run.task.crashes.unresolved -= run.id.attempt
-            run.task.crashes.atStart += run.id.attempt
-        }
+        suspects.forEach { recordCrashAtStart(it) }
         runs.filter { it.survivedStart && !it.task.step.step.longRunning }
             .forEach { it.task.crashes.cleared += it.id.attempt }
         runs.mapTo(LinkedHashSet()) {
@@ -57,6 +54,17 @@
         runs.filter { isExhausted(it.task) }.forEach { giveUp(nowMillis, it.task) }
     }
 
+    /** Records a crash against the task of [run]. A start that was never answered may not have reached the executor. */
+    private fun recordCrashAtStart(run: Run) {
+        val crashes = run.task.crashes
+        if (run.firstSeenClockMillis == null) {
+            crashes.unresolved += run.id.attempt
+        } else {
+            crashes.unresolved -= run.id.attempt
+            crashes.atStart += run.id.attempt
+        }
+    }
+
     /** Runs of tasks that are not done whose start was sent to the present incarnation of [executor]. */
     private fun openRuns(executor: ExecutorState): List<Run> =
         (executor.runs.values + executor.lapsedRuns).filter { it.orderedMillis != null && !it.task.done }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -34,8 +34,7 @@
             executor.lastHandledEndNumber = end.endNumber
             onRunEnded(nowMillis, executor, report.clockMillis, end)
         }
-        executor.lapsedRuns.forEach { crashAttribution.resolve(it.task, it.id.attempt) }
-        executor.lapsedRuns.clear()
+        resolveLapsedRuns(executor)
         val listed = HashSet<Any>()
         val unwanted = HashMap<RunId, ResourceAmounts>(0)
         report.running.forEach { listedRun ->
@@ -184,11 +183,15 @@
      * Removes all runs of an executor that has ended or restarted. Unless [planned], it has crashed with these runs.
      */
     fun onIncarnationEnded(nowMillis: Long, executor: ExecutorState, planned: Boolean) {
-        if (!planned) crashAttribution.onExecutorCrashed(nowMillis, executor)
-        executor.lapsedRuns.forEach { crashAttribution.resolve(it.task, it.id.attempt) }
+        if (planned) resolveLapsedRuns(executor) else crashAttribution.onExecutorCrashed(nowMillis, executor)
         executor.lapsedRuns.clear()
         logLostRuns(executor)
-        executor.runs.values.toList().forEach { removeRun(nowMillis, it) }
+        executor.runs.values.toList().forEach { if (planned) removeRun(nowMillis, it) else loseRun(nowMillis, it) }
+    }
+
+    private fun resolveLapsedRuns(executor: ExecutorState) {
+        executor.lapsedRuns.forEach { crashAttribution.resolve(it.task, it.id.attempt) }
+        executor.lapsedRuns.clear()
     }
 
     private fun logLostRuns(executor: ExecutorState) {
@@ -212,15 +215,15 @@
     fun onLeasesLapsed(nowMillis: Long, executor: ExecutorState) {
         log("leases lapsed", arrayOf("executor" to executor.record.id, "runs" to executor.runs.size))
         logLostRuns(executor)
-        executor.runs.values.toList().forEach { run ->
-            if (run.orderedMillis == null) {
-                removeRun(nowMillis, run)
-            } else {
-                executor.lapsedRuns += run
-                detachRun(run)
-                run.task.idleSinceMillis = nowMillis
-            }
-        }
+        executor.lapsedRuns += executor.runs.values.filter { it.orderedMillis != null }
+        executor.runs.values.toList().forEach { loseRun(nowMillis, it) }
+    }
+
+    /** Removes a run that was lost with its executor, which it may have crashed if its start was sent. */
+    private fun loseRun(nowMillis: Long, run: Run) {
+        if (run.orderedMillis == null) crashAttribution.resolve(run.task, run.id.attempt)
+        detachRun(run)
+        run.task.idleSinceMillis = nowMillis
     }
 
     /**
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -386,7 +386,7 @@
         }
     }
 
-    private fun <T> call(
+    private fun <T : Any> call(
         executor: VirtualExecutor?,
         act: (VirtualExecutor) -> T,
         answerMillis: Long,
@@ -397,8 +397,8 @@
             return
         }
         after(1) {
-            val answer = act(executor)
-            if (executor.answersArrive) {
+            val answer = if (executor.reachable) act(executor) else null
+            if (answer != null && executor.answersArrive) {
                 after(answerMillis) { answered(Verdict.Ran(answer)) }
             } else {
                 after(300) { answered(Verdict.MayHaveRun(Failure(FailureKind.TIMEOUT, "no answer"))) }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CrashingTaskTest.kt
@@ -112,6 +112,24 @@
         (only.id in fleet.completedMillis) shouldBe true
     }
 
+    // Guards against: a start that may never have reached its executor counts as a crash that the task has caused.
+    @Test
+    fun `a start without an answer on an executor that has crashed proves nothing`() {
+        val fleet = VirtualFleet(3)
+        fleet.run(100)
+        val only = job(1, step())
+        fleet.executors.values.forEach { it.startFaults += StartFault.NEVER_APPLIED }
+        fleet.submit(only)
+        fleet.run(50)
+        fleet.executors.values.filter { it.startFaults.isEmpty() }.forEach(fleet::crash)
+        fleet.executors.values.forEach { it.startFaults.clear() }
+        while (fleet.executors.values.all { it.runs.isEmpty() }) fleet.run(10)
+        fleet.run(50)
+        crashExecutorOf(fleet, TaskName(only.id, 0, 0, 0))
+        fleet.run(8_000)
+        (only.id in fleet.completedMillis) shouldBe true
+    }
+
     // Guards against: a long-running job that is given up for crashes that lie far apart, with sound runs in between.
     @Test
     fun `crashes before a start that the task survived are no longer held against it`() {
