--- a/review/stand/Main.java
+++ b/review/stand/Main.java
@@ -15,7 +15,7 @@
         "many-ends", ManyEnds::run,
         "lost-occurrence", LostOccurrence::run,
         "dropped-route", DroppedRoute::run,
-        "pipelined", Pipelined::run);
+        "huge-job", HugeJob::run);
 
     private Main() {}
 
--- a/review/stand/Platform.java
+++ b/review/stand/Platform.java
@@ -109,7 +109,8 @@
         couldNotRun("the nodes were not ready in time");
     }
 
-    private static boolean isReady(Node node) {
+    /** Whether [node] answers the check of the balancer with 200. */
+    static boolean isReady(Node node) {
         try {
             java.net.URL url = new java.net.URL("http://" + node.ready + "/-/ready");
             java.net.HttpURLConnection connection = (java.net.HttpURLConnection) url.openConnection();
