--- a/review/stand/Executor.java
+++ b/review/stand/Executor.java
@@ -63,7 +63,6 @@
     private long lastEnd;
     private long fence;
     private long leaseEndMillis;
-    private long seq;
 
     Executor(String id, String machine, String service, String rack, Store store, WorkUnits units, Record record,
         Map<String, Size> sizes) {
@@ -90,9 +89,8 @@
     }
 
     private boolean beat() {
-        seq++;
         return store.beat(id, Json.object("service", service, "address", web.address(), "zone", "z1", "version", "v1",
-            "slots", 8L, "state", "ready", "cold_left_ms", 0L, "capacity", capacity(), "labels", labels(),
+            "slots", 8L, "state", "ready", "cold_left_ms", 0L, "seq", 1L, "capacity", capacity(), "labels", labels(),
             "born", bornMillis, "machine", machine));
     }
 
--- a/review/stand/Node.java
+++ b/review/stand/Node.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,6 +21,8 @@
 import java.util.regex.Pattern;
 
 final class Node {
+    /** Variables of the caller that a process gets, as DEPLOY.md tells. */
+    private static final Set<String> PASSED_VARIABLES = Set.of("PATH", "HOME", "JAVA_HOME", "LANG");
     private static final Set<Integer> TAKEN = ConcurrentHashMap.newKeySet();
     private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z_.0-9]+)}}");
     final String name;
@@ -37,7 +40,7 @@
         this.record = record;
         caller = "127.0.0.1:" + freePort();
         ready = "127.0.0.1:" + freePort();
-        Map<String, String> values = new java.util.HashMap<>(platform);
+        Map<String, String> values = new HashMap<>(platform);
         values.put("node", name);
         values.put("zone", "z1");
         values.put("ip", "127.0.0.1");
@@ -90,6 +93,8 @@
             List<String> command = new ArrayList<>(List.of(run.split(" +")));
             command.set(command.size() - 1, settings().toString());
             ProcessBuilder builder = new ProcessBuilder(command).directory(repository.toFile());
+            builder.environment().keySet().retainAll(PASSED_VARIABLES);
+            builder.environment().put("GYPSUMTURN_BOOT", settings().toString());
             builder.redirectErrorStream(true);
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
             process = builder.start();
@@ -103,7 +108,7 @@
     void signal(String signal) throws InterruptedException {
         record.add("node %s gets SIG%s", name, signal);
         try {
-            new ProcessBuilder("kill", "-" + signal, "" + process.pid()).start().waitFor();
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
