--- a/review/stand/Main.java
+++ b/review/stand/Main.java
@@ -1,4 +1,5 @@
-// Runs one case. Its exit code is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+// Runs one case. Its exit code is 10 if the rule was broken, 0 if it held, and 2 if the case could not run. It is not 1, with
+// which a virtual machine that does not start ends too.
 
 package review;
 
@@ -19,7 +20,7 @@
 
     private Main() {}
 
-    /** The arguments are the name of the case, its folder and the root of the repository. */
+    /** The arguments are the name of the case, the file of its record and the root of the repository. */
     public static void main(String[] args) {
         try {
             CASES.get(args[0]).run(new Platform(Path.of(args[1]), Path.of(args[2])));
--- a/review/stand/Platform.java
+++ b/review/stand/Platform.java
@@ -16,6 +16,9 @@
 final class Platform {
     static final long HEARTBEAT_MILLIS = 1_500;
 
+    /** A script runs for two minutes at most. */
+    private static final long MAX_MILLIS = 115_000;
+
     final Record record;
     final WorkUnits units;
     final Store store = new Store(HEARTBEAT_MILLIS);
@@ -28,9 +31,9 @@
     private final Web cloud = new Web("127.0.0.1", this::machines);
     private final Web advice = new Web("127.0.0.1", request -> Web.Answer.of(200, "good", List.of()));
 
-    Platform(Path caseFolder, Path repository) {
+    Platform(Path recordFile, Path repository) {
         this.repository = repository;
-        record = new Record(caseFolder.resolve("record.txt"));
+        record = new Record(recordFile);
         units = new WorkUnits(record);
         try {
             folder = Files.createTempDirectory("gypsumturn-review");
@@ -38,6 +41,7 @@
             throw new UncheckedIOException(e);
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop));
+        Tasks.after(MAX_MILLIS, () -> couldNotRun("it took too long"));
     }
 
     private Web.Answer machines(Web.Request request) {
@@ -155,11 +159,11 @@
         System.exit(2);
     }
 
-    /** Ends the case: with 1 if [broken] says how the rule was broken, otherwise with 0. */
+    /** Ends the case: with 10 if [broken] says how the rule was broken, otherwise with 0. */
     void finish(String rule, List<String> broken) {
         for (String line : broken) record.add("%s BROKEN: %s", rule, line);
         record.add("%s", broken.isEmpty() ? rule + " HELD" : rule + " BROKEN " + broken.size() + " times");
         System.out.println(broken.isEmpty() ? rule + " held" : rule + " broken: " + broken.get(0));
-        System.exit(broken.isEmpty() ? 0 : 1);
+        System.exit(broken.isEmpty() ? 0 : 10);
     }
 }
