Wait after a takeover for all executors that may run tasks, listed or not

Cause: a new holder waited only for the executors that were listed when its session became ready. An entry lapses while its executor cannot write to the store, or while the store is away; its runs go on with valid leases.

Change: the holder stores a roster for each pool, under the fence: addresses of its executors, and queues whose tasks may run there. Nothing is started on an executor or for a queue before. A new holder waits for the stored executors, polls those without an entry at the stored address, and adopts their runs. A queue waits for all pools that it had. Without rosters (rows of an older version) all wait until the leases have lapsed.

Why this works: a run can exist only on an executor that the roster names, and each of these has reported its runs, has ended, or has no lease left before a task is started again.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -54,6 +54,7 @@
     private val changedJobs = LinkedHashSet<JobState>()
     private val registry = ExecutorRegistry(settings, epoch, log)
     private val recovery = TakeoverRecovery()
+    private val rosters = PoolRosters(registry) { activeJobsByQueue[it].orEmpty().isNotEmpty() }
     private val faultDetector = FaultyExecutorDetector(registry, log)
     private val crashAttribution = CrashAttribution(this, log)
     private val reportHandler = ExecutorReportHandler(this, registry, faultDetector, crashAttribution, log)
@@ -81,6 +82,7 @@
     private val mutableActiveJobs = LinkedHashSet<JobState>()
 
     init {
+        registry.onMembersChanged = rosters::markChanged
         reportHandler.maxFailures = { job -> queues[job.job.queue]?.maxAttempts ?: Int.MAX_VALUE }
     }
 
@@ -141,11 +143,34 @@
     }
 
     /**
-     * Holds back tasks of jobs from before the takeover, which an earlier holder may have started on a known executor.
-     * Tasks of a pool are released once each executor of the pool has reported its runs, or at [untilMillis].
+     * Holds back tasks of jobs from before the takeover, which an earlier holder may have started on an executor of the
+     * stored [rosters]. Tasks are released once each of the executors of their pools has reported its runs, or at
+     * [untilMillis]. Must be called once, after the entries of the executors have been read.
      */
-    public fun startRecovery(untilMillis: Long) {
-        recovery.awaitExecutors(registry.executors.mapValues { it.value.record.pool }, untilMillis)
+    public fun startRecovery(nowMillis: Long, rosters: Map<PoolId, StoredRoster>, untilMillis: Long) {
+        rosters.forEach { (pool, stored) ->
+            stored.roster.addresses.filterKeys { InstanceId(it) !in registry.executors }
+                .forEach { (id, address) -> registry.addUnlisted(nowMillis, InstanceId(id), pool, address) }
+        }
+        this.rosters.applyStored(rosters)
+        if (activeJobs.isNotEmpty()) recovery.awaitExecutors(rosters.mapValues { it.value.roster }, untilMillis)
+    }
+
+    /** Removes and returns at most [limit] rosters that are to be stored. */
+    public fun takeRosterChanges(limit: Int): List<RosterChange> = rosters.takeChanges(limit)
+
+    /** Records that [change] was stored under [revision]. */
+    public fun onRosterStored(change: RosterChange, revision: Revision) {
+        rosters.onStored(change, revision)
+        stalePools += change.pool
+    }
+
+    /**
+     * Queues [changes] again after storing them failed. [storedRevisionOf] returns the revision of the stored roster of
+     * a pool, or null if that is not known better than before.
+     */
+    public fun returnRosterChanges(changes: List<RosterChange>, storedRevisionOf: (PoolId) -> Revision?) {
+        rosters.returnChanges(changes, storedRevisionOf)
     }
 
     /**
@@ -340,7 +365,8 @@
         }
     }
 
-    public val hasChanges: Boolean get() = changedJobs.isNotEmpty()
+    /** Whether progress of jobs or rosters of pools are to be stored. */
+    public val hasChanges: Boolean get() = changedJobs.isNotEmpty() || rosters.hasChanges
 
     /** Removes and returns at most [limit] ended jobs whose state no longer has to be kept. */
     public fun takeExpiredJobs(nowMillis: Long, limit: Int): List<JobState> {
@@ -384,7 +410,7 @@
         }
         addDueOccurrences(nowMillis, wallMillis)
         registry.takeNewlyLost().forEach(crashAttribution::onExecutorLost)
-        registry.findLapsedExecutors(nowMillis).forEach { executor ->
+        registry.findLapsedExecutors(nowMillis, recovery::isAwaited).forEach { executor ->
             recovery.markSeen(executor.record.id)
             reportHandler.onLeasesLapsed(nowMillis, executor)
         }
@@ -414,7 +440,9 @@
         val waiting = HashMap<PoolId, MutableList<WaitingStep>>()
         queues.values.filter { allPoolsStale || it.pool in stalePools }.forEach { queue ->
             val steps = waitingSteps(nowMillis, knownMillis, queue)
-            if (steps.isNotEmpty()) waiting.getOrPut(queue.pool) { ArrayList() } += steps
+            if (steps.isNotEmpty() && rosters.admits(queue.pool, queue.id)) {
+                waiting.getOrPut(queue.pool) { ArrayList() } += steps
+            }
         }
         if (allPoolsStale) lastPlacementMillis = nowMillis
         allPoolsStale = false
@@ -433,7 +461,7 @@
 
     private fun waitingSteps(nowMillis: Long, knownMillis: Long, queue: Queue): List<WaitingStep> =
         activeJobsByQueue[queue.id].orEmpty()
-            .filter { job -> job.firstAttempt == 1L || recovery.isOverFor(queue.pool) }
+            .filter { job -> job.firstAttempt == 1L || recovery.isOverFor(queue.id, queue.pool) }
             .filter { job -> job.acceptedMillis <= knownMillis }
             .flatMap { job -> job.occurrences.values }
             .flatMap { occurrence -> waitingSteps(nowMillis, queue, occurrence) }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -8,13 +8,16 @@
 import org.gypsumturn.batch.model.ExecutorReport
 import org.gypsumturn.batch.model.Incarnation
 import org.gypsumturn.batch.model.RefusalReason
+import org.gypsumturn.batch.model.ResourceAmounts
 import org.gypsumturn.batch.port.PollAnswer
 import org.gypsumturn.batch.port.PollOrder
 import org.gypsumturn.batch.state.ExecutorState
 import org.gypsumturn.batch.state.Run
 import org.gypsumturn.batch.state.RunPhase
+import org.gypsumturn.model.DataCentreId
 import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Verdict
 
 /** What the scheduler has to do after a poll. */
@@ -47,6 +50,9 @@
 
     private val newlyLost = ArrayList<ExecutorState>()
 
+    /** Called with the pool of each executor that is added, removed or found at another address. */
+    var onMembersChanged: (PoolId) -> Unit = {}
+
     var fencedOff = false
         private set
 
@@ -106,6 +112,7 @@
         if (endedById[record.id]?.let { record.incarnation.startedAtMillis <= it.startedAtMillis } == true) return null
         if (known == null) {
             executors[record.id] = ExecutorState(record, nowMillis)
+            onMembersChanged(record.pool)
             log(
                 "executor listed",
                 arrayOf("executor" to record.id, "pool" to record.pool, "address" to record.address),
@@ -119,6 +126,10 @@
         if (record.draining && !known.record.draining) {
             log("executor draining", arrayOf("executor" to record.id, "remaining_ms" to record.remainingMillis))
         }
+        if (moved || known.record.pool != record.pool) {
+            onMembersChanged(known.record.pool)
+            onMembersChanged(record.pool)
+        }
         known.record = record
         known.listed = true
         if (!newIncarnation) return null
@@ -129,6 +140,29 @@
         return known
     }
 
+    /**
+     * Adds executor [id] of [pool], which an earlier holder has used at [address] and which has no entry in the store.
+     * It is only polled until it has an entry again.
+     */
+    fun addUnlisted(nowMillis: Long, id: InstanceId, pool: PoolId, address: String) {
+        val record = ExecutorRecord(
+            id,
+            Incarnation(0),
+            pool,
+            address,
+            DataCentreId(""),
+            ResourceAmounts.NONE,
+            emptySet(),
+            draining = false,
+            remainingMillis = null,
+        )
+        val executor = ExecutorState(record, nowMillis)
+        executor.listed = false
+        executor.unlistedMillis = nowMillis
+        executors[id] = executor
+        log("executor without entry", arrayOf("executor" to id, "pool" to pool, "address" to address))
+    }
+
     fun onUnlisted(nowMillis: Long, id: InstanceId) {
         endedById.remove(id)
         val known = executors[id] ?: return
@@ -142,6 +176,7 @@
     /** Removes [executor], on which nothing runs any more. */
     fun removeExecutor(executor: ExecutorState) {
         executors.remove(executor.record.id)
+        onMembersChanged(executor.record.pool)
         if (executor.listed) endedById[executor.record.id] = executor.incarnation ?: executor.record.incarnation
         orders += ExecutorOrder.Forget(executor.target)
     }
@@ -227,14 +262,15 @@
 
     /**
      * Returns the silent executors with runs whose leases have all lapsed. Silent executors whose entry has been
-     * missing for longer than the settling time are removed from the registry.
+     * missing for longer than the settling time are removed from the registry, except those that [isAwaited] selects.
      */
-    fun findLapsedExecutors(nowMillis: Long): List<ExecutorState> {
+    fun findLapsedExecutors(nowMillis: Long, isAwaited: (InstanceId) -> Boolean): List<ExecutorState> {
         val found = executors.values.filter { executor ->
             executor.unreachableSinceMillis != null && nowMillis >= executor.leasesLapsedAtMillis() &&
                 (executor.runs.isNotEmpty() || !executor.listed)
         }
         found.filter { !it.listed && nowMillis - it.unlistedMillis > settings.outageSettleMillis }
+            .filterNot { isAwaited(it.record.id) }
             .forEach(::removeExecutor)
         return found.filter { it.runs.isNotEmpty() }
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -26,6 +26,12 @@
     /** Whether its entry is in the store. */
     public var listed: Boolean = true
 
+    /**
+     * Whether the stored roster of its pool names it. Nothing is started on it before, since a later holder would not
+     * wait for it.
+     */
+    public var recorded: Boolean = false
+
     /** Time at which its entry was last found to be missing from the store. */
     public var unlistedMillis: Long = 0
 
@@ -124,7 +130,7 @@
 
     /** Whether a run that is assigned to it may be sent to it at [nowMillis]. */
     public fun isUsable(nowMillis: Long): Boolean =
-        (listed || nowMillis < presumedListedUntilMillis) && knowsEpoch && !record.draining && !cordoned &&
+        (listed || nowMillis < presumedListedUntilMillis) && recorded && knowsEpoch && !record.draining && !cordoned &&
             unreachableSinceMillis == null && avoidUntilMillis <= nowMillis && clockMillis != null
 
     /** Adds a run that may be on the executor and reserves capacity for it. */
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -32,6 +32,7 @@
 import org.gypsumturn.batch.schedule.ExecutorOrder
 import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.batch.schedule.StepOrder
+import org.gypsumturn.batch.schedule.StoredRoster
 import org.gypsumturn.batch.schedule.orderByPlan
 import org.gypsumturn.batch.state.ProgressRecord
 import org.gypsumturn.model.DataCentreId
@@ -84,6 +85,9 @@
 private const val LIST_DELAY_MILLIS = 2_100L
 private const val ENTRY_LAPSE_MILLIS = 4_500L
 
+/** Time after an outage of the store within which entries that have lapsed are written again. */
+private const val ENTRY_RETURN_MILLIS = 2_000L
+
 /** A task may be started this often after so many executors have crashed under it. */
 private const val ALLOWED_CRASHES = 3
 private const val ALLOWED_LATE_STARTS = 2
@@ -195,6 +199,7 @@
     private val submittedJobs = HashMap<JobId, BatchJob>()
     private var revision = 100L
     private val stored = HashMap<JobId, ProgressRecord>()
+    private val storedRosters = HashMap<PoolId, StoredRoster>()
 
     /** Executors that the policy of queues with advice allows, and the number of questions to the advisor. */
     val allowedByPolicy = HashSet<InstanceId>()
@@ -234,25 +239,46 @@
         scheduler.addJob(nowMillis, job, null, Revision.ABSENT, true)
     }
 
-    /** Lets a new holder take over with the stored state. */
-    fun takeOver(epoch: Long) {
+    /**
+     * Lets a new holder take over with the stored state. The entries of the executors that [hasLapsedEntry] selects are
+     * missing in the store, and back after [entryReturnMillis].
+     */
+    fun takeOver(
+        epoch: Long,
+        entryReturnMillis: Long = ENTRY_RETURN_MILLIS,
+        hasLapsedEntry: (VirtualExecutor) -> Boolean = { false },
+    ) {
         val old = scheduler
         scheduler = newScheduler(epoch)
-        executors.values.forEach { scheduler.onExecutorListed(nowMillis, it.record()) }
+        val holder = scheduler
+        val (lapsed, listed) = executors.values.partition(hasLapsedEntry)
+        listed.forEach { holder.onExecutorListed(nowMillis, it.record()) }
+        lapsed.forEach { executor ->
+            after(entryReturnMillis) { holder.onExecutorListed(nowMillis, executor.record()) }
+        }
         old.jobs.forEach { state ->
             scheduler.addJob(nowMillis, state.job, stored[state.job.id], state.revision, false)
         }
-        scheduler.startRecovery(nowMillis + 5_500)
+        scheduler.startRecovery(nowMillis, storedRosters.toMap(), nowMillis + 5_500)
     }
 
     /**
      * Lets a new holder take over while the old one goes on, which believes that its lease lapses at
      * [validUntilMillis].
      */
-    fun takeOverFromLiveHolder(epoch: Long, validUntilMillis: Long) {
+    fun takeOverFromLiveHolder(
+        epoch: Long,
+        validUntilMillis: Long,
+        hasLapsedEntry: (VirtualExecutor) -> Boolean = { false },
+    ) {
         formerHolder = scheduler
         formerHolderValidUntilMillis = validUntilMillis
-        takeOver(epoch)
+        takeOver(epoch, hasLapsedEntry = hasLapsedEntry)
+    }
+
+    /** Removes what is stored of the executors that tasks may be on, as if an older version had been the holder. */
+    fun forgetRosters() {
+        storedRosters.clear()
     }
 
     fun run(forMillis: Long, everyMillis: Long = 5, each: () -> Unit = {}) {
@@ -300,6 +326,11 @@
 
     private fun store() {
         if (nowMillis > validUntilMillis) return
+        scheduler.takeRosterChanges(100).forEach { change ->
+            val row = StoredRoster(change.roster, Revision(++revision))
+            storedRosters[change.pool] = row
+            scheduler.onRosterStored(change, row.revision)
+        }
         scheduler.takeChanges(100).forEach { change ->
             stored[change.job.job.id] = change.record
             scheduler.onProgressStored(change, Revision(++revision))
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LateHolderTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LateHolderTest.kt
@@ -40,6 +40,8 @@
         runPass(scheduler)
         answerPoll(scheduler)
         scheduler.addJob(nowMillis, job(1, step()), null, Revision.ABSENT, true)
+        runPass(scheduler)
+        scheduler.takeRosterChanges(1).forEach { scheduler.onRosterStored(it, Revision(1)) }
         val start = runPass(scheduler).filterIsInstance<ExecutorOrder.Start>().single()
         scheduler.onStartAnswered(nowMillis, start.run, Verdict.Ran(OrderAnswer.Done(nowMillis)))
         answerPoll(scheduler, ReportedRun(start.run.id, "", 10, 0))
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
@@ -3,9 +3,14 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
+import org.gypsumturn.batch.POOL
 import org.gypsumturn.batch.VirtualFleet
+import org.gypsumturn.batch.configuration
 import org.gypsumturn.batch.job
+import org.gypsumturn.batch.model.ResourceAmounts
+import org.gypsumturn.batch.queue
 import org.gypsumturn.batch.step
+import org.gypsumturn.model.PoolId
 import kotlin.random.Random
 
 /**
@@ -56,6 +61,86 @@
         }
     }
 
+    // Guards against: a task that runs on an executor whose entry has lapsed is started again by a new holder.
+    @Test
+    fun `no task runs twice after a takeover while entries of running executors are missing`() {
+        (1L..300L).forEach { seed ->
+            val random = Random(seed)
+            val fleet = VirtualFleet(3)
+            fleet.run(100)
+            repeat(random.nextInt(1, 4)) { number -> submit(fleet, random, number) }
+            fleet.run(random.nextLong(20, 1_500))
+            val lapsed = fleet.executors.values.filterTo(HashSet()) { random.nextBoolean() }
+            fleet.takeOver(2, entryReturnMillis = random.nextLong(1, 8_000)) { it in lapsed }
+            if (random.nextInt(3) == 0) lapsed.forEach { it.unreachableFrom += fleet.scheduler }
+            fleet.run(random.nextLong(1, 4_000))
+            lapsed.forEach { it.unreachableFrom.clear() }
+            fleet.run(20_000)
+            fleet.breaches.shouldBeEmpty()
+            fleet.scheduler.activeJobs.shouldBeEmpty()
+        }
+    }
+
+    // Guards against: a pause until all leases have lapsed where the executors that run the tasks can be asked.
+    @Test
+    fun `a run on an executor without an entry goes on under the new holder`() {
+        val fleet = VirtualFleet(1)
+        fleet.run(100)
+        fleet.submit(job(1, step())) { 7_000 }
+        fleet.run(100)
+        fleet.takeOver(2, entryReturnMillis = 9_000) { true }
+        fleet.run(8_000)
+        fleet.starts.size shouldBe 1
+        fleet.completedMillis.size shouldBe 1
+    }
+
+    // Guards against: a first start on an executor before a later holder can know of it.
+    @Test
+    fun `nothing is started on an executor that the stored roster does not name`() {
+        val fleet = VirtualFleet(1)
+        fleet.validUntilMillis = fleet.nowMillis
+        fleet.submit(job(1, step()))
+        fleet.run(1_000)
+        fleet.starts.shouldBeEmpty()
+        fleet.validUntilMillis = Long.MAX_VALUE / 2
+        fleet.run(100)
+        fleet.starts.size shouldBe 1
+    }
+
+    // Guards against: a takeover from a holder that has stored no rosters takes executors without entries for idle.
+    @Test
+    fun `without rosters a new holder waits until all leases have lapsed`() {
+        val fleet = VirtualFleet(2)
+        fleet.run(100)
+        fleet.submit(job(1, step(count = 2))) { 8_000 }
+        fleet.run(100)
+        fleet.forgetRosters()
+        fleet.takeOver(2, entryReturnMillis = 20_000) { true }
+        fleet.add("x9", ResourceAmounts(16_000, 32_000, 0))
+        fleet.run(20_000)
+        fleet.breaches.shouldBeEmpty()
+        fleet.completedMillis.size shouldBe 1
+    }
+
+    // Guards against: a queue that moves to another pool has its tasks started there while they run in the former pool.
+    @Test
+    fun `a new holder waits for the pools that a queue had before`() {
+        val other = PoolId("press")
+        val fleet = VirtualFleet(1)
+        fleet.add("y0", ResourceAmounts(16_000, 32_000, 0), other)
+        fleet.run(100)
+        fleet.submit(job(1, step())) { 4_000 }
+        fleet.run(100)
+        fleet.configuration = configuration(queue(pool = other), version = 2)
+        fleet.takeOver(2) { it.pool == POOL }
+        fleet.executors.values.first().unreachableFrom += fleet.scheduler
+        fleet.run(1_500)
+        fleet.executors.values.forEach { it.unreachableFrom.clear() }
+        fleet.run(10_000)
+        fleet.breaches.shouldBeEmpty()
+        fleet.starts.size shouldBe 1
+    }
+
     @Test
     fun `the simulation detects a holder that counts its lease too long`() {
         (1L..300L).any { seed -> simulate(seed, lateMillis = 6_000).breaches.isNotEmpty() } shouldBe true
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -25,11 +25,14 @@
 import org.gypsumturn.batch.schedule.BatchScheduler
 import org.gypsumturn.batch.schedule.DecisionLog
 import org.gypsumturn.batch.schedule.SchedulerSettings
+import org.gypsumturn.batch.schedule.StoredRoster
 import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.batch.state.JobState
+import org.gypsumturn.batch.state.PoolRoster
 import org.gypsumturn.batch.state.ProgressRecord
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.JobId
+import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.failureOrNull
@@ -82,6 +85,7 @@
 
     /** Jobs whose cancellation was read before the job itself. */
     private val earlyCancellations = HashSet<JobId>()
+    private val storedRosters = HashMap<PoolId, StoredRoster>()
     private val rowsByJob = HashMap<JobId, MutableSet<RowAddress>>()
     private var configuration: FleetConfiguration? = null
     private var jobsLoaded = false
@@ -160,6 +164,7 @@
             "revision" to stored.jobsRevision,
         )
         machines?.applyStoredWaves(stored.waveRows)
+        applyRosterRows(stored.rosterRows)
         jobFeedAge.recordAnswer(nowMillis)
         jobsLoaded = true
         awaitJobChanges(stored.jobsRevision)
@@ -191,6 +196,17 @@
         }
     }
 
+    private fun applyRosterRows(rows: List<StoredRow>) {
+        rows.forEach { row ->
+            val value = row.value ?: return@forEach
+            try {
+                storedRosters[PoolId(row.address.key)] = StoredRoster(PoolRoster.decode(value), row.revision)
+            } catch (e: IllegalArgumentException) {
+                logEvent("row unreadable", "key" to row.address.key, "why" to e.message)
+            }
+        }
+    }
+
     private fun awaitJobChanges(after: Revision) {
         ports.store.awaitChanges(
             JobRows.TABLE,
@@ -300,7 +316,8 @@
         if (ready || !jobsLoaded || !executorsLoaded) return
         ready = true
         val waitMillis = settings.leaseMillis + settings.leaseMillis / SLOW_CLOCK_DIVISOR + LEASE_SLACK_MILLIS
-        if (scheduler.activeJobs.isNotEmpty()) scheduler.startRecovery(NodeClock.steadyMillis() + waitMillis)
+        val nowMillis = NodeClock.steadyMillis()
+        scheduler.startRecovery(nowMillis, storedRosters, nowMillis + waitMillis)
         waves.values.forEach { machines?.addWave(it, firstHolder = false) }
         logEvent("session ready", "epoch" to epoch, "executors" to scheduler.executors.size)
     }
--- a/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
@@ -1,8 +1,9 @@
-// Stores the progress of jobs in groups, one transaction at a time. Each transaction is conditional on the fence row,
-// so that it fails after another process has taken the lease over.
+// Stores the progress of jobs and the rosters of pools in groups, one transaction at a time. Each transaction is
+// conditional on the fence row, so that it fails after another process has taken the lease over.
 
 package org.gypsumturn.node
 
+import org.gypsumturn.batch.port.RowAddress
 import org.gypsumturn.batch.port.RowCondition
 import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.RowTransaction
@@ -10,12 +11,15 @@
 import org.gypsumturn.batch.port.TransactionOutcome
 import org.gypsumturn.batch.schedule.BatchScheduler
 import org.gypsumturn.batch.schedule.ProgressChange
+import org.gypsumturn.batch.schedule.RosterChange
 import org.gypsumturn.batch.state.JobRows
+import org.gypsumturn.batch.state.PoolRoster
 import org.gypsumturn.model.JobId
+import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 
-/** Writes the progress that [scheduler] has changed. */
+/** Writes the progress and the rosters that [scheduler] has changed. */
 public class ProgressWriter(
     private val scheduler: BatchScheduler,
     private val fence: ProgressFence,
@@ -29,31 +33,40 @@
     /** Writes the next group of changes if there are any, no write is open and the pause since the last one is over. */
     public fun writeIfDue(nowMillis: Long) {
         if (writing || !scheduler.hasChanges || nowMillis < nextWriteMillis) return
-        val changes = scheduler.takeChanges(MAX_GROUP_ROWS)
-        val conditions = changes.map { RowCondition(JobRows.progress(it.job.job.id), it.revision) }
-        val writes = changes.map { RowWrite(JobRows.progress(it.job.job.id), it.record.encode()) }
+        val rosters = scheduler.takeRosterChanges(MAX_GROUP_ROWS)
+        val group = Group(scheduler.takeChanges(MAX_GROUP_ROWS - rosters.size), rosters)
+        if (group.writes.isEmpty()) return
         writing = true
-        store.transact(RowTransaction(conditions + fence.condition(), writes), WRITE_TIMEOUT_MILLIS) { verdict ->
-            post { onAnswer(changes, verdict) }
-        }
+        val transaction = RowTransaction(group.conditions + fence.condition(), group.writes)
+        store.transact(transaction, WRITE_TIMEOUT_MILLIS) { verdict -> post { onAnswer(group, verdict) } }
+    }
+
+    /** Changes that are written in one transaction. */
+    private class Group(val progress: List<ProgressChange>, val rosters: List<RosterChange>) {
+        val conditions = rosters.map { RowCondition(PoolRoster.address(it.pool), it.revision) } +
+            progress.map { RowCondition(JobRows.progress(it.job.job.id), it.revision) }
+        val writes = rosters.map { RowWrite(PoolRoster.address(it.pool), it.roster.encode()) } +
+            progress.map { RowWrite(JobRows.progress(it.job.job.id), it.record.encode()) }
     }
 
-    private fun onAnswer(changes: List<ProgressChange>, verdict: Verdict<TransactionOutcome>) {
+    private fun onAnswer(group: Group, verdict: Verdict<TransactionOutcome>) {
         writing = false
         val nowMillis = NodeClock.steadyMillis()
         nextWriteMillis = nowMillis + GROUP_PAUSE_MILLIS
         when (val outcome = (verdict as? Verdict.Ran)?.value) {
             is TransactionOutcome.Committed -> {
-                changes.forEach { scheduler.onProgressStored(it, outcome.revision) }
-                outage.recordResult(verdict, "jobs" to changes.size)
+                group.rosters.forEach { scheduler.onRosterStored(it, outcome.revision) }
+                group.progress.forEach { scheduler.onProgressStored(it, outcome.revision) }
+                outage.recordResult(verdict, "jobs" to group.progress.size)
             }
 
-            is TransactionOutcome.Conflict -> onConflict(changes, outcome)
+            is TransactionOutcome.Conflict -> onConflict(group, outcome)
 
             null -> {
-                outage.recordResult(verdict, "jobs" to changes.size)
+                outage.recordResult(verdict, "jobs" to group.progress.size)
                 nextWriteMillis = nowMillis + RETRY_MILLIS
-                scheduler.returnChanges(changes) { null }
+                scheduler.returnRosterChanges(group.rosters) { null }
+                scheduler.returnChanges(group.progress) { null }
             }
         }
     }
@@ -63,13 +76,15 @@
      * earlier write of this process took effect although its answer was lost, and the changes are written again with
      * the present revisions.
      */
-    private fun onConflict(changes: List<ProgressChange>, outcome: TransactionOutcome.Conflict) {
+    private fun onConflict(group: Group, outcome: TransactionOutcome.Conflict) {
         val revisions = outcome.current.associate { it.address to it.revision }
         if (revisions[JobRows.FENCE] != fence.revision) {
             fence.markSuperseded()
             return
         }
-        scheduler.returnChanges(changes) { id: JobId -> revisions[JobRows.progress(id)] ?: Revision.ABSENT }
+        val revisionOf = { address: RowAddress -> revisions[address] ?: Revision.ABSENT }
+        scheduler.returnRosterChanges(group.rosters) { pool: PoolId -> revisionOf(PoolRoster.address(pool)) }
+        scheduler.returnChanges(group.progress) { id: JobId -> revisionOf(JobRows.progress(id)) }
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/gypsumturn/node/TakeoverReader.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/TakeoverReader.kt
@@ -1,5 +1,5 @@
 // Reads what the store holds when a term of the control lease begins: jobs and cancellations, which any node may have
-// stored, and progress and waves, which earlier lease holders have stored.
+// stored, and progress, waves and rosters of pools, which earlier lease holders have stored.
 
 package org.gypsumturn.node
 
@@ -7,12 +7,13 @@
 import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.StoredRow
 import org.gypsumturn.batch.state.JobRows
+import org.gypsumturn.batch.state.PoolRoster
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.failureOrNull
 
 /**
- * The stored rows of jobs and waves.
+ * The stored rows of jobs, waves and rosters of pools.
  *
  * @property jobsRevision lowest revision at which a part of [jobRows] was read; changes after it may be missing there
  */
@@ -20,6 +21,7 @@
     public val jobRows: List<StoredRow>,
     public val progressRows: List<StoredRow>,
     public val waveRows: List<StoredRow>,
+    public val rosterRows: List<StoredRow>,
     public val jobsRevision: Revision,
 )
 
@@ -36,10 +38,11 @@
     private val jobRows = ArrayList<StoredRow>()
     private val progressRows = ArrayList<StoredRow>()
     private val waveRows = ArrayList<StoredRow>()
+    private val rosterRows = ArrayList<StoredRow>()
     private var jobsRevision = Revision(Long.MAX_VALUE)
 
     /** Number of partitions whose last page has not been read. */
-    private var open = JobRows.PARTITIONS + 2
+    private var open = JobRows.PARTITIONS + 3
 
     /** Set when the result is no longer needed. No further pages are read and [onComplete] is not called. */
     public var cancelled: Boolean = false
@@ -53,6 +56,7 @@
         }
         readPartition(JobRows.PROGRESS_TABLE, JobRows.PROGRESS_PARTITION, null, progressRows) { }
         readPartition(WaveRows.TABLE, JobRows.PROGRESS_PARTITION, null, waveRows) { }
+        readPartition(PoolRoster.TABLE, JobRows.PROGRESS_PARTITION, null, rosterRows) { }
     }
 
     private fun readPartition(
@@ -91,7 +95,7 @@
             return
         }
         open--
-        if (open == 0) onComplete(StoredJobs(jobRows, progressRows, waveRows, jobsRevision))
+        if (open == 0) onComplete(StoredJobs(jobRows, progressRows, waveRows, rosterRows, jobsRevision))
     }
 
     private companion object {
