Start no task again whose end may not fit into its executor's report

Cause: an executor lists 500 ends at most. A confirmed run in neither list of a report was taken for vanished; and a new holder took the first report of an executor for all of its ends.

Change: a report tells whether it has all ends. One that may lack some proves neither that a run has vanished nor that an executor has been seen. A new holder waits for the remaining ends as long as the executor answers.

Why this works: ends are listed in ascending order, and acknowledged ones make room for the next; every end is seen before a complete report.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/model/Executor.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/model/Executor.kt
@@ -81,12 +81,15 @@
  *
  * @property clockMillis the executor's own monotonic clock when it made the report
  * @property incarnation the executor's incarnation; null where it did not report one
+ * @property endsComplete whether [ended] has all ends that were not acknowledged. If not, a run that is in neither list
+ * may have ended.
  */
 public class ExecutorReport(
     public val clockMillis: Long,
     public val incarnation: Incarnation?,
     public val running: List<ReportedRun>,
     public val ended: List<ReportedRunEnd>,
+    public val endsComplete: Boolean = true,
 )
 
 /** Answer of an executor to an order. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -274,7 +274,7 @@
         when (val result = registry.onPollAnswered(nowMillis, executor, verdict)) {
             is PollResult.Report -> {
                 if (result.newIncarnation) handleNewIncarnation(nowMillis, executor)
-                recovery.markSeen(id)
+                if (result.report.endsComplete) recovery.markSeen(id)
                 reportHandler.handleReport(nowMillis, executor, result.report)
                 if (!wasUsable) stalePools += executor.record.pool
             }
@@ -404,7 +404,7 @@
      * run lease reaches beyond that time. When too little of it is left for a useful lease, executors are only polled.
      */
     public fun runSchedulingPass(nowMillis: Long, wallMillis: Long, overdueMillis: Long): List<ExecutorOrder> {
-        recovery.takeRecoveredPools(nowMillis).forEach { pool ->
+        recovery.takeRecoveredPools(nowMillis) { mayReportEnds(nowMillis, it) }.forEach { pool ->
             log("recovery over", arrayOf("epoch" to epoch, "pool" to pool, "active" to activeJobs.size))
             stalePools += pool
         }
@@ -430,6 +430,12 @@
         return registry.takeOrders(mayStart)
     }
 
+    /** Whether executor [id] may still report ends to this holder, before the leases that it gave have lapsed. */
+    private fun mayReportEnds(nowMillis: Long, id: InstanceId): Boolean {
+        val executor = registry.executors[id]?.takeIf { it.knowsEpoch } ?: return false
+        return executor.unreachableSinceMillis == null || nowMillis < executor.leasesLapsedAtMillis()
+    }
+
     /**
      * Starts waiting tasks of the pools in which something has changed, and from time to time of all pools. Considers
      * only jobs and executors that were known at [knownMillis].
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -47,7 +47,7 @@
             }
         }
         executor.setUnwantedRuns(unwanted)
-        removeVanishedRuns(nowMillis, executor, report.clockMillis, listed)
+        if (report.endsComplete) removeVanishedRuns(nowMillis, executor, report.clockMillis, listed)
     }
 
     private fun onRunEnded(nowMillis: Long, executor: ExecutorState, clockMillis: Long, end: ReportedRunEnd) {
@@ -166,8 +166,8 @@
     private fun canAdoptFor(task: Task): Boolean = !task.done && (task.runs.isEmpty() || task.step.step.speculative)
 
     /**
-     * Removes runs that are missing in the report although the executor had confirmed their start or stop before it
-     * made the report.
+     * Removes runs that are missing in a complete report although the executor had confirmed their start or stop before
+     * it made the report.
      */
     private fun removeVanishedRuns(nowMillis: Long, executor: ExecutorState, clockMillis: Long, listed: Set<Any>) {
         executor.runs.values.toList().forEach { run ->
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TakeoverRecovery.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TakeoverRecovery.kt
@@ -41,10 +41,15 @@
         unseen.values.forEach { it -= id }
     }
 
-    /** Returns the pools whose recovery has ended since the last call. */
-    fun takeRecoveredPools(nowMillis: Long): List<PoolId> {
-        if (nowMillis >= untilMillis) executorsUnknown = false
-        val recovered = unseen.filter { it.value.isEmpty() || nowMillis >= untilMillis }.keys.toList()
+    /**
+     * Returns the pools whose recovery has ended since the last call. Executors that [mayReportEnds] selects are waited
+     * for until all of their ends are known, since their leases are extended.
+     */
+    fun takeRecoveredPools(nowMillis: Long, mayReportEnds: (InstanceId) -> Boolean): List<PoolId> {
+        val leasesLapsed = nowMillis >= untilMillis
+        if (leasesLapsed) executorsUnknown = false
+        val recovered = unseen.filterValues { ids -> ids.isEmpty() || (leasesLapsed && ids.none(mayReportEnds)) }
+            .keys.toList()
         unseen -= recovered.toSet()
         return recovered
     }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -142,6 +142,9 @@
     var reachable = true
     var answersArrive = true
 
+    /** Number of ends that a report lists at most. */
+    var endsPerReport = 500
+
     /** Factor on the duration of each task that runs here. */
     var slowness = 1.0
     var failsAllRuns = false
@@ -505,7 +508,7 @@
             val count = startsAfterThirdCrash.merge(id.task, 1, Int::plus)!!
             if (count > ALLOWED_LATE_STARTS) breaches += "$id starts $count times after its third crash"
         }
-        if (id.task in doneTasks) breaches += "$id starts although its task is done"
+        if (id.task in doneTasks || isDoneUnderLease(id.task)) breaches += "$id starts although its task is done"
         val step = job.steps[id.task.step]
         val twice = executors.values.any { other -> other.runs.keys.any { it.task == id.task } }
         if (twice && !step.speculative) breaches += "$id runs twice"
@@ -517,6 +520,12 @@
         }
     }
 
+    /** Whether an executor has an end of [task] as done that it has not listed yet and that may still be noted. */
+    private fun isDoneUnderLease(task: TaskName): Boolean = executors.values.any { executor ->
+        nowMillis <= executor.leaseEndMillis &&
+            executor.ends.drop(executor.endsPerReport).any { it.run.task == task && it.end == RunEnd.DONE }
+    }
+
     private fun stop(executor: VirtualExecutor, order: ExecutorOrder.Stop): OrderAnswer {
         val id = order.run
         val run = executor.runs[id]
@@ -532,7 +541,8 @@
         executor.ends.removeAll { it.endNumber <= order.order.acknowledgedEndNumber }
         // Once the holder has seen a success, the task must not be started again. A former holder cannot store it, so
         // that only the report to its successor counts.
-        if (holder !== formerHolder) executor.ends.filter { it.end == RunEnd.DONE }.forEach { doneTasks += it.run.task }
+        val listedEnds = executor.ends.take(executor.endsPerReport)
+        if (holder !== formerHolder) listedEnds.filter { it.end == RunEnd.DONE }.forEach { doneTasks += it.run.task }
         val running = executor.runs.values.map { run ->
             val duration = durationMillis.getValue(run.id.task.job)(run.id.task) * executor.slowness
             val elapsed = nowMillis - run.startedMillis
@@ -541,7 +551,13 @@
             ReportedRun(run.id, "", percent, 0)
         }
         return PollAnswer.Reported(
-            ExecutorReport(nowMillis, Incarnation(executor.incarnationStartMillis), running, executor.ends.toList()),
+            ExecutorReport(
+                nowMillis,
+                Incarnation(executor.incarnationStartMillis),
+                running,
+                listedEnds,
+                endsComplete = listedEnds.size < executor.endsPerReport,
+            ),
         )
     }
 }
