Bound the tasks of jobs, and end a process whose control thread has ended

Cause: no bound on the tasks of a job, each of which is an object on the holder. OutOfMemoryError ended the control thread and nothing else; the job was stored, so that each next holder ended likewise.

Change: jobs beyond a limit are rejected at submission, with 400 and the reason. The holder keeps 300,000 tasks in memory at most; further jobs and due occurrences wait. A larger job that an older version stored ends as failed. Progress of the largest job fits into its row, and a group of progress into a transaction.

Why this works: memory no longer depends on what callers submit, neither for one job nor for many, nor on what is stored already.

The memory of a node with the largest jobs was not measured.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/model/BatchJob.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/model/BatchJob.kt
@@ -122,6 +122,9 @@
 
     /** Number of occurrences. A job without a schedule has one. */
     public val occurrences: Int get() = maxOf(1, repeats)
+
+    /** Number of tasks of one occurrence. */
+    public val tasksPerOccurrence: Long get() = steps.sumOf { it.count.toLong() }
 }
 
 /** The identity of the queue at [host] and [pathPrefix]. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -81,6 +81,10 @@
     private val repeatingJobs = LinkedHashSet<JobState>()
     private val mutableActiveJobs = LinkedHashSet<JobState>()
 
+    /** Jobs whose tasks are added once there are fewer others in memory, in the order in which they arrived. */
+    private val deferredJobs = LinkedHashSet<JobState>()
+    private var tasksInMemory = 0L
+
     init {
         registry.onMembersChanged = rosters::markChanged
         reportHandler.maxFailures = { job -> queues[job.job.queue]?.maxAttempts ?: Int.MAX_VALUE }
@@ -188,14 +192,21 @@
         val first = if (neverStarted) 1L else epoch.value * SchedulerSettings.ATTEMPTS_PER_EPOCH + 1
         val state = JobState(job, nowMillis, first)
         state.revision = revision
+        state.onTaskCountChanged = { tasksInMemory += it }
         jobsById[job.id] = state
+        if (job.tasksPerOccurrence > SchedulerSettings.MAX_TASKS_IN_MEMORY && progress?.phase?.ended != true) {
+            log("job too large", arrayOf("job" to job.id, "tasks" to job.tasksPerOccurrence))
+            endJob(nowMillis, state, JobPhase.FAILED)
+            return
+        }
         progress?.let { applyProgress(state, it, nowMillis) }
         if (state.phase.ended) {
             state.endedMillis = nowMillis
             return
         }
-        if (job.repeats == 0 && 0 !in state.occurrences) state.addOccurrence(0, nowMillis)
         activate(state)
+        if (job.repeats == 0 && 0 !in state.occurrences) deferredJobs += state
+        addDeferredOccurrences()
         if (neverStarted) {
             log(
                 "job queued",
@@ -218,6 +229,7 @@
     private fun deactivate(state: JobState) {
         mutableActiveJobs -= state
         repeatingJobs -= state
+        deferredJobs -= state
         activeJobsByQueue[state.job.queue]?.remove(state)
     }
 
@@ -253,6 +265,7 @@
         deactivate(job)
         markChanged(job)
         job.runs().forEach { stopRun(it, "job ended") }
+        job.occurrences.keys.toList().forEach(job::removeOccurrence)
     }
 
     /**
@@ -488,8 +501,23 @@
         reportHandler.removeRun(nowMillis, run)
     }
 
+    /** Whether the tasks of a further occurrence of [job] may be kept in memory. */
+    private fun hasMemoryFor(job: JobState): Boolean =
+        tasksInMemory + job.job.tasksPerOccurrence <= SchedulerSettings.MAX_TASKS_IN_MEMORY
+
+    private fun addDeferredOccurrences() {
+        deferredJobs.filter(::hasMemoryFor).forEach { job ->
+            if (!hasMemoryFor(job)) return@forEach
+            deferredJobs -= job
+            if (0 !in job.occurrences) job.addOccurrence(0, job.acceptedMillis)
+            markPoolStale(job)
+        }
+    }
+
     private fun addDueOccurrences(nowMillis: Long, wallMillis: Long) {
+        addDeferredOccurrences()
         for (job in repeatingJobs) {
+            if (!hasMemoryFor(job)) continue
             val next = maxOf(
                 job.occurrences.keys.maxOrNull() ?: -1,
                 job.completedOccurrences.maxOrNull() ?: -1,
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -54,7 +54,7 @@
         val job = scheduler.job(end.run.task.job)
         val run = executor.runs[end.run]
         if (run != null) detachRun(run)
-        val task = run?.task ?: job?.findOrAddTask(end.run.task, nowMillis)
+        val task = run?.task ?: job?.takeUnless { it.phase.ended }?.findOrAddTask(end.run.task, nowMillis)
         if (job == null || task == null || job.phase.ended) {
             executor.pendingEnds[end.endNumber] =
                 PendingEnd(job?.takeIf { it.phase.ended }, job?.latestChangeNumber ?: 0)
@@ -113,7 +113,7 @@
         if (job.completedOccurrences.size == job.job.occurrences) {
             scheduler.endJob(nowMillis, job, JobPhase.COMPLETED)
         } else {
-            job.occurrences.remove(occurrence.number)
+            job.removeOccurrence(occurrence.number)
         }
     }
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
@@ -56,6 +56,9 @@
          */
         public const val UNHEALTHY_EXECUTOR_PAUSE_MILLIS: Long = 1_000
 
+        /** Number of tasks that are kept in memory at most. Further jobs wait; a job with more tasks can't be run. */
+        public const val MAX_TASKS_IN_MEMORY: Long = 300_000
+
         /** Attempt numbers reserved for each epoch, so that the attempts of two holders never share a number. */
         public const val ATTEMPTS_PER_EPOCH: Long = 1_000
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -120,13 +120,12 @@
     public var done: Boolean = false
         private set
 
-    private val mutableRuns = ArrayList<Run>(1)
-
     /** Runs of the task that have not ended, as far as is known. */
-    public val runs: List<Run> get() = mutableRuns
+    public var runs: List<Run> = emptyList()
+        private set
 
     /** Numbers of the attempts that failed. */
-    public val failedAttempts: MutableSet<Long> = HashSet(0)
+    public var failedAttempts: Set<Long> = emptySet()
 
     /** Crashes of executors on which the task ran. */
     public val crashes: CrashHistory = CrashHistory()
@@ -134,7 +133,7 @@
     public var checkpoint: String = ""
 
     /** Executors on which the task failed. Others are preferred. */
-    public val failedOn: MutableSet<InstanceId> = HashSet(0)
+    public var failedOn: Set<InstanceId> = emptySet()
 
     /** The task is not started before this time. */
     public var notBeforeMillis: Long = 0
@@ -152,13 +151,15 @@
 
     /** Adds [run], which is or may be on its executor from now on. */
     public fun addRun(run: Run) {
-        mutableRuns += run
+        runs += run
         step.onRunAdded(this, run)
     }
 
     /** Removes [run], which is no longer on its executor. */
     public fun removeRun(run: Run) {
-        if (mutableRuns.remove(run)) step.onRunRemoved(this, run)
+        if (run !in runs) return
+        runs -= run
+        step.onRunRemoved(this, run)
     }
 
     /** Marks the task as done; has no effect if it is done already. */
@@ -253,8 +254,13 @@
  * @property firstAttempt lowest attempt number for its tasks
  */
 public class JobState(public val job: BatchJob, public val acceptedMillis: Long, public val firstAttempt: Long) {
+    private val mutableOccurrences = LinkedHashMap<Int, Occurrence>(1)
+
     /** Occurrences that have become due and are kept in memory, by number. */
-    public val occurrences: MutableMap<Int, Occurrence> = LinkedHashMap(1)
+    public val occurrences: Map<Int, Occurrence> get() = mutableOccurrences
+
+    /** Called with the number of tasks by which the tasks in memory become more, or fewer if it is negative. */
+    public var onTaskCountChanged: (Long) -> Unit = {}
 
     public var phase: JobPhase = JobPhase.QUEUED
 
@@ -286,10 +292,16 @@
     public fun addOccurrence(number: Int, dueMillis: Long): Occurrence {
         val steps = job.steps.mapIndexed { index, step -> StepState(this, number, index, step) }
         val occurrence = Occurrence(number, steps, dueMillis)
-        occurrences[number] = occurrence
+        mutableOccurrences[number] = occurrence
+        onTaskCountChanged(job.tasksPerOccurrence)
         return occurrence
     }
 
+    /** Removes occurrence [number] from memory. */
+    public fun removeOccurrence(number: Int) {
+        if (mutableOccurrences.remove(number) != null) onTaskCountChanged(-job.tasksPerOccurrence)
+    }
+
     /** Estimated time of the longest chain of dependent steps of [occurrence] that are not complete. */
     public fun remainingCriticalPathMillis(occurrence: Occurrence): Long {
         val ends = LongArray(occurrence.steps.size)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
@@ -7,6 +7,11 @@
 import kotlinx.serialization.json.Json
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.model.TaskName
+import java.util.Base64
+import java.util.BitSet
+
+/** Longer lists of numbers are stored as a set of bits. */
+private const val MAX_LISTED_NUMBERS = 2_000
 
 private val json = Json {
     ignoreUnknownKeys = true
@@ -23,6 +28,8 @@
  * @property crashCleared numbers of the attempts whose executor crashed for another cause
  * @property unresolved numbers of the attempts that may have crashed their executor
  * @property completed numbers of the complete occurrences
+ * @property doneBits the done tasks of steps of which many are done, by `occurrence.step`, as a set of bits in base64
+ * @property completedBits the complete occurrences if these are many, likewise
  */
 @Serializable
 public data class ProgressRecord(
@@ -33,6 +40,8 @@
     public val crashedAtStart: Map<String, List<Long>> = emptyMap(),
     public val crashCleared: Map<String, List<Long>> = emptyMap(),
     public val unresolved: Map<String, List<Long>> = emptyMap(),
+    public val doneBits: Map<String, String> = emptyMap(),
+    public val completedBits: String = "",
 ) {
     /** Encodes the record as the value of its row. */
     public fun encode(): ByteArray = json.encodeToString(serializer(), this).encodeToByteArray()
@@ -57,29 +66,47 @@
             if (numbers.isNotEmpty()) done["${occurrence.number}.${step.index}"] = numbers
         }
     }
+    val (long, short) = done.entries.partition { it.value.size > MAX_LISTED_NUMBERS }
+    val completed = job.completedOccurrences.toList()
+    val hasManyCompleted = completed.size > MAX_LISTED_NUMBERS
     return ProgressRecord(
         job.phase,
-        done,
+        short.associate { it.key to it.value },
         attemptsByTask(job) { it.failedAttempts },
-        job.completedOccurrences.toList(),
+        if (hasManyCompleted) emptyList() else completed,
         attemptsByTask(job) { it.crashes.atStart },
         attemptsByTask(job) { it.crashes.cleared },
         attemptsByTask(job) { it.crashes.unresolved },
+        long.associate { it.key to encodeBits(it.value) },
+        if (hasManyCompleted) encodeBits(completed) else "",
     )
 }
 
-/** The attempts that [attemptsOf] selects, by `occurrence.step.index` of their task. Tasks without any are left out. */
+private fun encodeBits(numbers: List<Int>): String {
+    val bits = BitSet()
+    numbers.forEach(bits::set)
+    return Base64.getEncoder().encodeToString(bits.toByteArray())
+}
+
+private fun decodeBits(text: String): List<Int> =
+    BitSet.valueOf(Base64.getDecoder().decode(text)).stream().toArray().toList()
+
+/**
+ * The attempts that [attemptsOf] selects, by `occurrence.step.index` of their task. Tasks without any are left out, and
+ * tasks that are done, since they are not started again.
+ */
 private fun attemptsByTask(job: JobState, attemptsOf: (Task) -> Set<Long>): Map<String, List<Long>> =
     job.occurrences.values.flatMap { it.steps }.flatMap { it.tasks }
-        .filter { attemptsOf(it).isNotEmpty() }
+        .filter { !it.done && attemptsOf(it).isNotEmpty() }
         .associate { "${it.step.occurrence}.${it.step.index}.${it.index}" to attemptsOf(it).toList() }
 
 /** Applies the stored [record] to [job], and adds the occurrences that the record names. */
 public fun applyProgress(job: JobState, record: ProgressRecord, nowMillis: Long) {
     job.phase = record.phase
     job.visiblePhase = record.phase
-    job.completedOccurrences += record.completed
-    record.done.forEach { (place, numbers) ->
+    job.completedOccurrences += record.completed + decodeBits(record.completedBits)
+    val done = record.done.entries.map { it.key to it.value } + record.doneBits.map { it.key to decodeBits(it.value) }
+    done.forEach { (place, numbers) ->
         val (occurrence, step) = place.split('.').map { it.toInt() }
         numbers.forEach { index ->
             val task = job.findOrAddTask(TaskName(job.job.id, occurrence, step, index), nowMillis)
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
@@ -8,6 +8,7 @@
 import org.gypsumturn.batch.desk.RouteResult
 import org.gypsumturn.batch.model.BatchJob
 import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.JobLimits
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.model.Queue
 import org.gypsumturn.batch.port.RowAddress
@@ -51,6 +52,7 @@
  * Handles the requests of callers to one node. All calls must be on one thread.
  *
  * @param partition partition in which this node stores jobs and cancellations
+ * @param limits limits on the jobs that are accepted
  */
 public class NodeJobRequestHandler(
     private val configuration: () -> FleetConfiguration?,
@@ -58,6 +60,7 @@
     private val holder: HolderQueries,
     private val committer: JobCommitter,
     private val partition: String,
+    private val limits: JobLimits,
     private val metrics: NodeMetrics,
 ) : JobRequestHandler {
     override fun route(host: String, path: String): RouteResult {
@@ -66,7 +69,13 @@
     }
 
     override fun submit(queue: Queue, job: BatchJob, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
-        val write = RowWrite(JobRows.job(job.id, partition), JobRows.encode(job))
+        val row = JobRows.encode(job)
+        limits.exceededBy(job, row.size)?.let { exceeded ->
+            logEvent("submit", "job" to job.id, "outcome" to "Invalid", "why" to exceeded)
+            reply(CallerAnswer.Invalid(exceeded))
+            return
+        }
+        val write = RowWrite(JobRows.job(job.id, partition), row)
         commit("submit", job.id, write, deadlineMillis, CallerAnswer.Accepted, reply)
     }
 
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -8,6 +8,7 @@
 import org.gypsumturn.batch.lease.ControlLease
 import org.gypsumturn.batch.lease.LeaseTimes
 import org.gypsumturn.batch.machines.MachineTimes
+import org.gypsumturn.batch.model.JobLimits
 import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.model.NodeId
@@ -100,6 +101,7 @@
             peers,
             JobCommitter(store, store::isUnreachable, postDelayedOnLoop, NodeClock::steadyMillis),
             JobRows.partitionOf(nodeName),
+            JobLimits(settings[NodeSettings.maxRowBytes].toInt()),
             metrics,
         )
     private val ingress =
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeSettings.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeSettings.kt
@@ -18,6 +18,8 @@
 /** Highest port number. */
 private const val PORTS = 65_535L
 
+private const val MAX_ROW_BYTES = 16_777_216L
+
 /** The settings of a node. The description of each setting is shown in the help text. */
 public object NodeSettings {
     public val nodeName: Setting<String> = name("node", "name", null, "name of this node, unique in the installation")
@@ -54,6 +56,16 @@
     public val orderMode: Setting<String> =
         name("platform", "order_mode", "rpc", "how orders reach executors; only rpc is supported")
 
+    public val maxRowBytes: Setting<Long> =
+        wholeNumber(
+            "platform",
+            "max_row_bytes",
+            65_536,
+            1_024L..MAX_ROW_BYTES,
+            "bytes",
+            "largest value of a stored row",
+        )
+
     public val maxLeaseMillis: Setting<Long> =
         millis("max_lease_millis", 6_000, "longest lease that executors grant to a run")
 
@@ -105,7 +117,7 @@
     public val schema: SettingsSchema = SettingsSchema(
         listOf(
             nodeName, dataCentre, host, peerPort, metricsPort, coreShare, callerAddress, readyAddress,
-            storeAddress, machinesAddress, advisorAddress, orderMode,
+            storeAddress, machinesAddress, advisorAddress, orderMode, maxRowBytes,
             maxLeaseMillis, stopMillis, gangTimeoutMillis, earlyMillis, orderLeaseMillis, noticeMillis,
             remoteFactor, moveSeconds, upkeepSeconds, graceSeconds, statusSeconds,
         ),
--- a/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
@@ -33,20 +33,32 @@
     /** Writes the next group of changes if there are any, no write is open and the pause since the last one is over. */
     public fun writeIfDue(nowMillis: Long) {
         if (writing || !scheduler.hasChanges || nowMillis < nextWriteMillis) return
-        val rosters = scheduler.takeRosterChanges(MAX_GROUP_ROWS)
-        val group = Group(scheduler.takeChanges(MAX_GROUP_ROWS - rosters.size), rosters)
+        val group = takeGroup()
         if (group.writes.isEmpty()) return
         writing = true
         val transaction = RowTransaction(group.conditions + fence.condition(), group.writes)
         store.transact(transaction, WRITE_TIMEOUT_MILLIS) { verdict -> post { onAnswer(group, verdict) } }
     }
 
+    /** Takes changes up to the limits of a transaction. Rosters come first, since starts wait for them. */
+    private fun takeGroup(): Group {
+        val rosters = scheduler.takeRosterChanges(MAX_GROUP_ROWS)
+        val changes = scheduler.takeChanges(MAX_GROUP_ROWS - rosters.size).map { it to it.record.encode() }
+        var bytes = 0
+        val (taken, left) = changes.partition { (_, value) ->
+            (bytes == 0 || bytes + value.size <= MAX_GROUP_BYTES).also { if (it) bytes += value.size }
+        }
+        scheduler.returnChanges(left.map { it.first }) { null }
+        return Group(taken, rosters)
+    }
+
     /** Changes that are written in one transaction. */
-    private class Group(val progress: List<ProgressChange>, val rosters: List<RosterChange>) {
+    private class Group(encodedProgress: List<Pair<ProgressChange, ByteArray>>, val rosters: List<RosterChange>) {
+        val progress = encodedProgress.map { it.first }
         val conditions = rosters.map { RowCondition(PoolRoster.address(it.pool), it.revision) } +
             progress.map { RowCondition(JobRows.progress(it.job.job.id), it.revision) }
         val writes = rosters.map { RowWrite(PoolRoster.address(it.pool), it.roster.encode()) } +
-            progress.map { RowWrite(JobRows.progress(it.job.job.id), it.record.encode()) }
+            encodedProgress.map { (change, value) -> RowWrite(JobRows.progress(change.job.job.id), value) }
     }
 
     private fun onAnswer(group: Group, verdict: Verdict<TransactionOutcome>) {
@@ -91,6 +103,12 @@
         /** Rows of a group at most. A transaction takes 100 entries, and each row needs a condition too. */
         const val MAX_GROUP_ROWS = 48
 
+        /**
+         * Most bytes of the values of progress in a group. A transaction of the store takes a million bytes, and the
+         * encoding of the values makes them a third larger.
+         */
+        const val MAX_GROUP_BYTES = 500_000
+
         /** Pause between two groups, so that changes of the same moment are written in one transaction. */
         const val GROUP_PAUSE_MILLIS = 20L
 
--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/duty/EventLoopThread.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/duty/EventLoopThread.kt
@@ -29,6 +29,12 @@
     @Volatile
     private var stopped = false
 
+    /**
+     * Called when the thread ends by an [Error], such as a lack of memory. The process can't do its work without the
+     * thread, and ends unless this is changed before [start].
+     */
+    public var onFatalError: (Error) -> Unit = ::haltProcess
+
     public fun start() {
         thread.start()
     }
@@ -50,10 +56,22 @@
     }
 
     private fun run() {
-        while (!stopped) {
-            val first = awaitEvent()
-            if (first != null) handleBatch(first)
-            if (!stopped) runAndLogFailure { afterBatch() }
+        try {
+            while (!stopped) {
+                val first = awaitEvent()
+                if (first != null) handleBatch(first)
+                if (!stopped) runAndLogFailure { afterBatch() }
+            }
+        } catch (e: Error) {
+            reportFatalError(e)
+        }
+    }
+
+    private fun reportFatalError(error: Error) {
+        try {
+            log.error("event loop {} ends by an error", name, error)
+        } finally {
+            onFatalError(error)
         }
     }
 
--- a/runtime/src/test/kotlin/org/gypsumturn/runtime/duty/EventLoopThreadTest.kt
+++ b/runtime/src/test/kotlin/org/gypsumturn/runtime/duty/EventLoopThreadTest.kt
@@ -26,6 +26,19 @@
         handled shouldBe listOf(1, 3)
     }
 
+    // Guards against: a process whose event loop has ended by an error goes on and does no work.
+    @Test
+    fun `an error in a handler is reported as fatal`() {
+        val reported = CountDownLatch(1)
+        val loop = EventLoopThread<Int>("test", queueCapacity = 2, idleMillis = 10, handle = {
+            throw OutOfMemoryError("thrown on purpose")
+        })
+        loop.onFatalError = { reported.countDown() }
+        loop.start()
+        loop.offer(1)
+        reported.await(10, TimeUnit.SECONDS) shouldBe true
+    }
+
     @Test
     fun `an event is refused when the queue is full`() {
         val loop = EventLoopThread<Int>("test", queueCapacity = 2, idleMillis = 10, handle = {})
