--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -248,7 +248,7 @@
      */
     fun takeOver(
         epoch: Long,
-        entryReturnMillis: Long = ENTRY_RETURN_MILLIS,
+        entryReturnMillis: (VirtualExecutor) -> Long = { ENTRY_RETURN_MILLIS },
         hasLapsedEntry: (VirtualExecutor) -> Boolean = { false },
     ) {
         val old = scheduler
@@ -257,7 +257,7 @@
         val (lapsed, listed) = executors.values.partition(hasLapsedEntry)
         listed.forEach { holder.onExecutorListed(nowMillis, it.record()) }
         lapsed.forEach { executor ->
-            after(entryReturnMillis) { holder.onExecutorListed(nowMillis, executor.record()) }
+            after(entryReturnMillis(executor)) { holder.onExecutorListed(nowMillis, executor.record()) }
         }
         old.jobs.forEach { state ->
             scheduler.addJob(nowMillis, state.job, stored[state.job.id], state.revision, false)
@@ -274,11 +274,16 @@
         validUntilMillis: Long,
         hasLapsedEntry: (VirtualExecutor) -> Boolean = { false },
     ) {
-        formerHolder = scheduler
-        formerHolderValidUntilMillis = validUntilMillis
+        resumeFormerHolder(scheduler, validUntilMillis)
         takeOver(epoch, hasLapsedEntry = hasLapsedEntry)
     }
 
+    /** Lets [holder], which does not know of its successor, go on until its lease lapses at [validUntilMillis]. */
+    fun resumeFormerHolder(holder: BatchScheduler, validUntilMillis: Long) {
+        formerHolder = holder
+        formerHolderValidUntilMillis = validUntilMillis
+    }
+
     /** Removes what is stored of the executors that tasks may be on, as if an older version had been the holder. */
     fun forgetRosters() {
         storedRosters.clear()
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
@@ -10,6 +10,7 @@
 import org.gypsumturn.batch.model.ResourceAmounts
 import org.gypsumturn.batch.queue
 import org.gypsumturn.batch.step
+import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.PoolId
 import kotlin.random.Random
 
@@ -71,7 +72,7 @@
             repeat(random.nextInt(1, 4)) { number -> submit(fleet, random, number) }
             fleet.run(random.nextLong(20, 1_500))
             val lapsed = fleet.executors.values.filterTo(HashSet()) { random.nextBoolean() }
-            fleet.takeOver(2, entryReturnMillis = random.nextLong(1, 8_000)) { it in lapsed }
+            fleet.takeOver(2, { random.nextLong(1, 8_000) }) { it in lapsed }
             if (random.nextInt(3) == 0) lapsed.forEach { it.unreachableFrom += fleet.scheduler }
             fleet.run(random.nextLong(1, 4_000))
             lapsed.forEach { it.unreachableFrom.clear() }
@@ -81,6 +82,42 @@
         }
     }
 
+    // Guards against: a store that restarts under a paused holder, which wakes beside a successor without entries.
+    @Test
+    fun `no task runs twice beside a holder that wakes from a pause while entries are missing`() {
+        (1L..300L).forEach { seed ->
+            val random = Random(seed)
+            val fleet = VirtualFleet(3)
+            fleet.run(100)
+            repeat(random.nextInt(1, 4)) { number -> submit(fleet, random, number) }
+            fleet.run(random.nextLong(20, 1_500))
+            val paused = fleet.scheduler
+            val validUntilMillis = fleet.nowMillis + random.nextLong(1, 2_000)
+            fleet.takeOver(2, { random.nextLong(1, 3_000) }) { true }
+            fleet.run(random.nextLong(1, 4_000))
+            fleet.resumeFormerHolder(paused, validUntilMillis)
+            fleet.run(random.nextLong(1, 4_000))
+            fleet.formerHolder = null
+            fleet.run(20_000)
+            fleet.breaches.shouldBeEmpty()
+            fleet.scheduler.activeJobs.shouldBeEmpty()
+        }
+    }
+
+    // Guards against: a new holder starts tasks that last again and then stops the older runs, so that all are away.
+    @Test
+    fun `runs of a task that lasts go on through a takeover while entries are missing`() {
+        val fleet = VirtualFleet(3)
+        fleet.run(100)
+        fleet.submit(job(1, step(count = 5).copy(longRunning = true, mayMiss = 1))) { 100_000 }
+        fleet.run(1_000)
+        val runs = fleet.executors.values.flatMap { it.runs.keys }.toSet()
+        fleet.takeOver(2, { if (it.id == InstanceId("x0")) 10 else 2_000 }) { true }
+        fleet.run(8_000)
+        fleet.executors.values.flatMap { it.runs.keys }.toSet() shouldBe runs
+        fleet.starts.size shouldBe 5
+    }
+
     // Guards against: a pause until all leases have lapsed where the executors that run the tasks can be asked.
     @Test
     fun `a run on an executor without an entry goes on under the new holder`() {
@@ -88,7 +125,7 @@
         fleet.run(100)
         fleet.submit(job(1, step())) { 7_000 }
         fleet.run(100)
-        fleet.takeOver(2, entryReturnMillis = 9_000) { true }
+        fleet.takeOver(2, { 9_000 }) { true }
         fleet.run(8_000)
         fleet.starts.size shouldBe 1
         fleet.completedMillis.size shouldBe 1
@@ -115,7 +152,7 @@
         fleet.submit(job(1, step(count = 2))) { 8_000 }
         fleet.run(100)
         fleet.forgetRosters()
-        fleet.takeOver(2, entryReturnMillis = 20_000) { true }
+        fleet.takeOver(2, { 20_000 }) { true }
         fleet.add("x9", ResourceAmounts(16_000, 32_000, 0))
         fleet.run(20_000)
         fleet.breaches.shouldBeEmpty()
