Write a roster again after a write whose result is not known

What callers could have seen: an executor, or a queue, that no start reaches any more.

Cause: three cases of the rosters of "Wait after a takeover for all executors". A roster that a write was about to drop from, and that had the same content again before the write's answer was lost, counted as stored. A queue that a write under way was dropping still counted as stored. And the first holder of all waited for leases that nobody can have given.

Change: a pool whose last write is not confirmed is written again, whatever it was before; a queue counts as stored only while no write is dropping it; the holder of the first epoch waits for nothing.

Result: three new tests of TakeoverTest; each fails with its part of the change taken out.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -157,7 +157,8 @@
                 .forEach { (id, address) -> registry.addUnlisted(nowMillis, InstanceId(id), pool, address) }
         }
         this.rosters.applyStored(rosters)
-        if (activeJobs.isNotEmpty()) recovery.awaitExecutors(rosters.mapValues { it.value.roster }, untilMillis)
+        if (activeJobs.isEmpty() || epoch.value <= FIRST_EPOCH) return
+        recovery.awaitExecutors(rosters.mapValues { it.value.roster }, untilMillis)
     }
 
     /** Removes and returns at most [limit] rosters that are to be stored. */
@@ -580,6 +581,9 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
 
+        /** The epoch of the first holder, before which nothing was started. */
+        const val FIRST_EPOCH = 1L
+
         /** Age of the executors' entries from which on their capacities are not relied on. */
         const val MAX_CAPACITY_AGE_MILLIS = 3_000L
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/PoolRosters.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/PoolRosters.kt
@@ -17,9 +17,15 @@
 /** Rosters of the pools whose executors are in [registry]. [isActive] tells whether a queue has unfinished jobs. */
 internal class PoolRosters(private val registry: ExecutorRegistry, private val isActive: (QueueId) -> Boolean) {
     private val stored = HashMap<PoolId, StoredRoster>()
+
+    /** Queues that the stored roster names, whether or not the write that is under way takes effect. */
+    private val admittedQueues = HashMap<PoolId, Set<String>>()
     private val requestedQueues = HashMap<PoolId, MutableSet<QueueId>>()
     private val changedPools = LinkedHashSet<PoolId>()
 
+    /** Pools with a write that has not been confirmed, so that it is not known which roster is stored. */
+    private val unconfirmedPools = HashSet<PoolId>()
+
     val hasChanges: Boolean get() = changedPools.isNotEmpty()
 
     fun markChanged(pool: PoolId) {
@@ -29,13 +35,16 @@
     /** Takes over the [rosters] of earlier holders. */
     fun applyStored(rosters: Map<PoolId, StoredRoster>) {
         stored += rosters
-        rosters.forEach { (pool, row) -> markRecorded(pool, row.roster) }
+        rosters.forEach { (pool, row) ->
+            admittedQueues[pool] = row.roster.queues
+            markRecorded(pool, row.roster)
+        }
         changedPools += rosters.keys
     }
 
     /** Whether tasks of [queue] may be started in [pool]. If not, the queue is stored with the next change. */
     fun admits(pool: PoolId, queue: QueueId): Boolean {
-        if (stored[pool]?.roster?.queues?.contains(queue.value) == true) return true
+        if (queue.value in admittedQueues[pool].orEmpty()) return true
         if (requestedQueues.getOrPut(pool) { HashSet() }.add(queue)) changedPools += pool
         return false
     }
@@ -47,7 +56,10 @@
             val pool = changedPools.first().also(changedPools::remove)
             val row = stored[pool]
             val wanted = wantedRoster(pool, row?.roster ?: PoolRoster())
-            if (wanted != row?.roster) changes += RosterChange(pool, row?.revision ?: Revision.ABSENT, wanted)
+            if (wanted == row?.roster && pool !in unconfirmedPools) continue
+            unconfirmedPools += pool
+            admittedQueues[pool] = admittedQueues[pool].orEmpty() intersect wanted.queues
+            changes += RosterChange(pool, row?.revision ?: Revision.ABSENT, wanted)
         }
         return changes
     }
@@ -63,6 +75,8 @@
     /** Records that [change] was stored under [revision]. */
     fun onStored(change: RosterChange, revision: Revision) {
         stored[change.pool] = StoredRoster(change.roster, revision)
+        admittedQueues[change.pool] = change.roster.queues
+        unconfirmedPools -= change.pool
         requestedQueues[change.pool]?.removeAll { it.value in change.roster.queues }
         markRecorded(change.pool, change.roster)
     }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -242,6 +242,13 @@
         scheduler.addJob(nowMillis, job, null, Revision.ABSENT, true)
     }
 
+    /** Gives the holder a job that was stored before its term. */
+    fun submitBeforeTerm(job: BatchJob) {
+        submittedJobs[job.id] = job
+        durationMillis[job.id] = { 1_000 }
+        scheduler.addJob(nowMillis, job, null, Revision.ABSENT, false)
+    }
+
     /**
      * Lets a new holder take over with the stored state. The entries of the executors that [hasLapsedEntry] selects are
      * missing in the store, and back after [entryReturnMillis].
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
@@ -159,6 +159,51 @@
         fleet.completedMillis.size shouldBe 1
     }
 
+    // Guards against: jobs that were accepted before there was a holder wait for leases that nobody has given.
+    @Test
+    fun `the first holder starts the jobs that it finds at once`() {
+        val fleet = VirtualFleet(1)
+        fleet.submitBeforeTerm(job(1, step()))
+        fleet.scheduler.startRecovery(fleet.nowMillis, emptyMap(), fleet.nowMillis + 5_500)
+        fleet.run(200)
+        fleet.starts.size shouldBe 1
+    }
+
+    // Guards against: a queue whose last job has ended is dropped from a roster while its next job is started.
+    @Test
+    fun `a queue that a write is about to drop is stored again before its tasks are started`() {
+        val fleet = VirtualFleet(1)
+        fleet.run(100)
+        fleet.submit(job(1, step())) { 100 }
+        fleet.run(500)
+        fleet.add("x1", ResourceAmounts(16_000, 32_000, 0))
+        val dropping = fleet.scheduler.takeRosterChanges(10)
+        fleet.submit(job(2, step()))
+        val orders = fleet.scheduler.runSchedulingPass(fleet.nowMillis, fleet.nowMillis, -1_000)
+        orders.filterIsInstance<ExecutorOrder.Start>().shouldBeEmpty()
+        fleet.scheduler.returnRosterChanges(dropping) { null }
+        fleet.run(500)
+        fleet.starts.size shouldBe 2
+    }
+
+    // Guards against: after a write without an answer the roster is taken for stored as it was before.
+    @Test
+    fun `a roster is written again after a write whose result is not known`() {
+        val fleet = VirtualFleet(2)
+        fleet.run(100)
+        fleet.submit(job(1, step())) { 5_000 }
+        fleet.run(500)
+        val idle = fleet.executors.values.single { it.runs.isEmpty() }
+        fleet.scheduler.onExecutorGone(fleet.nowMillis, idle.id, planned = true)
+        val removal = fleet.scheduler.takeRosterChanges(10)
+        idle.incarnationStartMillis = fleet.nowMillis
+        fleet.scheduler.onExecutorListed(fleet.nowMillis, idle.record())
+        fleet.scheduler.returnRosterChanges(removal) { null }
+        fleet.submit(job(2, step(cpuMillis = 16_000)))
+        fleet.run(500)
+        fleet.starts.size shouldBe 2
+    }
+
     // Guards against: a queue that moves to another pool has its tasks started there while they run in the former pool.
     @Test
     fun `a new holder waits for the pools that a queue had before`() {
