--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -20,8 +20,6 @@
 import org.gypsumturn.batch.state.ProgressRecord
 import org.gypsumturn.batch.state.Run
 import org.gypsumturn.batch.state.RunPhase
-import org.gypsumturn.batch.state.applyProgress
-import org.gypsumturn.batch.state.progressRecordOf
 import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.JobId
@@ -29,17 +27,6 @@
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 
-/**
- * A change of the progress of [job] that is to be stored as change number [changeNumber], if the stored row still has
- * [revision].
- */
-public class ProgressChange(
-    public val job: JobState,
-    public val changeNumber: Long,
-    public val revision: Revision,
-    public val record: ProgressRecord,
-)
-
 /**
  * Schedules jobs during one term of the control lease, which [epoch] numbers. All calls must come from one thread.
  * Parameters named `nowMillis` are times on the steady clock of this process.
@@ -50,11 +37,10 @@
     private val log: DecisionLog,
     stepOrder: StepOrder = orderByPlan,
 ) {
-    private val jobsById = HashMap<JobId, JobState>()
-    private val changedJobs = LinkedHashSet<JobState>()
+    private val jobRegistry = JobRegistry(epoch, ::markPoolStale)
     private val registry = ExecutorRegistry(settings, epoch, log)
     private val recovery = TakeoverRecovery()
-    private val rosters = PoolRosters(registry) { activeJobsByQueue[it].orEmpty().isNotEmpty() }
+    private val rosters = PoolRosters(registry) { jobRegistry.activeIn(it).isNotEmpty() }
     private val faultDetector = FaultyExecutorDetector(registry, log)
     private val crashAttribution = CrashAttribution(this, log)
     private val reportHandler = ExecutorReportHandler(this, registry, faultDetector, crashAttribution, log)
@@ -67,7 +53,6 @@
      * still run.
      */
     private val queues = HashMap<QueueId, Queue>()
-    private var lastChangeNumber = 0L
     private var lastPlacementMillis = 0L
     private var executorsReadMillis = Long.MIN_VALUE / 2
     private var lagCheckedMillis = 0L
@@ -76,22 +61,13 @@
     private val stalePools = HashSet<PoolId>()
     private var allPoolsStale = true
 
-    /** Jobs that have not ended, by queue, and those of them that repeat. */
-    private val activeJobsByQueue = HashMap<QueueId, MutableSet<JobState>>()
-    private val repeatingJobs = LinkedHashSet<JobState>()
-    private val mutableActiveJobs = LinkedHashSet<JobState>()
-
-    /** Jobs whose tasks are added once there are fewer others in memory, in the order in which they arrived. */
-    private val deferredJobs = LinkedHashSet<JobState>()
-    private var tasksInMemory = 0L
-
     init {
         registry.onMembersChanged = rosters::markChanged
         reportHandler.maxFailures = { job -> queues[job.job.queue]?.maxAttempts ?: Int.MAX_VALUE }
     }
 
     /** Jobs that have not ended. */
-    public val activeJobs: Set<JobState> get() = mutableActiveJobs
+    public val activeJobs: Set<JobState> get() = jobRegistry.active
 
     /** Known executors by id. */
     public val executors: Map<InstanceId, ExecutorState> get() = registry.executors
@@ -100,14 +76,14 @@
     public val fencedOff: Boolean get() = registry.fencedOff
 
     /** Returns the job with [id], or null if it is not known. */
-    public fun job(id: JobId): JobState? = jobsById[id]
+    public fun job(id: JobId): JobState? = jobRegistry[id]
 
     /** All jobs in memory, including ended ones whose state is still kept. */
-    public val jobs: Collection<JobState> get() = jobsById.values
+    public val jobs: Collection<JobState> get() = jobRegistry.all
 
     /** Number of jobs of [queue] of which no task has been started. */
     public fun pendingJobCount(queue: QueueId): Int =
-        activeJobsByQueue[queue].orEmpty().count { it.phase == JobPhase.QUEUED }
+        jobRegistry.activeIn(queue).count { it.phase == JobPhase.QUEUED }
 
     /** Applies [configuration]. */
     public fun configure(configuration: FleetConfiguration) {
@@ -189,26 +165,15 @@
         revision: Revision,
         neverStarted: Boolean,
     ) {
-        if (job.id in jobsById) return
-        val first = if (neverStarted) 1L else epoch.value * SchedulerSettings.ATTEMPTS_PER_EPOCH + 1
-        val state = JobState(job, nowMillis, first)
-        state.revision = revision
-        state.onTaskCountChanged = { tasksInMemory += it }
-        jobsById[job.id] = state
+        if (jobRegistry[job.id] != null) return
+        val state = jobRegistry.add(nowMillis, job, revision, neverStarted)
         if (job.tasksPerOccurrence > SchedulerSettings.MAX_TASKS_IN_MEMORY && progress?.phase?.ended != true) {
             log("job too large", arrayOf("job" to job.id, "tasks" to job.tasksPerOccurrence))
             endJob(nowMillis, state, JobPhase.FAILED)
             return
         }
-        progress?.let { applyProgress(state, it, nowMillis) }
-        if (state.phase.ended) {
-            state.endedMillis = nowMillis
-            return
-        }
-        activate(state)
-        if (job.repeats == 0 && 0 !in state.occurrences) deferredJobs += state
-        addDeferredOccurrences()
-        if (neverStarted) {
+        jobRegistry.begin(nowMillis, state, progress)
+        if (!state.phase.ended && neverStarted) {
             log(
                 "job queued",
                 arrayOf(
@@ -220,20 +185,6 @@
         }
     }
 
-    private fun activate(state: JobState) {
-        mutableActiveJobs += state
-        activeJobsByQueue.getOrPut(state.job.queue) { LinkedHashSet() } += state
-        if (state.job.repeats > 0) repeatingJobs += state
-        markPoolStale(state)
-    }
-
-    private fun deactivate(state: JobState) {
-        mutableActiveJobs -= state
-        repeatingJobs -= state
-        deferredJobs -= state
-        activeJobsByQueue[state.job.queue]?.remove(state)
-    }
-
     /** Lets the waiting tasks of the pool of [job] be placed in the next pass. */
     internal fun markPoolStale(job: JobState) {
         queues[job.job.queue]?.let { stalePools += it.pool }
@@ -246,25 +197,18 @@
 
     /** Cancels job [id], whose cancellation has been stored. */
     public fun cancelJob(nowMillis: Long, id: JobId) {
-        val job = jobsById[id] ?: return
+        val job = jobRegistry[id] ?: return
         if (job.phase.ended) return
         endJob(nowMillis, job, JobPhase.CANCELLED)
     }
 
     /** Marks the progress of [job] as changed and returns the number of the change. */
-    internal fun markChanged(job: JobState): Long {
-        job.latestChangeNumber = ++lastChangeNumber
-        changedJobs += job
-        return job.latestChangeNumber
-    }
+    internal fun markChanged(job: JobState): Long = jobRegistry.markChanged(job)
 
     /** Ends [job] in [phase] and stops its runs. */
     internal fun endJob(nowMillis: Long, job: JobState, phase: JobPhase) {
         log("job ended", arrayOf("job" to job.job.id, "phase" to phase))
-        job.phase = phase
-        job.endedMillis = nowMillis
-        deactivate(job)
-        markChanged(job)
+        jobRegistry.end(nowMillis, job, phase)
         job.runs().forEach { stopRun(it, "job ended") }
         job.occurrences.keys.toList().forEach(job::removeOccurrence)
     }
@@ -362,40 +306,24 @@
     }
 
     /** Removes and returns at most [limit] changes that are to be stored. */
-    public fun takeChanges(limit: Int): List<ProgressChange> {
-        val taken = changedJobs.take(limit)
-        changedJobs -= taken.toSet()
-        return taken.map { ProgressChange(it, it.latestChangeNumber, it.revision, progressRecordOf(it)) }
-    }
+    public fun takeChanges(limit: Int): List<ProgressChange> = jobRegistry.takeChanges(limit)
 
     /**
      * Queues [changes] again after storing them failed. [storedRevisionOf] returns the revision of the stored progress
      * of a job, or null if that is not known better than before.
      */
     public fun returnChanges(changes: List<ProgressChange>, storedRevisionOf: (JobId) -> Revision?) {
-        changes.forEach { change ->
-            storedRevisionOf(change.job.job.id)?.let { change.job.revision = it }
-            if (change.job.storedChangeNumber < change.job.latestChangeNumber) changedJobs += change.job
-        }
+        jobRegistry.returnChanges(changes, storedRevisionOf)
     }
 
     /** Whether progress of jobs or rosters of pools are to be stored. */
-    public val hasChanges: Boolean get() = changedJobs.isNotEmpty() || rosters.hasChanges
+    public val hasChanges: Boolean get() = jobRegistry.hasChanges || rosters.hasChanges
 
     /** Removes and returns at most [limit] ended jobs whose state no longer has to be kept. */
     public fun takeExpiredJobs(nowMillis: Long, limit: Int): List<JobState> {
         val keptMillis = settings.statusSeconds * MILLIS_PER_SECOND + EXPIRY_SLACK_MILLIS
-        val expired = jobsById.values.asSequence()
-            .filter {
-                it.phase.ended && it.storedChangeNumber >= it.latestChangeNumber &&
-                    nowMillis - it.endedMillis > keptMillis
-            }
-            .take(limit)
-            .toList()
-        expired.forEach {
-            jobsById.remove(it.job.id)
-            crashAttribution.forget(it)
-        }
+        val expired = jobRegistry.takeExpired(nowMillis, keptMillis, limit)
+        expired.forEach(crashAttribution::forget)
         return expired
     }
 
@@ -422,7 +350,7 @@
             log("recovery over", arrayOf("epoch" to epoch, "pool" to pool, "active" to activeJobs.size))
             stalePools += pool
         }
-        addDueOccurrences(nowMillis, wallMillis)
+        jobRegistry.addDueOccurrences(nowMillis, wallMillis)
         registry.takeNewlyLost().forEach(crashAttribution::onExecutorLost)
         registry.findLapsedExecutors(nowMillis, recovery::isAwaited).forEach { executor ->
             recovery.markSeen(executor.record.id)
@@ -480,7 +408,7 @@
             nowMillis - executorsReadMillis <= MAX_CAPACITY_AGE_MILLIS
 
     private fun waitingSteps(nowMillis: Long, knownMillis: Long, queue: Queue): List<WaitingStep> =
-        activeJobsByQueue[queue.id].orEmpty()
+        jobRegistry.activeIn(queue.id)
             .filter { job -> job.firstAttempt == 1L || recovery.isOverFor(queue.id, queue.pool) }
             .filter { job -> job.acceptedMillis <= knownMillis }
             .flatMap { job -> job.occurrences.values }
@@ -502,36 +430,6 @@
         reportHandler.removeRun(nowMillis, run)
     }
 
-    /** Whether the tasks of a further occurrence of [job] may be kept in memory. */
-    private fun hasMemoryFor(job: JobState): Boolean =
-        tasksInMemory + job.job.tasksPerOccurrence <= SchedulerSettings.MAX_TASKS_IN_MEMORY
-
-    private fun addDeferredOccurrences() {
-        deferredJobs.filter(::hasMemoryFor).forEach { job ->
-            if (!hasMemoryFor(job)) return@forEach
-            deferredJobs -= job
-            if (0 !in job.occurrences) job.addOccurrence(0, job.acceptedMillis)
-            markPoolStale(job)
-        }
-    }
-
-    private fun addDueOccurrences(nowMillis: Long, wallMillis: Long) {
-        addDeferredOccurrences()
-        for (job in repeatingJobs) {
-            if (!hasMemoryFor(job)) continue
-            val next = maxOf(
-                job.occurrences.keys.maxOrNull() ?: -1,
-                job.completedOccurrences.maxOrNull() ?: -1,
-            ) + 1
-            if (next >= job.job.occurrences) continue
-            val dueWall = job.job.startAtMillis + next * job.job.intervalMillis
-            if (dueWall <= wallMillis) {
-                job.addOccurrence(next, nowMillis + dueWall - wallMillis)
-                markPoolStale(job)
-            }
-        }
-    }
-
     /**
      * Moves lagging runs to other executors. If the step allows copies, a copy is started beside the run; otherwise the
      * run is stopped first.
