Name the evidence for each run that ends without a report

Nothing in the log told which of eight ways had ended a run whose end no executor had reported: `run lost` and `executor gone` read the same for a restart, an address in use by another executor, an accepted order for the machine and the list of machines.

A run now leaves the scheduler's state only with a RunEndEvidence, and each such end writes a line `run end inferred` with its evidence and the evidence's age, counted by kind in gypsumturn_node_inferred_run_ends_total. The ways themselves stand in one file, UnreportedRunEnds, unchanged.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
@@ -13,6 +13,8 @@
 import org.gypsumturn.batch.schedule.BatchScheduler
 import org.gypsumturn.batch.schedule.DecisionLog
 import org.gypsumturn.batch.state.ExecutorState
+import org.gypsumturn.batch.state.IncarnationEndSource
+import org.gypsumturn.batch.state.RunEndEvidence
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Verdict
@@ -78,7 +80,10 @@
         scheduler.executors.values
             .filter { hasEnded(nowMillis, it, down, present) }
             .map { it.record.id }
-            .forEach { id -> scheduler.onExecutorGone(nowMillis, id, planned = id in planned) }
+            .forEach { id ->
+                val evidence = RunEndEvidence.IncarnationEnded(IncarnationEndSource.MACHINE_LIST, nowMillis)
+                scheduler.onExecutorGone(nowMillis, id, planned = id in planned, evidence)
+            }
     }
 
     /**
@@ -257,7 +262,7 @@
         openOrder.stage = MachineOrderStage.CARRIED_OUT
         openOrder.carriedOutMillis = nowMillis
         val order = openOrder.order
-        if (openOrder.endsExecutor) order.executor?.let { scheduler.onExecutorGone(nowMillis, it, planned = true) }
+        if (openOrder.endsExecutor) order.executor?.let { onExecutorEnded(nowMillis, it) }
         if (order is MachineOrder.Upkeep) {
             val progress = waves[order.wave] ?: return
             progress.done += order.machine
@@ -266,6 +271,11 @@
         }
     }
 
+    private fun onExecutorEnded(nowMillis: Long, id: InstanceId) {
+        val evidence = RunEndEvidence.IncarnationEnded(IncarnationEndSource.ORDER, nowMillis)
+        scheduler.onExecutorGone(nowMillis, id, planned = true, evidence)
+    }
+
     /** Closes a refused order. A refused upkeep is ordered again later, since its machine has not been taken down. */
     private fun onRefused(nowMillis: Long, order: MachineOrder) {
         registry.openOrders -= order.machine
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -15,10 +15,12 @@
 import org.gypsumturn.batch.port.Advice
 import org.gypsumturn.batch.port.PollAnswer
 import org.gypsumturn.batch.state.ExecutorState
+import org.gypsumturn.batch.state.IncarnationEndSource
 import org.gypsumturn.batch.state.JobState
 import org.gypsumturn.batch.state.Occurrence
 import org.gypsumturn.batch.state.ProgressRecord
 import org.gypsumturn.batch.state.Run
+import org.gypsumturn.batch.state.RunEndEvidence
 import org.gypsumturn.batch.state.RunPhase
 import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.InstanceId
@@ -43,7 +45,9 @@
     private val rosters = PoolRosters(registry) { jobRegistry.activeIn(it).isNotEmpty() }
     private val faultDetector = FaultyExecutorDetector(registry, log)
     private val crashAttribution = CrashAttribution(this, log)
-    private val reportHandler = ExecutorReportHandler(this, registry, faultDetector, crashAttribution, log)
+    private val unreportedEnds = UnreportedRunEnds(this, crashAttribution, log)
+    private val reportHandler =
+        ExecutorReportHandler(this, registry, faultDetector, crashAttribution, unreportedEnds, log)
     private val adviceCache = PlacementAdviceCache(log)
     private val starter = TaskStarter(epoch, adviceCache, registry, crashAttribution, ::markChanged, log, stepOrder)
     private var configuration: FleetConfiguration? = null
@@ -82,8 +86,7 @@
     public val jobs: Collection<JobState> get() = jobRegistry.all
 
     /** Number of jobs of [queue] of which no task has been started. */
-    public fun pendingJobCount(queue: QueueId): Int =
-        jobRegistry.activeIn(queue).count { it.phase == JobPhase.QUEUED }
+    public fun pendingJobCount(queue: QueueId): Int = jobRegistry.activeIn(queue).count { it.phase == JobPhase.QUEUED }
 
     /** Applies [configuration]. */
     public fun configure(configuration: FleetConfiguration) {
@@ -94,7 +97,9 @@
 
     /** Handles a new or changed entry of an executor in the store. */
     public fun onExecutorListed(nowMillis: Long, record: ExecutorRecord) {
-        registry.onListed(nowMillis, record)?.let { handleNewIncarnation(nowMillis, it) }
+        registry.onListed(nowMillis, record)?.let {
+            handleNewIncarnation(nowMillis, it, IncarnationEndSource.NEWER_ENTRY)
+        }
         stalePools += record.pool
     }
 
@@ -109,15 +114,23 @@
     }
 
     /**
-     * Handles that executor [id] no longer runs: its runs have ended, and their tasks may be started elsewhere.
-     * [planned] tells that its machine was moved or taken down on purpose; otherwise it has crashed, unless it was
-     * draining.
+     * Handles that executor [id] no longer runs, as [evidence] shows: its runs have ended, and their tasks may be started
+     * elsewhere. [planned] tells that its machine was moved or taken down on purpose; otherwise it has crashed, unless it
+     * was draining.
      */
-    public fun onExecutorGone(nowMillis: Long, id: InstanceId, planned: Boolean) {
+    public fun onExecutorGone(
+        nowMillis: Long,
+        id: InstanceId,
+        planned: Boolean,
+        evidence: RunEndEvidence.IncarnationEnded,
+    ) {
         recovery.markSeen(id)
         val executor = registry.executors[id] ?: return
-        log("executor gone", arrayOf("executor" to id, "runs" to executor.runs.size))
-        reportHandler.onIncarnationEnded(nowMillis, executor, planned || hasPlannedEnd(executor))
+        log(
+            "executor gone",
+            arrayOf("executor" to id, "runs" to executor.runs.size, "evidence" to evidence.label),
+        )
+        unreportedEnds.onIncarnationEnded(nowMillis, executor, planned || hasPlannedEnd(executor), evidence)
         faultDetector.forget(executor)
         registry.removeExecutor(executor)
     }
@@ -231,20 +244,28 @@
         val wasUsable = executor.canTakeNewRuns(nowMillis)
         when (val result = registry.onPollAnswered(nowMillis, executor, verdict)) {
             is PollResult.Report -> {
-                if (result.newIncarnation) handleNewIncarnation(nowMillis, executor)
+                if (result.newIncarnation) {
+                    handleNewIncarnation(nowMillis, executor, IncarnationEndSource.NEWER_REPORT)
+                }
                 if (result.report.endsComplete) recovery.markSeen(id)
                 reportHandler.handleReport(nowMillis, executor, result.report)
                 if (!wasUsable) stalePools += executor.record.pool
             }
 
-            PollResult.AddressReused -> onExecutorGone(nowMillis, id, planned = false)
+            PollResult.AddressReused -> onAddressReused(nowMillis, id)
 
             PollResult.NoReport -> Unit
         }
     }
 
-    private fun handleNewIncarnation(nowMillis: Long, executor: ExecutorState) {
-        reportHandler.onIncarnationEnded(nowMillis, executor, hasPlannedEnd(executor))
+    private fun onAddressReused(nowMillis: Long, id: InstanceId) {
+        val evidence = RunEndEvidence.IncarnationEnded(IncarnationEndSource.ADDRESS, nowMillis)
+        onExecutorGone(nowMillis, id, planned = false, evidence)
+    }
+
+    private fun handleNewIncarnation(nowMillis: Long, executor: ExecutorState, source: IncarnationEndSource) {
+        val evidence = RunEndEvidence.IncarnationEnded(source, nowMillis)
+        unreportedEnds.onIncarnationEnded(nowMillis, executor, hasPlannedEnd(executor), evidence)
         faultDetector.forget(executor)
     }
 
@@ -263,7 +284,7 @@
             StartResult.EXECUTOR_GONE -> {
                 // The executor ended before this start, so the run can't be the cause.
                 if (run.unansweredStarts == 0) onRunNotStarted(nowMillis, run)
-                onExecutorGone(nowMillis, run.executor.record.id, planned = false)
+                onAddressReused(nowMillis, run.executor.record.id)
             }
 
             StartResult.OPEN -> Unit
@@ -354,7 +375,7 @@
         registry.takeNewlyLost().forEach(crashAttribution::onExecutorLost)
         registry.findLapsedExecutors(nowMillis, recovery::isAwaited).forEach { executor ->
             recovery.markSeen(executor.record.id)
-            reportHandler.onLeasesLapsed(nowMillis, executor)
+            unreportedEnds.onLeasesLapsed(nowMillis, executor)
         }
         val valid = overdueMillis < 0
         val leaseMillis = settings.leaseMillis - maxOf(0, overdueMillis)
@@ -427,7 +448,7 @@
     }
 
     private fun onRunNotStarted(nowMillis: Long, run: Run) {
-        reportHandler.removeRun(nowMillis, run)
+        unreportedEnds.removeRun(nowMillis, run, RunEndEvidence.NotStarted(nowMillis))
     }
 
     /**
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -10,10 +10,12 @@
 import org.gypsumturn.batch.model.ResourceAmounts
 import org.gypsumturn.batch.model.RunEnd
 import org.gypsumturn.batch.model.RunId
+import org.gypsumturn.batch.state.EndedRun
 import org.gypsumturn.batch.state.ExecutorState
 import org.gypsumturn.batch.state.JobState
 import org.gypsumturn.batch.state.PendingEnd
 import org.gypsumturn.batch.state.Run
+import org.gypsumturn.batch.state.RunEndEvidence
 import org.gypsumturn.batch.state.RunPhase
 import org.gypsumturn.batch.state.Task
 import org.gypsumturn.batch.state.findOrAddTask
@@ -24,6 +26,7 @@
     private val registry: ExecutorRegistry,
     private val faultDetector: FaultyExecutorDetector,
     private val crashAttribution: CrashAttribution,
+    private val unreportedEnds: UnreportedRunEnds,
     private val log: DecisionLog,
 ) {
     /** Returns the number of failed attempts of one task with which the given job fails. */
@@ -34,7 +37,7 @@
             executor.lastHandledEndNumber = end.endNumber
             onRunEnded(nowMillis, executor, report.clockMillis, end)
         }
-        resolveLapsedRuns(executor)
+        unreportedEnds.resolveLapsedRuns(executor)
         val listed = HashSet<Any>()
         val unwanted = HashMap<RunId, ResourceAmounts>(0)
         report.running.forEach { listedRun ->
@@ -47,13 +50,13 @@
             }
         }
         executor.setUnwantedRuns(unwanted)
-        if (report.endsComplete) removeVanishedRuns(nowMillis, executor, report.clockMillis, listed)
+        if (report.endsComplete) unreportedEnds.removeVanishedRuns(nowMillis, executor, report.clockMillis, listed)
     }
 
     private fun onRunEnded(nowMillis: Long, executor: ExecutorState, clockMillis: Long, end: ReportedRunEnd) {
         val job = scheduler.job(end.run.task.job)
         val run = executor.runs[end.run]
-        if (run != null) detachRun(run)
+        if (run != null) unreportedEnds.detachRun(EndedRun(run, RunEndEvidence.Reported))
         val task = run?.task ?: job?.takeUnless { it.phase.ended }?.findOrAddTask(end.run.task, nowMillis)
         if (job == null || task == null || job.phase.ended) {
             executor.pendingEnds[end.endNumber] =
@@ -164,82 +167,4 @@
     }
 
     private fun canAdoptFor(task: Task): Boolean = !task.done && (task.runs.isEmpty() || task.step.step.speculative)
-
-    /**
-     * Removes runs that are missing in a complete report although the executor had confirmed their start or stop before
-     * it made the report.
-     */
-    private fun removeVanishedRuns(nowMillis: Long, executor: ExecutorState, clockMillis: Long, listed: Set<Any>) {
-        executor.runs.values.toList().forEach { run ->
-            val confirmed = run.stopConfirmedClockMillis ?: run.confirmedClockMillis
-            if (run.id !in listed && confirmed != null && confirmed < clockMillis) {
-                log("run vanished", arrayOf("task" to run.id.task, "executor" to executor.record.id))
-                removeRun(nowMillis, run)
-            }
-        }
-    }
-
-    /**
-     * Removes all runs of an executor that has ended or restarted. Unless [planned], it has crashed with these runs.
-     */
-    fun onIncarnationEnded(nowMillis: Long, executor: ExecutorState, planned: Boolean) {
-        if (planned) resolveLapsedRuns(executor) else crashAttribution.onExecutorCrashed(nowMillis, executor)
-        executor.lapsedRuns.clear()
-        logLostRuns(executor)
-        executor.runs.values.toList().forEach { if (planned) removeRun(nowMillis, it) else loseRun(nowMillis, it) }
-    }
-
-    private fun resolveLapsedRuns(executor: ExecutorState) {
-        executor.lapsedRuns.forEach { crashAttribution.resolve(it.task, it.id.attempt) }
-        executor.lapsedRuns.clear()
-    }
-
-    private fun logLostRuns(executor: ExecutorState) {
-        executor.runs.values.toList().forEach { run ->
-            log(
-                "run lost",
-                arrayOf(
-                    "task" to run.id.task,
-                    "attempt" to run.id.attempt,
-                    "executor" to executor.record.id,
-                    "survived_ms" to run.survivedMillis,
-                ),
-            )
-        }
-    }
-
-    /**
-     * Removes all runs of a silent executor, since all of their leases have lapsed. Whether the executor has crashed
-     * stays open.
-     */
-    fun onLeasesLapsed(nowMillis: Long, executor: ExecutorState) {
-        log("leases lapsed", arrayOf("executor" to executor.record.id, "runs" to executor.runs.size))
-        logLostRuns(executor)
-        executor.lapsedRuns += executor.runs.values.filter { it.orderedMillis != null }
-        executor.runs.values.toList().forEach { loseRun(nowMillis, it) }
-    }
-
-    /** Removes a run that was lost with its executor, which it may have crashed if its start was sent. */
-    private fun loseRun(nowMillis: Long, run: Run) {
-        if (run.orderedMillis == null) crashAttribution.resolve(run.task, run.id.attempt)
-        detachRun(run)
-        run.task.idleSinceMillis = nowMillis
-    }
-
-    /**
-     * Removes a run that is not on its executor, and has not crashed it. Its task waits to be started again unless it
-     * is done.
-     */
-    fun removeRun(nowMillis: Long, run: Run) {
-        crashAttribution.resolve(run.task, run.id.attempt)
-        detachRun(run)
-        run.task.idleSinceMillis = nowMillis
-    }
-
-    private fun detachRun(run: Run) {
-        run.executor.removeRun(run)
-        run.task.removeRun(run)
-        scheduler.markPoolStale(run.executor.record.pool)
-        scheduler.markPoolStale(run.task.step.job)
-    }
 }
--- /dev/null
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/UnreportedRunEnds.kt
@@ -0,0 +1,114 @@
+// Removes runs whose end no executor has reported. Each rule on what shows that such a run can't go on stands here.
+
+package org.gypsumturn.batch.schedule
+
+import org.gypsumturn.batch.state.EndedRun
+import org.gypsumturn.batch.state.ExecutorState
+import org.gypsumturn.batch.state.Run
+import org.gypsumturn.batch.state.RunEndEvidence
+
+/** Ends runs of [scheduler] on evidence, and passes lost ones to [crashAttribution]. */
+internal class UnreportedRunEnds(
+    private val scheduler: BatchScheduler,
+    private val crashAttribution: CrashAttribution,
+    private val log: DecisionLog,
+) {
+    /** Removes a run that is not on its executor, and has not crashed it. Its task may be started again. */
+    fun removeRun(nowMillis: Long, run: Run, evidence: RunEndEvidence.Inferred) {
+        crashAttribution.resolve(run.task, run.id.attempt)
+        endRun(nowMillis, run, evidence)
+    }
+
+    /** Removes a run that was lost with its executor, which it may have crashed if its start was sent. */
+    private fun loseRun(nowMillis: Long, run: Run, evidence: RunEndEvidence.Inferred) {
+        if (run.orderedMillis == null) crashAttribution.resolve(run.task, run.id.attempt)
+        endRun(nowMillis, run, evidence)
+    }
+
+    private fun logLostRuns(executor: ExecutorState) {
+        executor.runs.values.toList().forEach { run ->
+            log(
+                "run lost",
+                arrayOf(
+                    "task" to run.id.task,
+                    "attempt" to run.id.attempt,
+                    "executor" to executor.record.id,
+                    "survived_ms" to run.survivedMillis,
+                ),
+            )
+        }
+    }
+
+    private fun endRun(nowMillis: Long, run: Run, evidence: RunEndEvidence.Inferred) {
+        log(
+            "run end inferred",
+            arrayOf(
+                "task" to run.id.task,
+                "attempt" to run.id.attempt,
+                "executor" to run.executor.record.id,
+                "evidence" to evidence.label,
+                "age_ms" to nowMillis - evidence.sinceMillis,
+            ),
+        )
+        detachRun(EndedRun(run, evidence))
+        run.task.idleSinceMillis = nowMillis
+    }
+
+    /** Takes [ended] off its executor and its task. */
+    fun detachRun(ended: EndedRun) {
+        val run = ended.run
+        run.executor.removeRun(ended)
+        run.task.removeRun(ended)
+        scheduler.markPoolStale(run.executor.record.pool)
+        scheduler.markPoolStale(run.task.step.job)
+    }
+
+    /**
+     * Removes runs that are not among those that a complete report [listed], although the executor had confirmed their
+     * start or stop before it made the report at [clockMillis] on its clock.
+     */
+    fun removeVanishedRuns(nowMillis: Long, executor: ExecutorState, clockMillis: Long, listed: Set<Any>) {
+        executor.runs.values.toList().forEach { run ->
+            val confirmed = run.stopConfirmedClockMillis ?: run.confirmedClockMillis
+            if (run.id !in listed && confirmed != null && confirmed < clockMillis) {
+                log("run vanished", arrayOf("task" to run.id.task, "executor" to executor.record.id))
+                removeRun(nowMillis, run, RunEndEvidence.NotListed(nowMillis))
+            }
+        }
+    }
+
+    /**
+     * Removes all runs of an executor that has ended or restarted. Unless [planned], it has crashed with these runs.
+     */
+    fun onIncarnationEnded(
+        nowMillis: Long,
+        executor: ExecutorState,
+        planned: Boolean,
+        evidence: RunEndEvidence.IncarnationEnded,
+    ) {
+        if (planned) resolveLapsedRuns(executor) else crashAttribution.onExecutorCrashed(nowMillis, executor)
+        executor.lapsedRuns.clear()
+        logLostRuns(executor)
+        executor.runs.values.toList().forEach { run ->
+            if (planned) removeRun(nowMillis, run, evidence) else loseRun(nowMillis, run, evidence)
+        }
+    }
+
+    /** Records that the runs on [executor] whose leases have lapsed did not crash it. */
+    fun resolveLapsedRuns(executor: ExecutorState) {
+        executor.lapsedRuns.forEach { crashAttribution.resolve(it.task, it.id.attempt) }
+        executor.lapsedRuns.clear()
+    }
+
+    /**
+     * Removes all runs of a silent executor, since all of their leases have lapsed. Whether the executor has crashed
+     * stays open.
+     */
+    fun onLeasesLapsed(nowMillis: Long, executor: ExecutorState) {
+        log("leases lapsed", arrayOf("executor" to executor.record.id, "runs" to executor.runs.size))
+        logLostRuns(executor)
+        executor.lapsedRuns += executor.runs.values.filter { it.orderedMillis != null }
+        val evidence = RunEndEvidence.LeasesLapsed(executor.leasesLapsedAtMillis())
+        executor.runs.values.toList().forEach { loseRun(nowMillis, it, evidence) }
+    }
+}
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -144,7 +144,8 @@
     }
 
     /** Removes a run that is no longer on the executor and releases its capacity. */
-    public fun removeRun(run: Run) {
+    public fun removeRun(ended: EndedRun) {
+        val run = ended.run
         if (runs.remove(run.id) != null) reserved -= run.reservedSize
         if (trial === run) trial = null
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -155,8 +155,9 @@
         step.onRunAdded(this, run)
     }
 
-    /** Removes [run], which is no longer on its executor. */
-    public fun removeRun(run: Run) {
+    /** Removes a run that is no longer on its executor. */
+    public fun removeRun(ended: EndedRun) {
+        val run = ended.run
         if (run !in runs) return
         runs -= run
         step.onRunRemoved(this, run)
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -34,7 +34,9 @@
 import org.gypsumturn.batch.schedule.StepOrder
 import org.gypsumturn.batch.schedule.StoredRoster
 import org.gypsumturn.batch.schedule.orderByPlan
+import org.gypsumturn.batch.state.IncarnationEndSource
 import org.gypsumturn.batch.state.ProgressRecord
+import org.gypsumturn.batch.state.RunEndEvidence
 import org.gypsumturn.model.DataCentreId
 import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.Failure
@@ -485,7 +487,9 @@
         executor.reachable = false
         when (crashNotice) {
             CrashNotice.LISTED -> {
-                after(LIST_DELAY_MILLIS) { scheduler.onExecutorGone(nowMillis, executor.id, planned = false) }
+                after(LIST_DELAY_MILLIS) {
+                    scheduler.onExecutorGone(nowMillis, executor.id, planned = false, listedDown())
+                }
                 after(LIST_DELAY_MILLIS) { scheduler.onExecutorUnlisted(nowMillis, executor.id) }
                 after(RESTART_MILLIS) { replace(executor) }
             }
@@ -499,6 +503,9 @@
         }
     }
 
+    /** What the list of machines tells of an executor whose machine it shows as down. */
+    fun listedDown() = RunEndEvidence.IncarnationEnded(IncarnationEndSource.MACHINE_LIST, nowMillis)
+
     private fun replace(executor: VirtualExecutor) {
         executors -= executor.id
         add("${executor.id}'", executor.capacity, executor.pool, executor.labels)
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
@@ -194,7 +194,7 @@
         fleet.submit(job(1, step())) { 5_000 }
         fleet.run(500)
         val idle = fleet.executors.values.single { it.runs.isEmpty() }
-        fleet.scheduler.onExecutorGone(fleet.nowMillis, idle.id, planned = true)
+        fleet.scheduler.onExecutorGone(fleet.nowMillis, idle.id, planned = true, fleet.listedDown())
         val removal = fleet.scheduler.takeRosterChanges(10)
         idle.incarnationStartMillis = fleet.nowMillis
         fleet.scheduler.onExecutorListed(fleet.nowMillis, idle.record())
--- a/batch/src/test/kotlin/org/gypsumturn/batch/state/StepStateTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/state/StepStateTest.kt
@@ -34,7 +34,7 @@
         when (random.nextInt(5)) {
             0 -> task.markDone()
             1, 2 -> task.addRun(Run(RunId(task.name, number), task, executors.random(random), 0))
-            else -> task.runs.firstOrNull()?.let(task::removeRun)
+            else -> task.runs.firstOrNull()?.let { task.removeRun(EndedRun(it, RunEndEvidence.Reported)) }
         }
     }
 
@@ -56,7 +56,7 @@
         val task = step.tasks.single()
         val run = Run(RunId(task.name, 1), task, executors.first(), 0)
         task.addRun(run)
-        repeat(2) { task.removeRun(run) }
+        repeat(2) { task.removeRun(EndedRun(run, RunEndEvidence.Reported)) }
         checkCounts(step)
     }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeMetrics.kt
@@ -41,6 +41,13 @@
             .labelNames("event")
             .register(registry)
 
+    private val inferredRunEnds =
+        Counter.builder()
+            .name("gypsumturn_node_inferred_run_ends_total")
+            .help("Runs that ended without a reported end, by what showed it.")
+            .labelNames("evidence")
+            .register(registry)
+
     private val startSeconds =
         Histogram.builder()
             .name("gypsumturn_node_task_wait_seconds")
@@ -70,6 +77,11 @@
         fields.firstOrNull { it.first == "waited_ms" }?.second?.let { waitedMillis ->
             startSeconds.observe((waitedMillis as Long) / MILLIS_PER_SECOND)
         }
+        if (event == "run end inferred") {
+            fields.firstOrNull {
+                it.first == "evidence"
+            }?.let { inferredRunEnds.labelValues(it.second.toString()).inc() }
+        }
         log(event, fields)
     }
 
