Keep runs that the next incarnation of an executor may have begun

An executor that restarts under its id answers a poll, then receives a start order. The holder handled the poll's answer after that, took all runs that it had noted for the id for ended with the earlier incarnation, and started their tasks elsewhere.

Only runs that the earlier incarnation had reported, and of which no start order is open, end with it. The others stay until a report shows where they are; if a start may still be carried out, the run is stopped on the present incarnation, which bars it there. A report lacks a run only if it was requested after the start or the stop was confirmed: polls are numbered and answers are passed back with their orders, so that clocks of two incarnations are no longer compared, an answer to an earlier poll or from an address that is out of date ends nothing, and a stop confirmed by an earlier incarnation bars nothing on the present one.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -98,7 +98,7 @@
     /** Handles a new or changed entry of an executor in the store. */
     public fun onExecutorListed(nowMillis: Long, record: ExecutorRecord) {
         registry.onListed(nowMillis, record)?.let {
-            handleNewIncarnation(nowMillis, it, IncarnationEndSource.NEWER_ENTRY)
+            handleRestart(nowMillis, it, IncarnationEndSource.NEWER_ENTRY, emptySet())
         }
         stalePools += record.pool
     }
@@ -114,9 +114,9 @@
     }
 
     /**
-     * Handles that executor [id] no longer runs, as [evidence] shows: its runs have ended, and their tasks may be started
-     * elsewhere. [planned] tells that its machine was moved or taken down on purpose; otherwise it has crashed, unless it
-     * was draining.
+     * Handles that executor [id] no longer runs, as [evidence] shows: its runs have ended, and their tasks may be
+     * started elsewhere. [planned] tells that its machine was moved or taken down on purpose; otherwise it has crashed,
+     * unless it was draining.
      */
     public fun onExecutorGone(
         nowMillis: Long,
@@ -231,24 +231,34 @@
      * run.
      */
     public fun stopRun(run: Run, reason: String) {
-        if (run.phase == RunPhase.STOPPING) return
+        if (run.phase != RunPhase.STOPPING) repeatStop(run, reason)
+    }
+
+    /** Orders the executor to stop [run], also if it was told so before. */
+    internal fun repeatStop(run: Run, reason: String) {
         log("task stopped", arrayOf("task" to run.id.task, "executor" to run.executor.record.id, "reason" to reason))
         run.phase = RunPhase.STOPPING
         run.retryAtMillis = null
-        registry.enqueueOrder(ExecutorOrder.Stop(run.executor.target, run.id))
+        enqueueStop(run)
     }
 
-    /** Handles the answer of executor [id] to a poll, or its failure. */
-    public fun onPollAnswered(nowMillis: Long, id: InstanceId, verdict: Verdict<PollAnswer>) {
-        val executor = registry.executors[id] ?: return
+    private fun enqueueStop(run: Run) {
+        registry.enqueueOrder(ExecutorOrder.Stop(run.executor.target, run.id, run.executor.incarnation))
+    }
+
+    /** Handles the answer to [order], or its failure. */
+    public fun onPollAnswered(nowMillis: Long, order: ExecutorOrder.Poll, verdict: Verdict<PollAnswer>) {
+        val id = order.target.id
+        val executor = registry.executors[id]?.takeIf { it.pollNumber == order.number } ?: return
         val wasUsable = executor.canTakeNewRuns(nowMillis)
-        when (val result = registry.onPollAnswered(nowMillis, executor, verdict)) {
+        when (val result = registry.onPollAnswered(nowMillis, executor, order, verdict)) {
             is PollResult.Report -> {
                 if (result.newIncarnation) {
-                    handleNewIncarnation(nowMillis, executor, IncarnationEndSource.NEWER_REPORT)
+                    val listed = result.report.running.map { it.run } + result.report.ended.map { it.run }
+                    handleRestart(nowMillis, executor, IncarnationEndSource.NEWER_REPORT, listed.toSet())
                 }
                 if (result.report.endsComplete) recovery.markSeen(id)
-                reportHandler.handleReport(nowMillis, executor, result.report)
+                reportHandler.handleReport(nowMillis, executor, order.number, result.report)
                 if (!wasUsable) stalePools += executor.record.pool
             }
 
@@ -263,18 +273,25 @@
         onExecutorGone(nowMillis, id, planned = false, evidence)
     }
 
-    private fun handleNewIncarnation(nowMillis: Long, executor: ExecutorState, source: IncarnationEndSource) {
+    private fun handleRestart(
+        nowMillis: Long,
+        executor: ExecutorState,
+        source: IncarnationEndSource,
+        listed: Set<RunId>,
+    ) {
         val evidence = RunEndEvidence.IncarnationEnded(source, nowMillis)
-        unreportedEnds.onIncarnationEnded(nowMillis, executor, hasPlannedEnd(executor), evidence)
+        unreportedEnds.onRestarted(nowMillis, executor, hasPlannedEnd(executor), evidence, listed)
         faultDetector.forget(executor)
     }
 
     private fun hasPlannedEnd(executor: ExecutorState) = executor.terminating || executor.record.draining
 
-    /** Handles the answer to the start of [run], or its failure. */
-    public fun onStartAnswered(nowMillis: Long, run: Run, verdict: Verdict<OrderAnswer>) {
+    /** Handles the answer to [order], or its failure. */
+    public fun onStartAnswered(nowMillis: Long, order: ExecutorOrder.Start, verdict: Verdict<OrderAnswer>) {
+        val run = order.run
+        run.startsInFlight--
         if (run.executor.runs[run.id] !== run) return
-        when (starter.onStartAnswered(nowMillis, run, verdict)) {
+        when (starter.onStartAnswered(nowMillis, order, verdict)) {
             StartResult.STARTED -> onRunStarted(run)
 
             StartResult.NOT_STARTED -> onRunNotStarted(nowMillis, run)
@@ -283,7 +300,7 @@
 
             StartResult.EXECUTOR_GONE -> {
                 // The executor ended before this start, so the run can't be the cause.
-                if (run.unansweredStarts == 0) onRunNotStarted(nowMillis, run)
+                if (!run.mayStartLate) onRunNotStarted(nowMillis, run)
                 onAddressReused(nowMillis, run.executor.record.id)
             }
 
@@ -300,10 +317,11 @@
         markPoolStale(question.step.job)
     }
 
-    /** Handles the answer of executor [id] to the stop of [run], or its failure. */
-    public fun onStopAnswered(nowMillis: Long, id: InstanceId, run: RunId, verdict: Verdict<OrderAnswer>) {
+    /** Handles the answer to [order], or its failure. */
+    public fun onStopAnswered(nowMillis: Long, order: ExecutorOrder.Stop, verdict: Verdict<OrderAnswer>) {
+        val id = order.target.id
         val executor = registry.executors[id] ?: return
-        val known = executor.runs[run]
+        val known = executor.runs[order.run]?.takeIf { executor.incarnation == order.incarnation }
         if (verdict !is Verdict.Ran) {
             registry.addFailure(nowMillis, executor, "stop")
             known?.let { registry.scheduleRetry(it, nowMillis + SchedulerSettings.RETRY_MILLIS) }
@@ -311,9 +329,9 @@
         }
         val answer = verdict.value
         if (answer is OrderAnswer.Done) {
-            known?.stopConfirmedClockMillis = answer.clockMillis
+            known?.stopConfirmedAtPoll = executor.pollNumber
         } else if (known != null && answer is OrderAnswer.Refused) {
-            log("stop refused", arrayOf("task" to run.task, "executor" to id, "reason" to answer.reason))
+            log("stop refused", arrayOf("task" to order.run.task, "executor" to id, "reason" to answer.reason))
             registry.onOrderRefused(nowMillis, executor, answer.reason)
             registry.scheduleRetry(known, nowMillis + SchedulerSettings.RETRY_MILLIS)
         }
@@ -491,7 +509,7 @@
 
     private fun repeatOrder(nowMillis: Long, run: Run) {
         if (run.phase == RunPhase.STOPPING) {
-            registry.enqueueOrder(ExecutorOrder.Stop(run.executor.target, run.id))
+            enqueueStop(run)
         } else if (starter.repeatStart(nowMillis, run)) {
             stopRun(run, "its start can't be repeated")
         }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
@@ -10,6 +10,7 @@
 package org.gypsumturn.batch.schedule
 
 import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.state.ExecutorState
 import org.gypsumturn.batch.state.JobState
 import org.gypsumturn.batch.state.Run
@@ -31,9 +32,9 @@
         }
     }
 
-    /** Records the crash of [executor] against the runs that were on it. */
-    fun onExecutorCrashed(nowMillis: Long, executor: ExecutorState) {
-        val runs = openRuns(executor)
+    /** Records the crash of [executor] against the runs that were on it, which those in [survivors] were not. */
+    fun onExecutorCrashed(nowMillis: Long, executor: ExecutorState, survivors: Set<RunId> = emptySet()) {
+        val runs = openRuns(executor).filter { it.id !in survivors }
         val suspects = runs.filter { !it.survivedStart }
         if (suspects.any { it.task.step.job in givenUpJobs }) {
             suspects.filter { !it.task.step.job.phase.ended }.forEach(::clear)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorOrder.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorOrder.kt
@@ -3,6 +3,7 @@
 
 package org.gypsumturn.batch.schedule
 
+import org.gypsumturn.batch.model.Incarnation
 import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.port.ExecutorTarget
 import org.gypsumturn.batch.port.PollOrder
@@ -17,11 +18,19 @@
     public class Start(override val target: ExecutorTarget, public val run: Run, public val order: StartOrder) :
         ExecutorOrder
 
-    /** Stops [run]. */
-    public class Stop(override val target: ExecutorTarget, public val run: RunId) : ExecutorOrder
-
-    /** Polls the executor for its runs and ended runs. */
-    public class Poll(override val target: ExecutorTarget, public val order: PollOrder) : ExecutorOrder
+    /**
+     * Stops [run]. [incarnation] is the one of the executor that was known when the stop was decided. The stop bars the
+     * run from that incarnation or a later one.
+     */
+    public class Stop(
+        override val target: ExecutorTarget,
+        public val run: RunId,
+        public val incarnation: Incarnation?,
+    ) : ExecutorOrder
+
+    /** Polls the executor for its runs and ended runs. [number] rises with each poll of the term. */
+    public class Poll(override val target: ExecutorTarget, public val number: Long, public val order: PollOrder) :
+        ExecutorOrder
 
     /** Closes the connections to an executor that no longer runs or has moved to another address. */
     public class Forget(override val target: ExecutorTarget) : ExecutorOrder
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -25,10 +25,10 @@
     /** The executor reported its runs. [newIncarnation] tells that it has restarted since the last report. */
     class Report(val report: ExecutorReport, val newIncarnation: Boolean) : PollResult
 
-    /** Another executor, or another incarnation of this one, answers at the address, so the executor no longer runs. */
+    /** Another executor answers at the address, so the executor no longer runs. */
     data object AddressReused : PollResult
 
-    /** There is no report: the poll failed or was refused. */
+    /** There is no report: the poll failed or was refused, or its answer tells of an earlier incarnation. */
     data object NoReport : PollResult
 }
 
@@ -48,6 +48,7 @@
     private val endedById = HashMap<InstanceId, Incarnation>()
     private var outageSettledMillis = Long.MIN_VALUE
 
+    private var lastPollNumber = 0L
     private val newlyLost = ArrayList<ExecutorState>()
 
     /** Called with the pool of each executor that is added, removed or found at another address. */
@@ -181,7 +182,12 @@
         orders += ExecutorOrder.Forget(executor.target)
     }
 
-    fun onPollAnswered(nowMillis: Long, executor: ExecutorState, verdict: Verdict<PollAnswer>): PollResult {
+    fun onPollAnswered(
+        nowMillis: Long,
+        executor: ExecutorState,
+        order: ExecutorOrder.Poll,
+        verdict: Verdict<PollAnswer>,
+    ): PollResult {
         executor.pollInFlight = false
         executor.lastPollMillis = nowMillis
         if (verdict !is Verdict.Ran) {
@@ -194,11 +200,13 @@
         }
         executor.inconclusivePolls = 0
         return when (val answer = verdict.value) {
-            is PollAnswer.Reported -> onReport(nowMillis, executor, answer.report)
+            is PollAnswer.Reported -> onReport(nowMillis, executor, order.number, answer.report)
 
             is PollAnswer.Refused -> {
                 onOrderRefused(nowMillis, executor, answer.reason)
-                if (answer.reason == RefusalReason.OTHER_INSTANCE) PollResult.AddressReused else PollResult.NoReport
+                val isCurrent = order.target == executor.target && order.number > executor.incarnationKnownAtPoll
+                val reused = answer.reason == RefusalReason.OTHER_INSTANCE && isCurrent
+                if (reused) PollResult.AddressReused else PollResult.NoReport
             }
         }
     }
@@ -213,13 +221,26 @@
             executor.unreachableSinceMillis == null &&
             executor.inconclusivePolls < MAX_INCONCLUSIVE_POLLS
 
-    private fun onReport(nowMillis: Long, executor: ExecutorState, report: ExecutorReport): PollResult {
+    private fun onReport(
+        nowMillis: Long,
+        executor: ExecutorState,
+        pollNumber: Long,
+        report: ExecutorReport,
+    ): PollResult {
         val incarnation = report.incarnation
-        val newIncarnation = incarnation != null && executor.incarnation != null && incarnation != executor.incarnation
+        val known = executor.incarnation
+        val newIncarnation = incarnation != null && known != null && incarnation != known
+        if (newIncarnation && pollNumber <= executor.incarnationKnownAtPoll &&
+            incarnation.startedAtMillis < known.startedAtMillis
+        ) {
+            log("report outdated", arrayOf("executor" to executor.record.id, "born" to incarnation))
+            return PollResult.NoReport
+        }
         if (newIncarnation) {
             log("executor started anew", arrayOf("executor" to executor.record.id, "born" to incarnation))
             executor.startNewIncarnation(nowMillis)
         }
+        if (known == null) executor.incarnationKnownAtPoll = pollNumber
         if (incarnation != null) executor.incarnation = incarnation
         if (executor.unreachableSinceMillis != null) {
             log("executor regained", arrayOf("executor" to executor.record.id))
@@ -305,11 +326,13 @@
         leaseEndMillis?.let(executor::recordLeaseEnd)
         executor.acknowledgedEndNumber = executor.acknowledgeableEndNumber()
         executor.pollInFlight = true
+        executor.pollNumber = ++lastPollNumber
         executor.lastPollMillis = nowMillis
         val wait = if (busy) SchedulerSettings.POLL_WAIT_MILLIS else null
         executor.pollTimeoutAtMillis = nowMillis + (wait ?: 0) + SchedulerSettings.POLL_TIMEOUT_MILLIS
         orders += ExecutorOrder.Poll(
             executor.target,
+            executor.pollNumber,
             PollOrder(epoch, executor.acknowledgedEndNumber, leaseEndMillis, wait),
         )
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -32,13 +32,14 @@
     /** Returns the number of failed attempts of one task with which the given job fails. */
     var maxFailures: (JobState) -> Int = { Int.MAX_VALUE }
 
-    fun handleReport(nowMillis: Long, executor: ExecutorState, report: ExecutorReport) {
+    /** Applies the [report] that [executor] has made on poll number [pollNumber]. */
+    fun handleReport(nowMillis: Long, executor: ExecutorState, pollNumber: Long, report: ExecutorReport) {
         report.ended.sortedBy { it.endNumber }.filter { it.endNumber > executor.lastHandledEndNumber }.forEach { end ->
             executor.lastHandledEndNumber = end.endNumber
             onRunEnded(nowMillis, executor, report.clockMillis, end)
         }
         unreportedEnds.resolveLapsedRuns(executor)
-        val listed = HashSet<Any>()
+        val listed = HashSet<RunId>()
         val unwanted = HashMap<RunId, ResourceAmounts>(0)
         report.running.forEach { listedRun ->
             listed += listedRun.run
@@ -46,11 +47,11 @@
             if (run == null) {
                 unwanted[listedRun.run] = sizeOf(listedRun.run)
             } else {
-                onRunListed(run, report.clockMillis, listedRun)
+                onRunListed(run, pollNumber, report.clockMillis, listedRun)
             }
         }
         executor.setUnwantedRuns(unwanted)
-        if (report.endsComplete) unreportedEnds.removeVanishedRuns(nowMillis, executor, report.clockMillis, listed)
+        if (report.endsComplete) unreportedEnds.removeVanishedRuns(nowMillis, executor, pollNumber, listed)
     }
 
     private fun onRunEnded(nowMillis: Long, executor: ExecutorState, clockMillis: Long, end: ReportedRunEnd) {
@@ -136,7 +137,8 @@
     private fun sizeOf(run: RunId): ResourceAmounts =
         scheduler.job(run.task.job)?.job?.steps?.getOrNull(run.task.step)?.reservedSize ?: ResourceAmounts.NONE
 
-    private fun onRunListed(run: Run, clockMillis: Long, listedRun: ReportedRun) {
+    private fun onRunListed(run: Run, pollNumber: Long, clockMillis: Long, listedRun: ReportedRun) {
+        run.confirmedAtPoll = run.confirmedAtPoll ?: pollNumber
         if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
         run.recordReport(clockMillis, listedRun.percent)
         if (run.survivedStart) crashAttribution.onStartSurvived(run)
@@ -150,13 +152,12 @@
         val task = job?.takeIf { !it.phase.ended }?.findOrAddTask(listedRun.run.task, nowMillis)
         if (task == null || !canAdoptFor(task)) {
             log("run not wanted", arrayOf("task" to listedRun.run.task, "executor" to executor.record.id))
-            registry.enqueueOrder(ExecutorOrder.Stop(executor.target, listedRun.run))
+            registry.enqueueOrder(ExecutorOrder.Stop(executor.target, listedRun.run, executor.incarnation))
             return null
         }
         log("run adopted", arrayOf("task" to listedRun.run.task, "executor" to executor.record.id))
         val run = Run(listedRun.run, task, executor, nowMillis)
         run.phase = RunPhase.RUNNING
-        run.confirmedClockMillis = Long.MIN_VALUE
         run.orderedMillis = nowMillis
         task.highestAttempt = maxOf(task.highestAttempt, listedRun.run.attempt)
         task.addRun(run)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobRegistry.kt
@@ -1,5 +1,5 @@
-// The jobs that the holder knows: which of them have ended, which occurrences are in memory, and which progress is to be
-// stored. The number of tasks in memory is bounded; jobs beyond the bound wait without their tasks.
+// The jobs that the holder knows: which of them have ended, which occurrences are in memory, and which progress is to
+// be stored. The number of tasks in memory is bounded; jobs beyond the bound wait without their tasks.
 
 package org.gypsumturn.batch.schedule
 
@@ -25,7 +25,10 @@
     public val record: ProgressRecord,
 )
 
-/** Jobs known in the term that [epoch] numbers. [onWaitingTasks] is called for each job that may have new tasks to start. */
+/**
+ * Jobs known in the term that [epoch] numbers. [onWaitingTasks] is called for each job that may have new tasks to
+ * start.
+ */
 internal class JobRegistry(private val epoch: Epoch, private val onWaitingTasks: (JobState) -> Unit) {
     private val jobsById = HashMap<JobId, JobState>()
     private val changedJobs = LinkedHashSet<JobState>()
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -193,40 +193,43 @@
         val leaseEndMillis = executor.leaseEndMillis(nowMillis, leaseMillis) ?: return
         run.orderedMillis = run.orderedMillis ?: nowMillis
         executor.recordLeaseEnd(leaseEndMillis)
+        run.startsInFlight++
         val spec = run.task.step.job.job.spec
         val ticket = run.task.step.advice?.ticket(nowMillis, executor.record.id)
         val order = StartOrder(run.id, spec, leaseEndMillis, epoch, run.task.checkpoint, ticket)
         registry.enqueueOrder(ExecutorOrder.Start(executor.target, run, order))
     }
 
-    /** Handles the answer to the start of [run], or its failure. */
-    fun onStartAnswered(nowMillis: Long, run: Run, verdict: Verdict<OrderAnswer>): StartResult = when (verdict) {
-        is Verdict.Ran -> when (val answer = verdict.value) {
-            is OrderAnswer.Done -> onStartConfirmed(run, answer)
-            is OrderAnswer.Refused -> onStartRefused(nowMillis, run, answer)
-        }
+    /** Handles the answer to [order], or its failure. */
+    fun onStartAnswered(nowMillis: Long, order: ExecutorOrder.Start, verdict: Verdict<OrderAnswer>): StartResult =
+        when (verdict) {
+            is Verdict.Ran -> when (val answer = verdict.value) {
+                is OrderAnswer.Done -> onStartConfirmed(order.run, answer)
+                is OrderAnswer.Refused -> onStartRefused(nowMillis, order, answer)
+            }
 
-        is Verdict.NotRun -> {
-            registry.addFailure(nowMillis, run.executor, "start")
-            if (run.unansweredStarts == 0) {
-                StartResult.NOT_STARTED
-            } else {
-                scheduleStartRetry(nowMillis, run)
-                StartResult.OPEN
+            is Verdict.NotRun -> {
+                registry.addFailure(nowMillis, order.run.executor, "start")
+                if (!order.run.mayStartLate) {
+                    StartResult.NOT_STARTED
+                } else {
+                    scheduleStartRetry(nowMillis, order.run)
+                    StartResult.OPEN
+                }
             }
-        }
 
-        is Verdict.MayHaveRun -> onStartUnanswered(nowMillis, run)
-    }
+            is Verdict.MayHaveRun -> onStartUnanswered(nowMillis, order.run)
+        }
 
     private fun onStartConfirmed(run: Run, answer: OrderAnswer.Done): StartResult {
-        run.confirmedClockMillis = answer.clockMillis ?: Long.MIN_VALUE
+        run.confirmedAtPoll = run.executor.pollNumber
         answer.clockMillis?.let(run::recordFirstSeen)
         if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
         return StartResult.STARTED
     }
 
-    private fun onStartRefused(nowMillis: Long, run: Run, answer: OrderAnswer.Refused): StartResult {
+    private fun onStartRefused(nowMillis: Long, order: ExecutorOrder.Start, answer: OrderAnswer.Refused): StartResult {
+        val run = order.run
         val executor = run.executor
         log(
             "start refused",
@@ -235,7 +238,7 @@
         registry.onOrderRefused(nowMillis, executor, answer.reason)
         answer.clockMillis?.let { executor.recordClock(nowMillis, it) }
         when (answer.reason) {
-            RefusalReason.OTHER_INSTANCE -> return StartResult.EXECUTOR_GONE
+            RefusalReason.OTHER_INSTANCE -> if (order.target == executor.target) return StartResult.EXECUTOR_GONE
 
             RefusalReason.NO_ROOM -> executor.fullUntilMillis = nowMillis + SchedulerSettings.FULL_EXECUTOR_PAUSE_MILLIS
 
@@ -244,19 +247,19 @@
 
             RefusalReason.TICKET -> adviceCache.onTicketRefused(run.task.step, executor.record.id)
 
-            RefusalReason.SUPERSEDED -> return onRunSuperseded(run, answer)
+            RefusalReason.SUPERSEDED -> return onRunSuperseded(run)
 
             else -> Unit
         }
-        return if (run.unansweredStarts == 0) StartResult.NOT_STARTED else StartResult.MAY_START_LATE
+        return if (run.mayStartLate) StartResult.MAY_START_LATE else StartResult.NOT_STARTED
     }
 
     /**
      * Handles a refusal that tells that the run, or a newer one of the task, has ended or was stopped there. A report
-     * made after the refusal lists the end of the run; if it does not, the run never began.
+     * that is requested after the refusal lists the end of the run; if it does not, the run never began.
      */
-    private fun onRunSuperseded(run: Run, answer: OrderAnswer.Refused): StartResult {
-        run.confirmedClockMillis = answer.clockMillis ?: return StartResult.MAY_START_LATE
+    private fun onRunSuperseded(run: Run): StartResult {
+        run.confirmedAtPoll = run.executor.pollNumber
         if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
         return StartResult.OPEN
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/UnreportedRunEnds.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/UnreportedRunEnds.kt
@@ -2,10 +2,12 @@
 
 package org.gypsumturn.batch.schedule
 
+import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.state.EndedRun
 import org.gypsumturn.batch.state.ExecutorState
 import org.gypsumturn.batch.state.Run
 import org.gypsumturn.batch.state.RunEndEvidence
+import org.gypsumturn.batch.state.RunPhase
 
 /** Ends runs of [scheduler] on evidence, and passes lost ones to [crashAttribution]. */
 internal class UnreportedRunEnds(
@@ -65,18 +67,52 @@
 
     /**
      * Removes runs that are not among those that a complete report [listed], although the executor had confirmed their
-     * start or stop before it made the report at [clockMillis] on its clock.
+     * start or stop before poll number [pollNumber], which it made the report on, was sent. A confirmed start alone is
+     * enough only if no other start of the run may be carried out late.
      */
-    fun removeVanishedRuns(nowMillis: Long, executor: ExecutorState, clockMillis: Long, listed: Set<Any>) {
+    fun removeVanishedRuns(nowMillis: Long, executor: ExecutorState, pollNumber: Long, listed: Set<RunId>) {
+        executor.runs.values.filter { it.id !in listed }.forEach { run ->
+            val confirmedAtPoll = run.stopConfirmedAtPoll ?: run.confirmedAtPoll ?: return@forEach
+            if (confirmedAtPoll >= pollNumber) return@forEach
+            log("run vanished", arrayOf("task" to run.id.task, "executor" to executor.record.id))
+            val evidence = RunEndEvidence.NotListed(nowMillis)
+            if (run.mayHaveEndedInCrash) loseRun(nowMillis, run, evidence) else removeRun(nowMillis, run, evidence)
+        }
+    }
+
+    /**
+     * Handles that [executor] is present in a later incarnation, whose report lists the runs in [listed]. The runs that
+     * the earlier incarnation had reported have ended with it. Another run may have been begun by the present one
+     * instead. It stays until a report shows whether it is there; if its start may still be carried out, it is stopped.
+     */
+    fun onRestarted(
+        nowMillis: Long,
+        executor: ExecutorState,
+        planned: Boolean,
+        evidence: RunEndEvidence.IncarnationEnded,
+        listed: Set<RunId>,
+    ) {
+        if (planned) resolveLapsedRuns(executor) else crashAttribution.onExecutorCrashed(nowMillis, executor, listed)
+        executor.lapsedRuns.clear()
         executor.runs.values.toList().forEach { run ->
-            val confirmed = run.stopConfirmedClockMillis ?: run.confirmedClockMillis
-            if (run.id !in listed && confirmed != null && confirmed < clockMillis) {
-                log("run vanished", arrayOf("task" to run.id.task, "executor" to executor.record.id))
-                removeRun(nowMillis, run, RunEndEvidence.NotListed(nowMillis))
+            val ended = run.orderedMillis == null || (run.reported && !run.mayStartLate)
+            when {
+                run.id in listed -> run.forgetReports()
+                ended && planned -> removeRun(nowMillis, run, evidence)
+                ended -> loseRun(nowMillis, run, evidence)
+                else -> keepAcrossRestart(run, planned)
             }
         }
     }
 
+    private fun keepAcrossRestart(run: Run, planned: Boolean) {
+        run.mayHaveEndedInCrash = !planned
+        run.forgetReports()
+        run.stopConfirmedAtPoll = null
+        val isConfirmed = run.phase == RunPhase.RUNNING && !run.mayStartLate
+        if (!isConfirmed) scheduler.repeatStop(run, "its executor has restarted")
+    }
+
     /**
      * Removes all runs of an executor that has ended or restarted. Unless [planned], it has crashed with these runs.
      */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -60,6 +60,12 @@
     /** Time at which the timeout of the last poll ends. */
     public var pollTimeoutAtMillis: Long = 0
 
+    /** Number of its last poll, which is waiting for its answer or was answered last; 0 before the first. */
+    public var pollNumber: Long = 0
+
+    /** Number of the last poll that was sent before its present incarnation was known. */
+    public var incarnationKnownAtPoll: Long = 0
+
     /** Number of polls in a row that failed while this process was late itself. */
     public var inconclusivePolls: Int = 0
 
@@ -178,6 +184,7 @@
     /** Resets what belonged to the earlier incarnation. The caller must end the runs. */
     public fun startNewIncarnation(nowMillis: Long) {
         knownSinceMillis = nowMillis
+        incarnationKnownAtPoll = pollNumber
         clockMillis = null
         latestLeaseEndMillis = 0
         lastHandledEndNumber = 0
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -68,8 +68,18 @@
         lastReportClockMillis = clockMillis
     }
 
+    /** Drops what an earlier incarnation of the executor has reported of it. */
+    public fun forgetReports() {
+        reported = false
+        firstSeenClockMillis = null
+        progressChangedClockMillis = 0
+        lastReportClockMillis = 0
+    }
+
     /** Records a report of the run, made at [clockMillis] on the executor's clock. */
     public fun recordReport(clockMillis: Long, percent: Int) {
+        reported = true
+        mayHaveEndedInCrash = false
         recordFirstSeen(clockMillis)
         lastReportClockMillis = clockMillis
         if (percent == this.percent) return
@@ -84,15 +94,34 @@
      */
     public var load: Long = 0
 
-    /** Time on the executor's clock at which it confirmed the start; null before. */
-    public var confirmedClockMillis: Long? = null
+    /**
+     * Number of the executor's last poll at the time when its start was confirmed or reported; null before. A later
+     * poll is carried out after the start was.
+     */
+    public var confirmedAtPoll: Long? = null
 
-    /** Time on the executor's clock at which it confirmed a stop; null before. */
-    public var stopConfirmedClockMillis: Long? = null
+    /** Number of the executor's last poll at the time when its stop was confirmed; null before. */
+    public var stopConfirmedAtPoll: Long? = null
 
     /** Number of start orders that were not answered. */
     public var unansweredStarts: Int = 0
 
+    /** Number of start orders that wait for their answers. */
+    public var startsInFlight: Int = 0
+
+    /** Whether the executor has reported it as running. */
+    public var reported: Boolean = false
+        private set
+
+    /**
+     * Whether its executor has restarted since its start was sent, so that it may have ended with an earlier
+     * incarnation or be on the present one.
+     */
+    public var mayHaveEndedInCrash: Boolean = false
+
+    /** Whether a start order for it may still be carried out. */
+    public val mayStartLate: Boolean get() = startsInFlight > 0 || unansweredStarts > 0
+
     /**
      * Time at which the pending start or stop is to be repeated; null while an order is in flight or none is pending.
      */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/RunEndEvidence.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/RunEndEvidence.kt
@@ -1,5 +1,5 @@
-// Evidence that a run can't go on. A run leaves the scheduler's state only with a value of this type, since its task may
-// be started elsewhere then. That an executor is silent, or is missing from a list, is not evidence.
+// Evidence that a run can't go on. A run leaves the scheduler's state only with a value of this type, since its task
+// may be started elsewhere then. That an executor is silent, or is missing from a list, is not evidence.
 
 package org.gypsumturn.batch.state
 
@@ -9,8 +9,8 @@
     public data object Reported : RunEndEvidence
 
     /**
-     * Evidence without a reported end. [label] names it in logs and metrics, and [sinceMillis] is the time on the steady
-     * clock since which it holds.
+     * Evidence without a reported end. [label] names it in logs and metrics, and [sinceMillis] is the time on the
+     * steady clock since which it holds.
      */
     public sealed interface Inferred : RunEndEvidence {
         public val label: String
@@ -18,14 +18,15 @@
     }
 
     /**
-     * A complete report lacks the run although the executor had confirmed its start or its stop before. An executor lists
-     * all that runs there and each end that was not acknowledged, and begins no run after its stop.
+     * A complete report lacks the run although the executor had confirmed its start or its stop before the report was
+     * requested. An executor lists all that runs there and each end that was not acknowledged, and begins no run after
+     * its stop.
      */
     public data class NotListed(override val sinceMillis: Long) : Inferred {
         override val label: String get() = "not listed"
     }
 
-    /** The incarnation of the executor that had the run has ended, and everything that ran there with it. */
+    /** The incarnation of the executor that had reported the run has ended, and everything that ran there with it. */
     public data class IncarnationEnded(public val source: IncarnationEndSource, override val sinceMillis: Long) :
         Inferred {
         override val label: String get() = source.label
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -79,6 +79,9 @@
 
 internal val TEST_SETTINGS = SchedulerSettings(5_000, 120)
 
+/** Longest lease that an executor grants. */
+private const val MAX_LEASE_MILLIS = 6_000L
+
 /** Time from the start of a crashing task to the crash, and until the executor is back. */
 private const val CRASH_DELAY_MILLIS = 10L
 private const val RESTART_MILLIS = 3_200L
@@ -133,6 +136,9 @@
     /** Time that the answer to a poll takes to arrive. */
     var pollAnswerMillis = 1L
     var incarnationStartMillis = 1L
+
+    /** Time at which its clock showed 0. */
+    var clockOriginMillis = 0L
     var endNumber = 0L
     var highestEpoch = 0L
     var leaseEndMillis = 0L
@@ -153,6 +159,9 @@
 
     val used: ResourceAmounts get() = runs.values.fold(ResourceAmounts.NONE) { sum, run -> sum + run.size }
 
+    /** Its own clock, which starts anew with each incarnation. */
+    fun clockMillis(nowMillis: Long): Long = nowMillis - clockOriginMillis
+
     fun record(draining: Boolean = false) = ExecutorRecord(
         id,
         Incarnation(incarnationStartMillis),
@@ -359,7 +368,7 @@
     }
 
     private fun advance(executor: VirtualExecutor) {
-        if (nowMillis > executor.leaseEndMillis) {
+        if (executor.clockMillis(nowMillis) > executor.leaseEndMillis) {
             executor.runs.values.toList().forEach { end(executor, it, RunEnd.LAPSED) }
             // The task of an end that was not acknowledged before the lease lapsed may be started again.
             executor.ends.forEach { doneTasks -= it.run.task }
@@ -388,7 +397,7 @@
         when (order) {
             is ExecutorOrder.Start -> {
                 val answered = { verdict: Verdict<OrderAnswer> ->
-                    holder.onStartAnswered(nowMillis, order.run, verdict)
+                    holder.onStartAnswered(nowMillis, order, verdict)
                 }
                 val fault = executor?.startFaults?.removeFirstOrNull()
                 if (fault == null) {
@@ -399,11 +408,11 @@
             }
 
             is ExecutorOrder.Stop -> call(executor, { stop(it, order) }, 1) {
-                holder.onStopAnswered(nowMillis, order.target.id, order.run, it)
+                holder.onStopAnswered(nowMillis, order, it)
             }
 
             is ExecutorOrder.Poll -> call(executor, { poll(holder, it, order) }, executor?.pollAnswerMillis ?: 1) {
-                holder.onPollAnswered(nowMillis, order.target.id, it)
+                holder.onPollAnswered(nowMillis, order, it)
             }
 
             is ExecutorOrder.Forget -> Unit
@@ -456,19 +465,20 @@
 
     private fun start(executor: VirtualExecutor, order: ExecutorOrder.Start): OrderAnswer {
         val id = order.order.run
-        if (id in executor.runs) return OrderAnswer.Done(nowMillis)
+        val clockMillis = executor.clockMillis(nowMillis)
+        if (id in executor.runs) return OrderAnswer.Done(clockMillis)
         val size = submittedJobs.getValue(id.task.job).steps[id.task.step].size
         val reason = when {
             order.order.epoch.value < executor.highestEpoch -> RefusalReason.FENCED
-            order.order.leaseEndMillis < nowMillis -> RefusalReason.LATE
+            order.order.leaseEndMillis < clockMillis -> RefusalReason.LATE
             !holdsTicket(executor, order) -> RefusalReason.TICKET
             id.attempt <= (executor.highestPastAttempt[id.task] ?: 0) -> RefusalReason.SUPERSEDED
             executor.guardsCapacity && !(executor.used + size).fitsInto(executor.capacity) -> RefusalReason.NO_ROOM
             else -> null
         }
-        if (reason != null) return OrderAnswer.Refused(reason, nowMillis)
+        if (reason != null) return OrderAnswer.Refused(reason, clockMillis)
         executor.highestEpoch = order.order.epoch.value
-        executor.leaseEndMillis = maxOf(executor.leaseEndMillis, order.order.leaseEndMillis)
+        extendLease(executor, order.order.leaseEndMillis)
         checkStart(id)
         if (!(executor.used + size).fitsInto(executor.capacity)) {
             breaches +=
@@ -476,7 +486,12 @@
         }
         executor.runs[id] = VirtualExecutor.VirtualRun(id, nowMillis, size)
         if (id.task in crashingTasks) after(CRASH_DELAY_MILLIS) { if (id in executor.runs) crash(executor) }
-        return OrderAnswer.Done(nowMillis)
+        return OrderAnswer.Done(clockMillis)
+    }
+
+    private fun extendLease(executor: VirtualExecutor, leaseEndMillis: Long) {
+        val longestMillis = executor.clockMillis(nowMillis) + MAX_LEASE_MILLIS
+        executor.leaseEndMillis = maxOf(executor.leaseEndMillis, minOf(leaseEndMillis, longestMillis))
     }
 
     /** Ends [executor] with all of its runs. It is back after some seconds, as [crashNotice] tells. */
@@ -511,8 +526,12 @@
         add("${executor.id}'", executor.capacity, executor.pool, executor.labels)
     }
 
-    private fun restart(executor: VirtualExecutor) {
+    /** Ends all runs of [executor], which is back at once as the next incarnation under its id. */
+    fun restart(executor: VirtualExecutor) {
+        executor.runs.clear()
+        executor.ends.clear()
         executor.incarnationStartMillis = nowMillis
+        executor.clockOriginMillis = nowMillis
         executor.endNumber = 0
         executor.highestPastAttempt.clear()
         executor.highestEpoch = 0
@@ -541,7 +560,7 @@
 
     /** Whether an executor has an end of [task] as done that it has not listed yet and that may still be noted. */
     private fun isDoneUnderLease(task: TaskName): Boolean = executors.values.any { executor ->
-        nowMillis <= executor.leaseEndMillis &&
+        executor.clockMillis(nowMillis) <= executor.leaseEndMillis &&
             executor.ends.drop(executor.endsPerReport).any { it.run.task == task && it.end == RunEnd.DONE }
     }
 
@@ -550,13 +569,13 @@
         val run = executor.runs[id]
         if (run == null) executor.highestPastAttempt.merge(id.task, id.attempt, ::maxOf)
         run?.let { it.stopAtMillis = it.stopAtMillis ?: (nowMillis + 200) }
-        return OrderAnswer.Done(nowMillis)
+        return OrderAnswer.Done(executor.clockMillis(nowMillis))
     }
 
     private fun poll(holder: BatchScheduler, executor: VirtualExecutor, order: ExecutorOrder.Poll): PollAnswer {
         if (order.order.epoch.value < executor.highestEpoch) return PollAnswer.Refused(RefusalReason.FENCED)
         executor.highestEpoch = order.order.epoch.value
-        order.order.leaseEndMillis?.let { executor.leaseEndMillis = maxOf(executor.leaseEndMillis, it) }
+        order.order.leaseEndMillis?.let { extendLease(executor, it) }
         executor.ends.removeAll { it.endNumber <= order.order.acknowledgedEndNumber }
         // Once the holder has seen a success, the task must not be started again. A former holder cannot store it, so
         // that only the report to its successor counts.
@@ -571,7 +590,7 @@
         }
         return PollAnswer.Reported(
             ExecutorReport(
-                nowMillis,
+                executor.clockMillis(nowMillis),
                 Incarnation(executor.incarnationStartMillis),
                 running,
                 listedEnds,
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LateHolderTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LateHolderTest.kt
@@ -37,29 +37,32 @@
         val scheduler = BatchScheduler(TEST_SETTINGS, Epoch(1), { _, _ -> })
         scheduler.configure(configuration(queue()))
         scheduler.onExecutorListed(nowMillis, VirtualExecutor(id, POOL, CAPACITY, emptySet()).record())
-        runPass(scheduler)
-        answerPoll(scheduler)
+        answerPoll(scheduler, nextPoll(scheduler))
         scheduler.addJob(nowMillis, job(1, step()), null, Revision.ABSENT, true)
         runPass(scheduler)
         scheduler.takeRosterChanges(1).forEach { scheduler.onRosterStored(it, Revision(1)) }
-        val start = runPass(scheduler).filterIsInstance<ExecutorOrder.Start>().single()
-        scheduler.onStartAnswered(nowMillis, start.run, Verdict.Ran(OrderAnswer.Done(nowMillis)))
-        answerPoll(scheduler, ReportedRun(start.run.id, "", 10, 0))
+        val orders = runPass(scheduler)
+        val start = orders.filterIsInstance<ExecutorOrder.Start>().single()
+        scheduler.onStartAnswered(nowMillis, start, Verdict.Ran(OrderAnswer.Done(nowMillis)))
+        val poll = orders.filterIsInstance<ExecutorOrder.Poll>().single()
+        answerPoll(scheduler, poll, ReportedRun(start.run.id, "", 10, 0))
         return scheduler
     }
 
-    private fun answerPoll(scheduler: BatchScheduler, vararg running: ReportedRun) {
+    private fun answerPoll(scheduler: BatchScheduler, poll: ExecutorOrder.Poll, vararg running: ReportedRun) {
         val report = ExecutorReport(nowMillis, Incarnation(1), running.toList(), emptyList())
-        scheduler.onPollAnswered(nowMillis, id, Verdict.Ran(PollAnswer.Reported(report)))
+        scheduler.onPollAnswered(nowMillis, poll, Verdict.Ran(PollAnswer.Reported(report)))
     }
 
     private fun runPass(scheduler: BatchScheduler) = scheduler.runSchedulingPass(nowMillis, nowMillis, -1_000)
 
+    private fun nextPoll(scheduler: BatchScheduler) = runPass(scheduler).filterIsInstance<ExecutorOrder.Poll>().single()
+
     /** Lets the next poll time out. The holder handles that [lateMillis] after the timeout. Returns the poll. */
     private fun failNextPoll(scheduler: BatchScheduler, lateMillis: Long): ExecutorOrder.Poll {
-        val poll = runPass(scheduler).filterIsInstance<ExecutorOrder.Poll>().single()
+        val poll = nextPoll(scheduler)
         nowMillis += (poll.order.waitMillis ?: 0) + SchedulerSettings.POLL_TIMEOUT_MILLIS + lateMillis
-        scheduler.onPollAnswered(nowMillis, id, noAnswer)
+        scheduler.onPollAnswered(nowMillis, poll, noAnswer)
         return poll
     }
 
--- a/node/src/main/kotlin/org/gypsumturn/node/ExecutorOrderSender.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ExecutorOrderSender.kt
@@ -52,20 +52,20 @@
 
     private fun startRun(order: ExecutorOrder.Start) {
         executors.startRun(order.target, order.order, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
-            postUnlessClosed { scheduler.onStartAnswered(NodeClock.steadyMillis(), order.run, verdict) }
+            postUnlessClosed { scheduler.onStartAnswered(NodeClock.steadyMillis(), order, verdict) }
         }
     }
 
     private fun stopRun(order: ExecutorOrder.Stop) {
         executors.stopRun(order.target, order.run, epoch, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
-            postUnlessClosed { scheduler.onStopAnswered(NodeClock.steadyMillis(), order.target.id, order.run, verdict) }
+            postUnlessClosed { scheduler.onStopAnswered(NodeClock.steadyMillis(), order, verdict) }
         }
     }
 
     private fun poll(order: ExecutorOrder.Poll) {
         val timeoutMillis = (order.order.waitMillis ?: 0) + SchedulerSettings.POLL_TIMEOUT_MILLIS
         executors.poll(order.target, order.order, timeoutMillis) { verdict ->
-            postUnlessClosed { scheduler.onPollAnswered(NodeClock.steadyMillis(), order.target.id, verdict) }
+            postUnlessClosed { scheduler.onPollAnswered(NodeClock.steadyMillis(), order, verdict) }
         }
     }
 
