Count leases of earlier terms and incarnations until they have lapsed

A holder that adopts a run counted only the leases that it gave itself.

The first report of an executor in a term, and the first of a new incarnation, bound all leases that others may have given it: max_lease_millis on its own clock, plus the timeout of an order under way.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -146,7 +146,7 @@
                 .forEach { (id, address) -> registry.addUnlisted(nowMillis, InstanceId(id), pool, address) }
         }
         this.rosters.applyStored(rosters)
-        if (activeJobs.isEmpty() || epoch.value <= FIRST_EPOCH) return
+        if (activeJobs.isEmpty() || epoch.value <= SchedulerSettings.FIRST_EPOCH) return
         recovery.awaitExecutors(rosters.mapValues { it.value.roster }, untilMillis)
     }
 
@@ -393,7 +393,8 @@
         registry.takeNewlyLost().forEach(crashAttribution::onExecutorLost)
         registry.findLapsedExecutors(nowMillis, recovery::isAwaited).forEach { executor ->
             recovery.markSeen(executor.record.id)
-            unreportedEnds.onLeasesLapsed(nowMillis, executor)
+            val evidence = RunEndEvidence.LeasesLapsed(registry.leasesLapsedAtMillis(executor))
+            unreportedEnds.onLeasesLapsed(nowMillis, executor, evidence)
         }
         val valid = overdueMillis < 0
         val leaseMillis = settings.leaseMillis - maxOf(0, overdueMillis)
@@ -414,7 +415,7 @@
     /** Whether executor [id] may still report ends to this holder, before the leases that it gave have lapsed. */
     private fun mayReportEnds(nowMillis: Long, id: InstanceId): Boolean {
         val executor = registry.executors[id]?.takeIf { it.knowsEpoch } ?: return false
-        return executor.unreachableSinceMillis == null || nowMillis < executor.leasesLapsedAtMillis()
+        return executor.unreachableSinceMillis == null || nowMillis < registry.leasesLapsedAtMillis(executor)
     }
 
     /**
@@ -518,9 +519,6 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
 
-        /** The epoch of the first holder, before which nothing was started. */
-        const val FIRST_EPOCH = 1L
-
         /** Age of the executors' entries from which on their capacities are not relied on. */
         const val MAX_CAPACITY_AGE_MILLIS = 3_000L
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -49,6 +49,13 @@
     private var outageSettledMillis = Long.MIN_VALUE
 
     private var lastPollNumber = 0L
+
+    /**
+     * Longest lease that may be given to an executor otherwise than by the orders of this term to its present
+     * incarnation: one that it had before its first report here, or gets by an order that was under way then.
+     */
+    private val longestUnknownLeaseMillis = settings.maxLeaseMillis + SchedulerSettings.ORDER_TIMEOUT_MILLIS
+
     private val newlyLost = ArrayList<ExecutorState>()
 
     /** Called with the pool of each executor that is added, removed or found at another address. */
@@ -248,6 +255,8 @@
         }
         executor.failedCalls = 0
         executor.recordClock(nowMillis, report.clockMillis)
+        val mayHaveUnknownLeases = newIncarnation || epoch.value > SchedulerSettings.FIRST_EPOCH
+        if (!executor.knowsEpoch && mayHaveUnknownLeases) executor.recordUnknownLeases(longestUnknownLeaseMillis)
         executor.knowsEpoch = true
         return PollResult.Report(report, newIncarnation)
     }
@@ -281,13 +290,16 @@
         )
     }
 
+    /** Time at which all leases of [executor] have lapsed, whoever gave them, if no further ones are sent. */
+    fun leasesLapsedAtMillis(executor: ExecutorState): Long = executor.leasesLapsedAtMillis(longestUnknownLeaseMillis)
+
     /**
      * Returns the silent executors with runs whose leases have all lapsed. Silent executors whose entry has been
      * missing for longer than the settling time are removed from the registry, except those that [isAwaited] selects.
      */
     fun findLapsedExecutors(nowMillis: Long, isAwaited: (InstanceId) -> Boolean): List<ExecutorState> {
         val found = executors.values.filter { executor ->
-            executor.unreachableSinceMillis != null && nowMillis >= executor.leasesLapsedAtMillis() &&
+            executor.unreachableSinceMillis != null && nowMillis >= leasesLapsedAtMillis(executor) &&
                 (executor.runs.isNotEmpty() || !executor.listed)
         }
         found.filter { !it.listed && nowMillis - it.unlistedMillis > settings.outageSettleMillis }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
@@ -6,15 +6,20 @@
  * Settings of the scheduler that depend on the installation.
  *
  * @property leaseMillis lease given to the runs on an executor
+ * @property maxLeaseMillis longest lease that an executor grants, whatever it is asked for
  * @property statusSeconds time for which the state of an ended job is kept
  * @property outageSettleMillis time within which executors write their entries again after an outage of the store
  */
 public data class SchedulerSettings(
     public val leaseMillis: Long,
+    public val maxLeaseMillis: Long,
     public val statusSeconds: Long,
     public val outageSettleMillis: Long = 2_000,
 ) {
     public companion object {
+        /** The epoch of the first holder, before which nothing was started. */
+        public const val FIRST_EPOCH: Long = 1
+
         /**
          * Longest time that an executor holds back the answer to a long poll. It bounds how late a silent executor is
          * noticed.
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/UnreportedRunEnds.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/UnreportedRunEnds.kt
@@ -140,11 +140,10 @@
      * Removes all runs of a silent executor, since all of their leases have lapsed. Whether the executor has crashed
      * stays open.
      */
-    fun onLeasesLapsed(nowMillis: Long, executor: ExecutorState) {
+    fun onLeasesLapsed(nowMillis: Long, executor: ExecutorState, evidence: RunEndEvidence.LeasesLapsed) {
         log("leases lapsed", arrayOf("executor" to executor.record.id, "runs" to executor.runs.size))
         logLostRuns(executor)
         executor.lapsedRuns += executor.runs.values.filter { it.orderedMillis != null }
-        val evidence = RunEndEvidence.LeasesLapsed(executor.leasesLapsedAtMillis())
         executor.runs.values.toList().forEach { loseRun(nowMillis, it, evidence) }
     }
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -175,9 +175,20 @@
         latestLeaseEndMillis = maxOf(latestLeaseEndMillis, executorMillis)
     }
 
-    /** Time at which the leases of all of its runs have lapsed, if no further ones are sent. */
-    public fun leasesLapsedAtMillis(): Long {
-        val clock = clockMillis ?: return clockReadMillis
+    /**
+     * Records that all leases which others have given, or which were given to an earlier incarnation and reach this one,
+     * end within [longestMillis] of its clock as it was read last.
+     */
+    public fun recordUnknownLeases(longestMillis: Long) {
+        clockMillis?.let { recordLeaseEnd(it + longestMillis) }
+    }
+
+    /**
+     * Time at which the leases of all of its runs have lapsed, if no further ones are sent. While its clock is not known
+     * it may have any lease, of [longestMillis] at most.
+     */
+    public fun leasesLapsedAtMillis(longestMillis: Long): Long {
+        val clock = clockMillis ?: return knownSinceMillis + (longestMillis * SLOW_CLOCK_FACTOR).toLong()
         return clockReadMillis + ((latestLeaseEndMillis - clock) * SLOW_CLOCK_FACTOR).toLong()
     }
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -77,7 +77,7 @@
 private const val ADVISOR_ANSWER_MILLIS = 150L
 private const val TICKET_VALID_MILLIS = 2_000L
 
-internal val TEST_SETTINGS = SchedulerSettings(5_000, 120)
+internal val TEST_SETTINGS = SchedulerSettings(5_000, MAX_LEASE_MILLIS, 120)
 
 /** Longest lease that an executor grants. */
 private const val MAX_LEASE_MILLIS = 6_000L
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/RunEndEvidenceTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/RunEndEvidenceTest.kt
@@ -29,4 +29,21 @@
             fleet.scheduler.activeJobs.shouldBeEmpty()
         }
     }
+
+    // Guards against: leases of an earlier term count as lapsed before this term has given any.
+    @Test
+    fun `a run adopted from an earlier term is not started elsewhere while a lease of that term may hold`() {
+        val fleet = VirtualFleet(2)
+        fleet.run(100)
+        fleet.submit(job(1, step(count = 4, estimateMillis = 20_000))) { 20_000 }
+        fleet.run(1_000)
+        fleet.takeOver(2)
+        fleet.validUntilMillis = fleet.nowMillis - 4_000
+        fleet.run(100)
+        fleet.executors.values.first().unreachableFrom += fleet.scheduler
+        fleet.run(1_500)
+        fleet.validUntilMillis = Long.MAX_VALUE / 2
+        fleet.run(20_000)
+        fleet.breaches.shouldBeEmpty()
+    }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -315,7 +315,7 @@
     private fun becomeReadyIfLoaded() {
         if (ready || !jobsLoaded || !executorsLoaded) return
         ready = true
-        val waitMillis = settings.leaseMillis + settings.leaseMillis / SLOW_CLOCK_DIVISOR + LEASE_SLACK_MILLIS
+        val waitMillis = settings.maxLeaseMillis + settings.maxLeaseMillis / SLOW_CLOCK_DIVISOR + LEASE_SLACK_MILLIS
         val nowMillis = NodeClock.steadyMillis()
         scheduler.startRecovery(nowMillis, storedRosters, nowMillis + waitMillis)
         waves.values.forEach { machines?.addWave(it, firstHolder = false) }
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -179,6 +179,7 @@
 
     private fun schedulerSettings() = SchedulerSettings(
         minOf(RUN_LEASE_MILLIS, reloadableSettings.current[NodeSettings.maxLeaseMillis]),
+        reloadableSettings.current[NodeSettings.maxLeaseMillis],
         reloadableSettings.current[NodeSettings.statusSeconds],
     )
 
--- a/node/src/test/kotlin/org/gypsumturn/node/ControlLeaseElectorTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/ControlLeaseElectorTest.kt
@@ -144,7 +144,7 @@
         ) = Unit
     }
 
-    private val settings = SchedulerSettings(5_000, 120)
+    private val settings = SchedulerSettings(5_000, 6_000, 120)
 
     private var aheadMillis = 0L
 
--- a/node/src/test/kotlin/org/gypsumturn/node/MachineOrderDispatcherTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/MachineOrderDispatcherTest.kt
@@ -100,7 +100,7 @@
 
     private fun dispatcher(): MachineOrderDispatcher {
         val epoch = Epoch(1)
-        val scheduler = BatchScheduler(SchedulerSettings(5_000, 120), epoch, { _, _ -> })
+        val scheduler = BatchScheduler(SchedulerSettings(5_000, 6_000, 120), epoch, { _, _ -> })
         val fence = ProgressFence(memory, epoch, { it() }) { _, _ -> }
         fence.writeEpoch { }
         val times = MachineTimes(1_500, 2_000, 3_500)
