Take a list of machines for an executor's end only if it can't be older

The holder ended the runs of a silent executor as soon as a list of machines lacked it for 1.5 s, or showed its machine in another state than up.

The list now shows an end only if it was requested a second or more after the executor's incarnation was known, and after each start on it that no report has settled, and shows the machine as not up or with another executor. A machine that is missing shows nothing: its executor is left alone until its leases have lapsed. An accepted order ends the incarnation that it was sent for, not one that has started since.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
@@ -5,6 +5,7 @@
 package org.gypsumturn.batch.machines
 
 import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.Incarnation
 import org.gypsumturn.batch.model.MachineId
 import org.gypsumturn.batch.model.MachineRecord
 import org.gypsumturn.batch.model.MachineState
@@ -67,38 +68,20 @@
         queueReport(progress)
     }
 
-    /** Applies the platform's complete list of machines. Executors that it shows to have ended leave the scheduler. */
-    public fun applyMachineList(nowMillis: Long, machines: List<MachineRecord>) {
-        registry.applyList(nowMillis, machines).forEach { order ->
+    /**
+     * Applies the platform's complete list of machines, whose first page was requested at [requestMillis]. Executors
+     * that do not answer and that it shows to have ended leave the scheduler.
+     */
+    public fun applyMachineList(nowMillis: Long, requestMillis: Long, machines: List<MachineRecord>) {
+        registry.applyList(nowMillis, requestMillis, machines).forEach { order ->
             log("machine back", arrayOf("machine" to order.machine, "order" to order))
             uncordon(order)
         }
-        val down = machines.filter { it.state != MachineState.UP }.mapNotNullTo(HashSet()) { it.executor }
-        val present = machines.mapNotNullTo(HashSet()) { it.executor } - down
-        val planned = machines.filter { it.state == MachineState.MOVING || it.state == MachineState.UPKEEP }
-            .mapNotNullTo(HashSet()) { it.executor }
+        val evidence = RunEndEvidence.IncarnationEnded(IncarnationEndSource.MACHINE_LIST, requestMillis)
         scheduler.executors.values
-            .filter { hasEnded(nowMillis, it, down, present) }
+            .filter { it.unreachableSinceMillis != null && registry.showsEnd(it) }
             .map { it.record.id }
-            .forEach { id ->
-                val evidence = RunEndEvidence.IncarnationEnded(IncarnationEndSource.MACHINE_LIST, nowMillis)
-                scheduler.onExecutorGone(nowMillis, id, planned = id in planned, evidence)
-            }
-    }
-
-    /**
-     * Whether an executor that does not answer has ended: its machine is down, or no machine in the list has had it for
-     * longer than the list lags.
-     */
-    private fun hasEnded(
-        nowMillis: Long,
-        executor: ExecutorState,
-        down: Set<InstanceId>,
-        present: Set<InstanceId>,
-    ): Boolean {
-        val silentSinceMillis = executor.unreachableSinceMillis ?: return false
-        val id = executor.record.id
-        return id in down || (id !in present && nowMillis - silentSinceMillis >= ABSENT_MILLIS)
+            .forEach { scheduler.onExecutorGone(nowMillis, it, planned = registry.isUnderOrder(it), evidence) }
     }
 
     /** Time between two readings of the list of machines. It is shorter while a decision depends on the list. */
@@ -128,7 +111,9 @@
     }
 
     private fun markSent(order: MachineOrder) {
-        val openOrder = registry.openOrders.getOrPut(order.machine) { OpenMachineOrder(order, endsExecutor(order)) }
+        val openOrder = registry.openOrders.getOrPut(order.machine) {
+            OpenMachineOrder(order, endsExecutor(order), incarnationOf(order))
+        }
         openOrder.stage = MachineOrderStage.SENT
         order.executor?.let { scheduler.executors[it] }?.let { executor ->
             executor.cordoned = true
@@ -137,6 +122,9 @@
         log("machine ordered", arrayOf("order" to order, "runs" to runsOn(order)))
     }
 
+    private fun incarnationOf(order: MachineOrder): Incarnation? =
+        order.executor?.let { scheduler.executors[it] }?.incarnation
+
     /**
      * Whether the executor on the machine has ended once the platform accepts [order]. The platform also accepts an
      * upkeep that an earlier order has already caused. Then the present executor was started after it and is not ended.
@@ -262,7 +250,10 @@
         openOrder.stage = MachineOrderStage.CARRIED_OUT
         openOrder.carriedOutMillis = nowMillis
         val order = openOrder.order
-        if (openOrder.endsExecutor) order.executor?.let { onExecutorEnded(nowMillis, it) }
+        // An earlier order that was not answered may have done it already, so that the executor has started since.
+        if (openOrder.endsExecutor && incarnationOf(order) == openOrder.incarnation) {
+            order.executor?.let { onExecutorEnded(nowMillis, it) }
+        }
         if (order is MachineOrder.Upkeep) {
             val progress = waves[order.wave] ?: return
             progress.done += order.machine
@@ -331,9 +322,6 @@
         /** Time between two readings of the list while no decision depends on it. */
         const val IDLE_LIST_INTERVAL_MILLIS = 2_000L
 
-        /** An executor that no machine has had for this long has ended. The list lags by less than a second. */
-        const val ABSENT_MILLIS = 1_500L
-
         /** Delay before an order is sent again that was not answered or met a rate limit. */
         const val RETRY_MILLIS = 300L
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
@@ -3,10 +3,13 @@
 
 package org.gypsumturn.batch.machines
 
+import org.gypsumturn.batch.model.Incarnation
 import org.gypsumturn.batch.model.MachineId
 import org.gypsumturn.batch.model.MachineRecord
 import org.gypsumturn.batch.model.MachineState
 import org.gypsumturn.batch.model.UpkeepWave
+import org.gypsumturn.batch.state.ExecutorState
+import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.PoolId
 
 /** Stage of an open order. */
@@ -25,8 +28,9 @@
  * An order whose result the list does not show yet.
  *
  * @property endsExecutor whether the executor on the machine has ended once the platform accepts the order
+ * @property incarnation the incarnation of that executor that was known when the order was sent first
  */
-internal class OpenMachineOrder(val order: MachineOrder, val endsExecutor: Boolean) {
+internal class OpenMachineOrder(val order: MachineOrder, val endsExecutor: Boolean, val incarnation: Incarnation?) {
     var stage = MachineOrderStage.SENT
 
     /** When an order in [MachineOrderStage.RETRY] is sent again. */
@@ -42,6 +46,19 @@
     val openOrders = HashMap<MachineId, OpenMachineOrder>()
     private val lastListedMillis = HashMap<MachineId, Long>()
 
+    /** The machine on which an executor was shown last while the machine was up. */
+    private val machineByExecutor = HashMap<InstanceId, MachineId>()
+
+    /** Executors whose machines the last list shows in another state than up, or with another executor. */
+    private val endedExecutors = HashSet<InstanceId>()
+
+    /** Executors that the last list shows on machines that are not up, and those of them that an order has ended. */
+    private var executorsDown: Set<InstanceId> = emptySet()
+    private var executorsUnderOrders: Set<InstanceId> = emptySet()
+
+    /** When the last list was requested. */
+    private var lastRequestMillis = 0L
+
     /** When the list was last read; null before the first time. */
     var lastListMillis: Long? = null
         private set
@@ -57,10 +74,15 @@
         return nowMillis - listedMillis >= LEFT_FLEET_MILLIS
     }
 
-    /** Replaces the machines by a complete [list]. Returns the orders whose end it shows; they are removed. */
-    fun applyList(nowMillis: Long, list: List<MachineRecord>): List<MachineOrder> {
+    /**
+     * Replaces the machines by a complete [list], which was requested at [requestMillis]. Returns the orders whose end
+     * it shows; they are removed.
+     */
+    fun applyList(nowMillis: Long, requestMillis: Long, list: List<MachineRecord>): List<MachineOrder> {
         machines = list.associateBy { it.id }
         lastListMillis = nowMillis
+        lastRequestMillis = requestMillis
+        updateExecutors()
         machines.keys.forEach { lastListedMillis[it] = nowMillis }
         val ended = openOrders.values.filter { openOrder ->
             val machine = machines[openOrder.order.machine]
@@ -93,6 +115,40 @@
         }
     }
 
+    private fun updateExecutors() {
+        val (up, down) = machines.values.partition { it.state == MachineState.UP }
+        val ordered = down.filter { it.state == MachineState.MOVING || it.state == MachineState.UPKEEP }
+        executorsDown = down.mapNotNullTo(HashSet()) { it.executor }
+        executorsUnderOrders = ordered.mapNotNullTo(HashSet()) { it.executor }
+        val upNow = up.filter { it.executor != null }.associate { it.executor!! to it.id }
+        endedExecutors.clear()
+        machineByExecutor.filterKeys { it !in upNow }.forEach { (executor, id) ->
+            val machine = machines[id] ?: return@forEach
+            if (machine.state != MachineState.UP || machine.executor != null) endedExecutors += executor
+        }
+        machineByExecutor += upNow
+        machineByExecutor.keys.removeIf { machineByExecutor[it] !in machines && it !in upNow }
+    }
+
+    /**
+     * Whether the last list shows that [executor], which does not answer, has ended: its machine is not up, or has
+     * another executor. The list must have been requested so long after the incarnation was known that it can't show a
+     * time before that. A run that was ordered shortly before the request may be on a later incarnation, which the list
+     * does not show yet. That a machine is missing in the list shows nothing.
+     */
+    fun showsEnd(executor: ExecutorState): Boolean {
+        val id = executor.record.id
+        if (id !in endedExecutors && id !in executorsDown) return false
+        if (lastRequestMillis < executor.knownSinceMillis + LIST_DELAY_MILLIS) return false
+        return executor.runs.values.none { run ->
+            val openMillis = run.orderedMillis?.takeIf { !run.reported || run.mayStartLate }
+            openMillis != null && lastRequestMillis < openMillis + LIST_DELAY_MILLIS
+        }
+    }
+
+    /** Whether the last list shows that an order has ended executor [id]. */
+    fun isUnderOrder(id: InstanceId): Boolean = id in executorsUnderOrders
+
     /** Machines that are in [pool] or are being moved to it, except those that are down. */
     fun assigned(pool: PoolId): List<MachineRecord> = machines.values.filter { machine ->
         val order = openOrders[machine.id]?.order
@@ -118,5 +174,8 @@
 
         /** Longest time by which the list lags behind an order. */
         const val LIST_LAG_MILLIS = 500L
+
+        /** Age of the state that a list shows at most when it is requested. */
+        const val LIST_DELAY_MILLIS = 1_000L
     }
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -255,7 +255,7 @@
         }
         executor.failedCalls = 0
         executor.recordClock(nowMillis, report.clockMillis)
-        val mayHaveUnknownLeases = newIncarnation || epoch.value > SchedulerSettings.FIRST_EPOCH
+        val mayHaveUnknownLeases = executor.hasRestarted || epoch.value > SchedulerSettings.FIRST_EPOCH
         if (!executor.knowsEpoch && mayHaveUnknownLeases) executor.recordUnknownLeases(longestUnknownLeaseMillis)
         executor.knowsEpoch = true
         return PollResult.Report(report, newIncarnation)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -20,6 +20,10 @@
     public var knownSinceMillis: Long = nowMillis
         private set
 
+    /** Whether an earlier incarnation of it was known to this holder. */
+    public var hasRestarted: Boolean = false
+        private set
+
     /** Runs that may be on the executor, including those that are being stopped. */
     public val runs: MutableMap<RunId, Run> = HashMap()
 
@@ -176,16 +180,16 @@
     }
 
     /**
-     * Records that all leases which others have given, or which were given to an earlier incarnation and reach this one,
-     * end within [longestMillis] of its clock as it was read last.
+     * Records that all leases which others have given, or which were given to an earlier incarnation and reach this
+     * one, end within [longestMillis] of its clock as it was read last.
      */
     public fun recordUnknownLeases(longestMillis: Long) {
         clockMillis?.let { recordLeaseEnd(it + longestMillis) }
     }
 
     /**
-     * Time at which the leases of all of its runs have lapsed, if no further ones are sent. While its clock is not known
-     * it may have any lease, of [longestMillis] at most.
+     * Time at which the leases of all of its runs have lapsed, if no further ones are sent. While its clock is not
+     * known it may have any lease, of [longestMillis] at most.
      */
     public fun leasesLapsedAtMillis(longestMillis: Long): Long {
         val clock = clockMillis ?: return knownSinceMillis + (longestMillis * SLOW_CLOCK_FACTOR).toLong()
@@ -194,6 +198,7 @@
 
     /** Resets what belonged to the earlier incarnation. The caller must end the runs. */
     public fun startNewIncarnation(nowMillis: Long) {
+        hasRestarted = true
         knownSinceMillis = nowMillis
         incarnationKnownAtPoll = pollNumber
         clockMillis = null
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineOrderPlannerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineOrderPlannerTest.kt
@@ -5,6 +5,7 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import org.gypsumturn.batch.POOL
@@ -66,8 +67,15 @@
         planner.addWave(fleet.nowMillis, wave, upkeepStartMillis.keys.toSet(), firstHolder = false)
     }
 
-    /** The platform's list of machines, without lag. */
-    fun list() = machines.map { MachineRecord(it.id, it.pool, it.state, it.executor, emptySet(), CAPACITY) }
+    /** Whether the list contains a machine, and the state that it shows in place of the present one. */
+    var isListed: (VirtualMachine) -> Boolean = { true }
+    var listedState: (VirtualMachine) -> MachineState? = { null }
+
+    /** The platform's list of machines, without lag unless [listedState] says otherwise. */
+    fun list() = machines.filter(isListed).map { machine ->
+        val state = listedState(machine) ?: machine.state
+        MachineRecord(machine.id, machine.pool, state, machine.executor, emptySet(), CAPACITY)
+    }
 
     private fun newPlanner(handoverMillis: Long) = MachineOrderPlanner(
         MachineTimes(1_500, 2_000, handoverMillis),
@@ -86,7 +94,7 @@
     private fun runPlanner() {
         val now = fleet.nowMillis
         machines.filter { it.state != MachineState.UP && it.upAgainAtMillis <= now }.forEach(::finishOrder)
-        planner.applyMachineList(now, list())
+        planner.applyMachineList(now, now, list())
         planner.decideOrders(now, configuration).forEach { order ->
             val machine = machines.single { it.id == order.machine }
             val answer = answerOf(order)
@@ -183,7 +191,7 @@
         machines.fleet.run(200)
         val now = machines.fleet.nowMillis
         val machine = machines.machines.single()
-        machines.planner.applyMachineList(now, machines.list())
+        machines.planner.applyMachineList(now, now, machines.list())
         val wave = UpkeepWave(1, listOf(machine.id), 20_000, 1)
         machines.planner.addWave(now, wave, emptySet(), firstHolder = true)
         machines.planner.decideOrders(now, machines.configuration).single()
@@ -312,4 +320,54 @@
         machines.machines.count { it.pool == SPARE } shouldBe 8
         machines.moveCount shouldBeLessThanOrEqual 14
     }
+
+    /** Starts tasks, and lets the holder lose the way to an executor, which goes on with its runs. */
+    private fun cutFromHolder(machines: VirtualMachines) {
+        machines.fleet.submit(job(1, step(count = 20, estimateMillis = 30_000))) { 30_000 }
+        machines.run(2_000)
+        machines.fleet.executors.values.first().unreachableFrom += machines.fleet.scheduler
+    }
+
+    // Guards against: a gap in the list is taken for the end of an executor that only the holder can't reach.
+    @Test
+    fun `runs on a silent executor are not started elsewhere because lists lack its machine`() {
+        val machines = VirtualMachines(VirtualFleet(2), spares = 0)
+        cutFromHolder(machines)
+        machines.isListed = { it != machines.machines.first() }
+        machines.run(4_000)
+        machines.fleet.breaches.shouldBeEmpty()
+    }
+
+    // Guards against: a list from before the present executor of a machine is taken for the end of that executor.
+    @Test
+    fun `runs on a silent executor are kept while lists show a time before its machine was up`() {
+        val fleet = VirtualFleet(1)
+        val machines = VirtualMachines(fleet, spares = 0)
+        machines.run(2_000)
+        val started = fleet.add("x9", CAPACITY)
+        machines.machines += VirtualMachines.VirtualMachine(MachineId("m-9"), POOL, started.id)
+        val startMillis = fleet.nowMillis
+        machines.listedState = { machine ->
+            MachineState.MOVING.takeIf { machine.executor == started.id && fleet.nowMillis < startMillis + 900 }
+        }
+        fleet.submit(job(1, step(count = 20, estimateMillis = 30_000))) { 30_000 }
+        machines.run(100)
+        started.runs.isEmpty() shouldBe false
+        started.unreachableFrom += fleet.scheduler
+        machines.run(4_000)
+        fleet.breaches.shouldBeEmpty()
+    }
+
+    // Guards against: the end of a machine's executor is noticed only when its leases have lapsed.
+    @Test
+    fun `runs on a silent executor are started elsewhere once its machine is listed as down`() {
+        val machines = VirtualMachines(VirtualFleet(2), spares = 0)
+        cutFromHolder(machines)
+        val gone = machines.machines.first()
+        machines.fleet.executors.values.first().runs.clear()
+        machines.listedState = { MachineState.DOWN.takeIf { _ -> it == gone } }
+        machines.run(3_000)
+        machines.fleet.starts.size shouldBeGreaterThan 20
+        machines.fleet.breaches.shouldBeEmpty()
+    }
 }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineRegistryTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineRegistryTest.kt
@@ -22,16 +22,17 @@
     @Test
     fun `a machine counts as down for its upkeep even if the lagging list already shows another executor on it`() {
         val registry = MachineRegistry(MachineTimes(1_500, 2_000, 0))
-        registry.applyList(0, listOf(record("before the move")))
-        val openOrder = OpenMachineOrder(MachineOrder.Upkeep(id, InstanceId("before the move"), 1), endsExecutor = true)
+        registry.applyList(0, 0, listOf(record("before the move")))
+        val order = MachineOrder.Upkeep(id, InstanceId("before the move"), 1)
+        val openOrder = OpenMachineOrder(order, endsExecutor = true, incarnation = null)
         openOrder.stage = MachineOrderStage.CARRIED_OUT
         openOrder.carriedOutMillis = 100
         registry.openOrders[id] = openOrder
-        registry.applyList(400, listOf(record("after the move")))
+        registry.applyList(400, 400, listOf(record("after the move")))
         registry.countDownFor(wave) { false } shouldBe 1
-        registry.applyList(700, listOf(record("after the move", MachineState.UPKEEP)))
+        registry.applyList(700, 700, listOf(record("after the move", MachineState.UPKEEP)))
         registry.countDownFor(wave) { false } shouldBe 1
-        registry.applyList(2_400, listOf(record("after the upkeep")))
+        registry.applyList(2_400, 2_400, listOf(record("after the upkeep")))
         registry.countDownFor(wave) { false } shouldBe 0
     }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/MachineOrderDispatcher.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/MachineOrderDispatcher.kt
@@ -113,16 +113,20 @@
     private fun readMachineList(nowMillis: Long) {
         listPending = true
         lastListMillis = nowMillis
-        readPage(null, ArrayList())
+        readPage(nowMillis, null, ArrayList())
     }
 
-    private fun readPage(page: String?, records: MutableList<MachineRecord>) {
+    private fun readPage(requestMillis: Long, page: String?, records: MutableList<MachineRecord>) {
         machines.listMachines(page, LIST_TIMEOUT_MILLIS) { verdict ->
-            post { if (!closed) onPageRead(verdict, records) }
+            post { if (!closed) onPageRead(requestMillis, verdict, records) }
         }
     }
 
-    private fun onPageRead(verdict: Verdict<MachinePage>, records: MutableList<MachineRecord>) {
+    private fun onPageRead(
+        requestMillis: Long,
+        verdict: Verdict<MachinePage>,
+        records: MutableList<MachineRecord>,
+    ) {
         val page = (verdict as? Verdict.Ran)?.value
         listOutage.recordResult(verdict)
         if (page == null) {
@@ -131,10 +135,10 @@
         }
         records += page.machines
         if (page.nextPage != null) {
-            readPage(page.nextPage, records)
+            readPage(requestMillis, page.nextPage, records)
         } else {
             listPending = false
-            planner.applyMachineList(NodeClock.steadyMillis(), records)
+            planner.applyMachineList(NodeClock.steadyMillis(), requestMillis, records)
         }
     }
 
