Start nothing on an executor at an address that the roster does not hold

A successor polls the executors of the stored rosters at their stored addresses, and takes the answer of another executor there for the end of the one it looked for. The holder started tasks on an executor that had come back at another address before the roster with that address was stored, so that a successor could have freed them while they ran. TakeoverTest "nothing is started on an executor at another address than that of the stored roster" failed before (2 starts, not 1).

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -139,6 +139,7 @@
             onMembersChanged(record.pool)
         }
         known.record = record
+        if (moved) known.recorded = false
         known.listed = true
         if (!newIncarnation) return null
         known.incarnation = record.incarnation
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/PoolRosters.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/PoolRosters.kt
@@ -92,8 +92,9 @@
     }
 
     private fun markRecorded(pool: PoolId, roster: PoolRoster) {
-        roster.addresses.keys.forEach { id ->
-            registry.executors[InstanceId(id)]?.takeIf { it.record.pool == pool }?.recorded = true
+        roster.addresses.forEach { (id, address) ->
+            val executor = registry.executors[InstanceId(id)] ?: return@forEach
+            if (executor.record.pool == pool && executor.record.address == address) executor.recorded = true
         }
     }
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -31,8 +31,8 @@
     public var listed: Boolean = true
 
     /**
-     * Whether the stored roster of its pool names it. Nothing is started on it before, since a later holder would not
-     * wait for it.
+     * Whether the stored roster of its pool names it with its present address. Nothing is started on it before, since a
+     * later holder would not wait for it, or would ask for it at an address that may belong to another executor.
      */
     public var recorded: Boolean = false
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
@@ -144,6 +144,25 @@
         fleet.starts.size shouldBe 1
     }
 
+    // Guards against: a later holder takes the answer of another executor at the former address for the executor's end.
+    @Test
+    fun `nothing is started on an executor at another address than that of the stored roster`() {
+        val fleet = VirtualFleet(1)
+        fleet.run(100)
+        fleet.submit(job(1, step())) { 100 }
+        fleet.run(500)
+        fleet.validUntilMillis = fleet.nowMillis
+        val executor = fleet.executors.values.single()
+        fleet.restart(executor)
+        fleet.scheduler.onExecutorListed(fleet.nowMillis, executor.record().copy(address = "10.0.0.2:1"))
+        fleet.submit(job(2, step()))
+        fleet.run(1_000)
+        fleet.starts.size shouldBe 1
+        fleet.validUntilMillis = Long.MAX_VALUE / 2
+        fleet.run(100)
+        fleet.starts.size shouldBe 2
+    }
+
     // Guards against: a takeover from a holder that has stored no rosters takes executors without entries for idle.
     @Test
     fun `without rosters a new holder waits until all leases have lapsed`() {
