Run all due times of a repeated job after a takeover

Cause: a new holder went on after the highest occurrence that it knew. Stored progress names only occurrences in which something is done, failed or suspected, so that lower ones that had not begun were never added, and the job could not complete.

Change: the open occurrences follow from the job's row and from those that are complete. It adds at most one of a job in a pass, the lowest first, and jobs that wait for memory take turns.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobRegistry.kt
@@ -1,5 +1,5 @@
-// The jobs that the holder knows: which of them have ended, which occurrences are in memory, and which progress is to be
-// stored. The number of tasks in memory is bounded; jobs beyond the bound wait without their tasks.
+// The jobs that the holder knows: which of them have ended, which occurrences are in memory, and which progress is to
+// be stored. The number of tasks in memory is bounded; jobs beyond the bound wait without their tasks.
 
 package org.gypsumturn.batch.schedule
 
@@ -25,15 +25,20 @@
     public val record: ProgressRecord,
 )
 
-/** Jobs known in the term that [epoch] numbers. [onWaitingTasks] is called for each job that may have new tasks to start. */
+/**
+ * Jobs known in the term that [epoch] numbers. [onWaitingTasks] is called for each job that may have new tasks to
+ * start.
+ */
 internal class JobRegistry(private val epoch: Epoch, private val onWaitingTasks: (JobState) -> Unit) {
     private val jobsById = HashMap<JobId, JobState>()
     private val changedJobs = LinkedHashSet<JobState>()
     private var lastChangeNumber = 0L
 
-    /** Jobs that have not ended, by queue, and those of them that repeat. */
+    /** Jobs that have not ended, by queue. */
     private val activeJobsByQueue = HashMap<QueueId, MutableSet<JobState>>()
-    private val repeatingJobs = LinkedHashSet<JobState>()
+
+    /** Repeated jobs that have not ended. The first ones are the next to get memory for an occurrence. */
+    private val repeatingJobs = LinkedHashMap<JobState, RemainingOccurrences>()
     private val mutableActiveJobs = LinkedHashSet<JobState>()
 
     /** Jobs whose tasks are added once there are fewer others in memory, in the order in which they arrived. */
@@ -72,7 +77,7 @@
         }
         mutableActiveJobs += state
         activeJobsByQueue.getOrPut(state.job.queue) { LinkedHashSet() } += state
-        if (state.job.repeats > 0) repeatingJobs += state
+        if (state.job.repeats > 0) repeatingJobs[state] = RemainingOccurrences(state)
         onWaitingTasks(state)
         if (state.job.repeats == 0 && 0 !in state.occurrences) deferredJobs += state
         addDeferredOccurrences()
@@ -137,21 +142,27 @@
         }
     }
 
-    /** Adds the occurrences that have become due at [wallMillis], in milliseconds since 1970. */
+    /** Adds at most one occurrence of each job, if one is due at [wallMillis], in milliseconds since 1970. */
     fun addDueOccurrences(nowMillis: Long, wallMillis: Long) {
         addDeferredOccurrences()
-        for (job in repeatingJobs) {
-            if (!hasMemoryFor(job)) continue
-            val next = maxOf(
-                job.occurrences.keys.maxOrNull() ?: -1,
-                job.completedOccurrences.maxOrNull() ?: -1,
-            ) + 1
-            if (next >= job.job.occurrences) continue
-            val dueWall = job.job.startAtMillis + next * job.job.intervalMillis
-            if (dueWall <= wallMillis) {
-                job.addOccurrence(next, nowMillis + dueWall - wallMillis)
-                onWaitingTasks(job)
-            }
+        val extended = repeatingJobs.filter { (job, remaining) ->
+            hasMemoryFor(job) && addDueOccurrence(nowMillis, wallMillis, job, remaining)
         }
+        repeatingJobs.keys.removeAll(extended.keys)
+        repeatingJobs += extended
+    }
+
+    private fun addDueOccurrence(
+        nowMillis: Long,
+        wallMillis: Long,
+        job: JobState,
+        remaining: RemainingOccurrences,
+    ): Boolean {
+        val number = remaining.next() ?: return false
+        val dueWallMillis = job.job.startAtMillis + number * job.job.intervalMillis
+        if (dueWallMillis > wallMillis) return false
+        job.addOccurrence(number, nowMillis + dueWallMillis - wallMillis)
+        onWaitingTasks(job)
+        return true
     }
 }
