Finish jobs of removed queues after a takeover

Cause: a holder kept the queues that a configuration had removed in its memory only. A new holder knew the newest configuration, and the row of a job does not name its pool, so that jobs of a removed queue were neither run nor ended.

Change: the roster of a pool has a record of each queue with unfinished jobs that the pool serves, at most 100. A new holder reads them before it starts anything; of the records and its own configuration, the later version counts. Changes of records cause one more write a second at most, and a configuration that leaves a queue as it is causes none. Rows without records are read as before.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/model/Configuration.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/model/Configuration.kt
@@ -3,6 +3,7 @@
 
 package org.gypsumturn.batch.model
 
+import kotlinx.serialization.Serializable
 import org.gypsumturn.model.PoolId
 
 /** Identity of a queue: the host and the path prefix that callers use. It stays the same across configurations. */
@@ -20,6 +21,7 @@
  * @property perExecutorMillis additional response time for each executor that a call names
  * @property ticketMillis time for which executors accept a ticket, where the advisor's answer names none
  */
+@Serializable
 public data class AdvisorTiming(
     public val decideMillis: Double,
     public val perExecutorMillis: Double,
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -40,19 +40,14 @@
     private val jobRegistry = JobRegistry(epoch, ::markPoolStale)
     private val registry = ExecutorRegistry(settings, epoch, log)
     private val recovery = TakeoverRecovery()
-    private val rosters = PoolRosters(registry) { jobRegistry.activeIn(it).isNotEmpty() }
+    private val queues = KnownQueues()
+    private val rosters = PoolRosters(registry, queues) { jobRegistry.activeIn(it).isNotEmpty() }
     private val faultDetector = FaultyExecutorDetector(registry, log)
     private val crashAttribution = CrashAttribution(this, log)
     private val reportHandler = ExecutorReportHandler(this, registry, faultDetector, crashAttribution, log)
     private val adviceCache = PlacementAdviceCache(log)
     private val starter = TaskStarter(epoch, adviceCache, registry, crashAttribution, ::markChanged, log, stepOrder)
     private var configuration: FleetConfiguration? = null
-
-    /**
-     * Queues by id, as last configured. A queue that is removed from the configuration stays here, so that its jobs are
-     * still run.
-     */
-    private val queues = HashMap<QueueId, Queue>()
     private var lastPlacementMillis = 0L
     private var executorsReadMillis = Long.MIN_VALUE / 2
     private var lagCheckedMillis = 0L
@@ -82,13 +77,12 @@
     public val jobs: Collection<JobState> get() = jobRegistry.all
 
     /** Number of jobs of [queue] of which no task has been started. */
-    public fun pendingJobCount(queue: QueueId): Int =
-        jobRegistry.activeIn(queue).count { it.phase == JobPhase.QUEUED }
+    public fun pendingJobCount(queue: QueueId): Int = jobRegistry.activeIn(queue).count { it.phase == JobPhase.QUEUED }
 
     /** Applies [configuration]. */
     public fun configure(configuration: FleetConfiguration) {
         this.configuration = configuration
-        configuration.queues.forEach { queues[it.id] = it }
+        queues.applyConfiguration(configuration)
         allPoolsStale = true
     }
 
@@ -133,6 +127,7 @@
                 .forEach { (id, address) -> registry.addUnlisted(nowMillis, InstanceId(id), pool, address) }
         }
         this.rosters.applyStored(rosters)
+        queues.applyStored(rosters.values.map { it.roster })
         if (activeJobs.isEmpty() || epoch.value <= FIRST_EPOCH) return
         recovery.awaitExecutors(rosters.mapValues { it.value.roster }, untilMillis)
     }
@@ -351,6 +346,7 @@
             stalePools += pool
         }
         jobRegistry.addDueOccurrences(nowMillis, wallMillis)
+        rosters.markOutdatedRecords(nowMillis)
         registry.takeNewlyLost().forEach(crashAttribution::onExecutorLost)
         registry.findLapsedExecutors(nowMillis, recovery::isAwaited).forEach { executor ->
             recovery.markSeen(executor.record.id)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/PoolRosters.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/PoolRosters.kt
@@ -4,6 +4,7 @@
 
 import org.gypsumturn.batch.model.QueueId
 import org.gypsumturn.batch.state.PoolRoster
+import org.gypsumturn.batch.state.QueueRecord
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Revision
@@ -14,8 +15,15 @@
 /** The roster of a pool as read from the store under [revision]. */
 public class StoredRoster(public val roster: PoolRoster, public val revision: Revision)
 
-/** Rosters of the pools whose executors are in [registry]. [isActive] tells whether a queue has unfinished jobs. */
-internal class PoolRosters(private val registry: ExecutorRegistry, private val isActive: (QueueId) -> Boolean) {
+/**
+ * Rosters of the pools whose executors are in [registry], with the records of [queues]. [isActive] tells whether a
+ * queue has unfinished jobs.
+ */
+internal class PoolRosters(
+    private val registry: ExecutorRegistry,
+    private val queues: KnownQueues,
+    private val isActive: (QueueId) -> Boolean,
+) {
     private val stored = HashMap<PoolId, StoredRoster>()
 
     /** Queues that the stored roster names, whether or not the write that is under way takes effect. */
@@ -23,6 +31,9 @@
     private val requestedQueues = HashMap<PoolId, MutableSet<QueueId>>()
     private val changedPools = LinkedHashSet<PoolId>()
 
+    /** Time at which rosters were last marked as changed for the records of their queues. */
+    private var recordsMarkedMillis = Long.MIN_VALUE / 2
+
     /** Pools with a write that has not been confirmed, so that it is not known which roster is stored. */
     private val unconfirmedPools = HashSet<PoolId>()
 
@@ -42,6 +53,20 @@
         changedPools += rosters.keys
     }
 
+    /**
+     * Marks the rosters as changed that lack the present record of a queue with unfinished jobs. Marks none within a
+     * second of the last ones, so that frequent configurations do not cause as many writes.
+     */
+    fun markOutdatedRecords(nowMillis: Long) {
+        if (nowMillis - recordsMarkedMillis < RECORDS_INTERVAL_MILLIS) return
+        val outdated = queues.records.filter { (id, record) ->
+            stored[PoolId(record.pool)]?.roster?.queueRecords?.get(id.value) != record && isActive(id)
+        }
+        if (outdated.isEmpty()) return
+        recordsMarkedMillis = nowMillis
+        outdated.values.mapTo(changedPools) { PoolId(it.pool) }
+    }
+
     /** Whether tasks of [queue] may be started in [pool]. If not, the queue is stored with the next change. */
     fun admits(pool: PoolId, queue: QueueId): Boolean {
         if (queue.value in admittedQueues[pool].orEmpty()) return true
@@ -68,8 +93,19 @@
         val addresses = registry.executors.values.filter { it.record.pool == pool }
             .associate { it.record.id.value to it.record.address }
         val requested = requestedQueues[pool].orEmpty().map { it.value }
-        val queues = current.queues.filterTo(LinkedHashSet()) { isActive(QueueId(it)) } + requested
-        return PoolRoster(addresses, queues)
+        val named = current.queues.filterTo(LinkedHashSet()) { isActive(QueueId(it)) } + requested
+        return PoolRoster(addresses, named, wantedRecords(pool, current))
+    }
+
+    /**
+     * The records of the queues that [pool] serves. Those that [current] has stay, also of a queue that has moved to
+     * another pool, since the roster of that pool may not be stored yet.
+     */
+    private fun wantedRecords(pool: PoolId, current: PoolRoster): Map<String, QueueRecord> {
+        val ids = current.queueRecords.keys.mapTo(LinkedHashSet(), ::QueueId)
+        queues.records.filterValues { it.pool == pool.value }.keys.sorted().forEach { ids += it }
+        return ids.filter(isActive).take(MAX_RECORDS).mapNotNull { id -> queues.records[id]?.let { id.value to it } }
+            .toMap()
     }
 
     /** Records that [change] was stored under [revision]. */
@@ -96,4 +132,11 @@
             registry.executors[InstanceId(id)]?.takeIf { it.record.pool == pool }?.recorded = true
         }
     }
+
+    private companion object {
+        const val RECORDS_INTERVAL_MILLIS = 1_000L
+
+        /** Records in a roster at most, so that its row has room for the executors. */
+        const val MAX_RECORDS = 100
+    }
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/PoolRoster.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/PoolRoster.kt
@@ -1,6 +1,7 @@
 // Stored record of a pool: the executors on which holders of the control lease may have started tasks, and the queues
 // whose tasks they may have started there. Both are stored before the first such start. A new holder waits for these
 // executors, whether or not they are in the registry: an entry may lapse while its executor and the runs on it go on.
+// The queues of the pool that have unfinished jobs are stored in full, since a configuration may remove them.
 
 package org.gypsumturn.batch.state
 
@@ -19,11 +20,13 @@
  *
  * @property addresses addresses of the executors, by their ids
  * @property queues ids of the queues
+ * @property queueRecords records of queues with unfinished jobs, by their ids; absent in rows of older versions
  */
 @Serializable
 public data class PoolRoster(
     public val addresses: Map<String, String> = emptyMap(),
     public val queues: Set<String> = emptySet(),
+    public val queueRecords: Map<String, QueueRecord> = emptyMap(),
 ) {
     /** Encodes the roster as the value of its row. */
     public fun encode(): ByteArray = json.encodeToString(serializer(), this).encodeToByteArray()
