--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -42,7 +42,8 @@
     private val jobRegistry = JobRegistry(epoch, ::markPoolStale)
     private val registry = ExecutorRegistry(settings, epoch, log)
     private val recovery = TakeoverRecovery()
-    private val rosters = PoolRosters(registry) { jobRegistry.activeIn(it).isNotEmpty() }
+    private val queues = KnownQueues()
+    private val rosters = PoolRosters(registry, queues) { jobRegistry.activeIn(it).isNotEmpty() }
     private val faultDetector = FaultyExecutorDetector(registry, log)
     private val crashAttribution = CrashAttribution(this, log)
     private val unreportedEnds = UnreportedRunEnds(this, crashAttribution, log)
@@ -51,12 +52,6 @@
     private val adviceCache = PlacementAdviceCache(log)
     private val starter = TaskStarter(epoch, adviceCache, registry, crashAttribution, ::markChanged, log, stepOrder)
     private var configuration: FleetConfiguration? = null
-
-    /**
-     * Queues by id, as last configured. A queue that is removed from the configuration stays here, so that its jobs are
-     * still run.
-     */
-    private val queues = HashMap<QueueId, Queue>()
     private var lastPlacementMillis = 0L
     private var executorsReadMillis = Long.MIN_VALUE / 2
     private var lagCheckedMillis = 0L
@@ -91,7 +86,7 @@
     /** Applies [configuration]. */
     public fun configure(configuration: FleetConfiguration) {
         this.configuration = configuration
-        configuration.queues.forEach { queues[it.id] = it }
+        queues.applyConfiguration(configuration)
         allPoolsStale = true
     }
 
@@ -146,6 +141,7 @@
                 .forEach { (id, address) -> registry.addUnlisted(nowMillis, InstanceId(id), pool, address) }
         }
         this.rosters.applyStored(rosters)
+        queues.applyStored(rosters.values.map { it.roster })
         if (activeJobs.isEmpty() || epoch.value <= SchedulerSettings.FIRST_EPOCH) return
         recovery.awaitExecutors(rosters.mapValues { it.value.roster }, untilMillis)
     }
@@ -390,6 +386,7 @@
             stalePools += pool
         }
         jobRegistry.addDueOccurrences(nowMillis, wallMillis)
+        rosters.markOutdatedRecords(nowMillis)
         registry.takeNewlyLost().forEach(crashAttribution::onExecutorLost)
         registry.findLapsedExecutors(nowMillis, recovery::isAwaited).forEach { executor ->
             recovery.markSeen(executor.record.id)
