Move placement and the moving of runs out of the scheduler

Which pools are placed is now in WaitingTaskPlacer, which runs are moved away in RunMover. No behaviour is changed; the tests of the scheduler, of overload and of evidence pass.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -9,7 +9,6 @@
 import org.gypsumturn.batch.model.FleetConfiguration
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.model.OrderAnswer
-import org.gypsumturn.batch.model.Queue
 import org.gypsumturn.batch.model.QueueId
 import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.port.Advice
@@ -17,7 +16,6 @@
 import org.gypsumturn.batch.state.ExecutorState
 import org.gypsumturn.batch.state.IncarnationEndSource
 import org.gypsumturn.batch.state.JobState
-import org.gypsumturn.batch.state.Occurrence
 import org.gypsumturn.batch.state.ProgressRecord
 import org.gypsumturn.batch.state.Run
 import org.gypsumturn.batch.state.RunEndEvidence
@@ -51,14 +49,8 @@
         ExecutorReportHandler(this, registry, faultDetector, crashAttribution, unreportedEnds, log)
     private val adviceCache = PlacementAdviceCache(log)
     private val starter = TaskStarter(epoch, adviceCache, registry, crashAttribution, ::markChanged, log, stepOrder)
-    private var configuration: FleetConfiguration? = null
-    private var lastPlacementMillis = 0L
-    private var executorsReadMillis = Long.MIN_VALUE / 2
-    private var lagCheckedMillis = 0L
-
-    /** Pools whose free capacity or waiting tasks have changed since tasks were last placed there. */
-    private val stalePools = HashSet<PoolId>()
-    private var allPoolsStale = true
+    private val placer = WaitingTaskPlacer(jobRegistry, queues, rosters, recovery, starter)
+    private val runMover = RunMover(this, registry, faultDetector, log)
 
     init {
         registry.onMembersChanged = rosters::markChanged
@@ -85,9 +77,8 @@
 
     /** Applies [configuration]. */
     public fun configure(configuration: FleetConfiguration) {
-        this.configuration = configuration
         queues.applyConfiguration(configuration)
-        allPoolsStale = true
+        placer.configure(configuration)
     }
 
     /** Handles a new or changed entry of an executor in the store. */
@@ -95,12 +86,12 @@
         registry.onListed(nowMillis, record)?.let {
             handleRestart(nowMillis, it, IncarnationEndSource.NEWER_ENTRY, emptySet())
         }
-        stalePools += record.pool
+        placer.markPoolStale(record.pool)
     }
 
     /** Records that the entries of all executors were up to date at [nowMillis]. */
     public fun onExecutorsRead(nowMillis: Long) {
-        executorsReadMillis = nowMillis
+        placer.onExecutorsRead(nowMillis)
     }
 
     /** Handles the removal of the entry of executor [id] from the store. Its runs are kept, as it may still be up. */
@@ -152,7 +143,7 @@
     /** Records that [change] was stored under [revision]. */
     public fun onRosterStored(change: RosterChange, revision: Revision) {
         rosters.onStored(change, revision)
-        stalePools += change.pool
+        placer.markPoolStale(change.pool)
     }
 
     /**
@@ -196,12 +187,12 @@
 
     /** Lets the waiting tasks of the pool of [job] be placed in the next pass. */
     internal fun markPoolStale(job: JobState) {
-        queues[job.job.queue]?.let { stalePools += it.pool }
+        queues[job.job.queue]?.let { placer.markPoolStale(it.pool) }
     }
 
     /** Lets waiting tasks be placed on the executors of [pool] in the next pass. */
     internal fun markPoolStale(pool: PoolId) {
-        stalePools += pool
+        placer.markPoolStale(pool)
     }
 
     /** Cancels job [id], whose cancellation has been stored. */
@@ -255,7 +246,7 @@
                 }
                 if (result.report.endsComplete) recovery.markSeen(id)
                 reportHandler.handleReport(nowMillis, executor, order.number, result.report)
-                if (!wasUsable) stalePools += executor.record.pool
+                if (!wasUsable) placer.markPoolStale(executor.record.pool)
             }
 
             PollResult.AddressReused -> onAddressReused(nowMillis, id)
@@ -383,7 +374,7 @@
     public fun runSchedulingPass(nowMillis: Long, wallMillis: Long, overdueMillis: Long): List<ExecutorOrder> {
         recovery.takeRecoveredPools(nowMillis) { mayReportEnds(nowMillis, it) }.forEach { pool ->
             log("recovery over", arrayOf("epoch" to epoch, "pool" to pool, "active" to activeJobs.size))
-            stalePools += pool
+            placer.markPoolStale(pool)
         }
         jobRegistry.addDueOccurrences(nowMillis, wallMillis)
         rosters.markOutdatedRecords(nowMillis)
@@ -399,11 +390,11 @@
         starter.leaseMillis = leaseMillis
         if (valid) {
             registry.takeDueRetries(nowMillis).forEach { repeatOrder(nowMillis, it) }
-            if (nowMillis - lagCheckedMillis >= LAG_CHECK_INTERVAL_MILLIS) moveLaggingRuns(nowMillis)
+            runMover.moveDueRuns(nowMillis)
         }
         if (mayStart) {
             starter.releaseHeldStarts(nowMillis).forEach { onRunNotStarted(nowMillis, it) }
-            placeWaitingTasks(nowMillis, if (valid) nowMillis else nowMillis - overdueMillis)
+            placer.placeWaitingTasks(nowMillis, if (valid) nowMillis else nowMillis - overdueMillis)
         }
         registry.enqueueDuePolls(nowMillis, leaseMillis.takeIf { mayStart })
         return registry.takeOrders(mayStart)
@@ -415,47 +406,6 @@
         return executor.unreachableSinceMillis == null || nowMillis < registry.leasesLapsedAtMillis(executor)
     }
 
-    /**
-     * Starts waiting tasks of the pools in which something has changed, and from time to time of all pools. Considers
-     * only jobs and executors that were known at [knownMillis].
-     */
-    private fun placeWaitingTasks(nowMillis: Long, knownMillis: Long) {
-        if (nowMillis - lastPlacementMillis > PLACEMENT_INTERVAL_MILLIS) allPoolsStale = true
-        if (configuration == null || (!allPoolsStale && stalePools.isEmpty())) return
-        val waiting = HashMap<PoolId, MutableList<WaitingStep>>()
-        queues.values.filter { allPoolsStale || it.pool in stalePools }.forEach { queue ->
-            val steps = waitingSteps(nowMillis, knownMillis, queue)
-            if (steps.isNotEmpty() && rosters.admits(queue.pool, queue.id)) {
-                waiting.getOrPut(queue.pool) { ArrayList() } += steps
-            }
-        }
-        if (allPoolsStale) lastPlacementMillis = nowMillis
-        allPoolsStale = false
-        stalePools.clear()
-        waiting.filterKeys { hasKnownCapacity(nowMillis, it) }
-            .forEach { (pool, steps) -> starter.placePool(nowMillis, knownMillis, pool, steps) }
-    }
-
-    /**
-     * Whether the capacities of the executors of [pool] are known well enough to start tasks there. Executors that do
-     * not check for themselves whether a run fits must not be filled by capacities that may have changed since.
-     */
-    private fun hasKnownCapacity(nowMillis: Long, pool: PoolId): Boolean =
-        configuration?.pools?.get(pool)?.checksAdmission != false ||
-            nowMillis - executorsReadMillis <= MAX_CAPACITY_AGE_MILLIS
-
-    private fun waitingSteps(nowMillis: Long, knownMillis: Long, queue: Queue): List<WaitingStep> =
-        jobRegistry.activeIn(queue.id)
-            .filter { job -> job.firstAttempt == 1L || recovery.isOverFor(queue.id, queue.pool) }
-            .filter { job -> job.acceptedMillis <= knownMillis }
-            .flatMap { job -> job.occurrences.values }
-            .flatMap { occurrence -> waitingSteps(nowMillis, queue, occurrence) }
-
-    private fun waitingSteps(nowMillis: Long, queue: Queue, occurrence: Occurrence): List<WaitingStep> =
-        occurrence.steps
-            .filter { step -> step.hasWaitingTask(nowMillis) && occurrence.isReady(step) }
-            .map { step -> WaitingStep(queue, occurrence, step) }
-
     private fun onRunStarted(run: Run) {
         val job = run.task.step.job
         if (job.phase == JobPhase.QUEUED) job.phase = JobPhase.RUNNING
@@ -467,44 +417,6 @@
         unreportedEnds.removeRun(nowMillis, run, RunEndEvidence.NotStarted(nowMillis))
     }
 
-    /**
-     * Moves lagging runs to other executors. If the step allows copies, a copy is started beside the run; otherwise the
-     * run is stopped first.
-     */
-    private fun moveLaggingRuns(nowMillis: Long) {
-        lagCheckedMillis = nowMillis
-        stopRunsOnDrainingExecutors()
-        faultDetector.findLaggingRuns(nowMillis).filter { !it.lagging }.forEach { run ->
-            val task = run.task
-            log(
-                "run lags",
-                arrayOf(
-                    "task" to run.id.task,
-                    "executor" to run.executor.record.id,
-                    "percent" to run.percent,
-                    "elapsed_ms" to nowMillis - run.startedMillis,
-                ),
-            )
-            run.lagging = true
-            markPoolStale(task.step.job)
-            if (!task.step.step.speculative && !task.step.step.gang &&
-                run.id.attempt - task.firstAttempt < MAX_LAG_RESTARTS
-            ) {
-                stopRun(run, "lags")
-            }
-        }
-    }
-
-    /** Stops long-running tasks on draining executors, so that they continue elsewhere before their executor ends. */
-    private fun stopRunsOnDrainingExecutors() {
-        registry.executors.values
-            .filter { it.record.draining && it.unreachableSinceMillis == null }
-            .forEach { executor ->
-                executor.runs.values.filter { it.task.step.step.longRunning && it.phase == RunPhase.RUNNING }
-                    .forEach { stopRun(it, "executor draining") }
-            }
-    }
-
     private fun repeatOrder(nowMillis: Long, run: Run) {
         if (run.phase == RunPhase.STOPPING) {
             enqueueStop(run)
@@ -516,21 +428,7 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
 
-        /** Age of the executors' entries from which on their capacities are not relied on. */
-        const val MAX_CAPACITY_AGE_MILLIS = 3_000L
-
         /** Time for which an ended job is kept beyond the promised one. */
         const val EXPIRY_SLACK_MILLIS = 30_000L
-
-        const val LAG_CHECK_INTERVAL_MILLIS = 200L
-
-        /** A task that has been started so often is not stopped again for lagging. */
-        const val MAX_LAG_RESTARTS = 3L
-
-        /**
-         * Longest time between two placements. Some executors become usable again by the passing of time alone, without
-         * an event.
-         */
-        const val PLACEMENT_INTERVAL_MILLIS = 100L
     }
 }
