Test takeovers in which nothing names a new executor

Cause: a task may be started on an executor only after the stored roster of its pool names it, but no test failed without that wait. `nothing is started on an executor that the stored roster does not name` also passes because its queue is not in the roster yet.

Change: VirtualFleet can leave writes of rosters without an effect; 300 seeds take over twice while neither a roster nor an entry names two executors that have just joined.

Without the condition on `recorded` in ExecutorState.isUsable the new test fails with "runs twice", and the others pass.

--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -202,6 +202,9 @@
     private val submittedJobs = HashMap<JobId, BatchJob>()
     private var revision = 100L
     private val stored = HashMap<JobId, ProgressRecord>()
+
+    /** Whether changed rosters are stored. If not, the writes have no answer. */
+    var rostersAreStored = true
     private val storedRosters = HashMap<PoolId, StoredRoster>()
 
     /** Executors that the policy of queues with advice allows, and the number of questions to the advisor. */
@@ -342,6 +345,7 @@
     private fun store() {
         if (nowMillis > validUntilMillis) return
         scheduler.takeRosterChanges(100).forEach { change ->
+            if (!rostersAreStored) return@forEach
             val row = StoredRoster(change.roster, Revision(++revision))
             storedRosters[change.pool] = row
             scheduler.onRosterStored(change, row.revision)
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
@@ -144,6 +144,30 @@
         fleet.starts.size shouldBe 1
     }
 
+    // Guards against: a new holder starts a task again that runs on an executor of which it can't know.
+    @Test
+    fun `no task runs twice after a takeover in which neither roster nor entry names a new executor`() {
+        (1L..300L).forEach { seed ->
+            val random = Random(seed)
+            val fleet = VirtualFleet(2)
+            fleet.run(100)
+            submit(fleet, random, 1)
+            fleet.run(500)
+            fleet.rostersAreStored = false
+            val added = (1..2).map { fleet.add("y$it", ResourceAmounts(16_000, 32_000, 0)) }.toSet()
+            repeat(random.nextInt(2, 8)) { number -> submit(fleet, random, 10 + number) }
+            fleet.run(random.nextLong(20, 1_500))
+            fleet.rostersAreStored = random.nextBoolean()
+            fleet.takeOver(2, { random.nextLong(1, 8_000) }) { it in added }
+            fleet.run(random.nextLong(1, 6_000))
+            fleet.takeOver(3, { random.nextLong(1, 8_000) }) { it in added }
+            fleet.rostersAreStored = true
+            fleet.run(25_000)
+            fleet.breaches.shouldBeEmpty()
+            fleet.scheduler.activeJobs.shouldBeEmpty()
+        }
+    }
+
     // Guards against: a takeover from a holder that has stored no rosters takes executors without entries for idle.
     @Test
     fun `without rosters a new holder waits until all leases have lapsed`() {
