Bound the due times of one job in memory

Cause: due times were kept in memory as long as their tasks fitted into the bound of 300,000. Each scheduling pass and each write of the job's progress look at all of them.

Occurrences whose tasks last are not held back, since they do not end.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobRegistry.kt
@@ -133,6 +133,13 @@
     private fun hasMemoryFor(job: JobState): Boolean =
         tasksInMemory + job.job.tasksPerOccurrence <= SchedulerSettings.MAX_TASKS_IN_MEMORY
 
+    /**
+     * Whether a further occurrence of [job] may be placed and stored with those in memory. Long-running ones do not
+     * end, so that others can't wait for them.
+     */
+    private fun hasPlaceFor(job: JobState): Boolean =
+        job.longRunning || job.occurrences.size < SchedulerSettings.MAX_OCCURRENCES_IN_MEMORY
+
     private fun addDeferredOccurrences() {
         deferredJobs.filter(::hasMemoryFor).forEach { job ->
             if (!hasMemoryFor(job)) return@forEach
@@ -146,7 +153,7 @@
     fun addDueOccurrences(nowMillis: Long, wallMillis: Long) {
         addDeferredOccurrences()
         val extended = repeatingJobs.filter { (job, remaining) ->
-            hasMemoryFor(job) && addDueOccurrence(nowMillis, wallMillis, job, remaining)
+            hasMemoryFor(job) && hasPlaceFor(job) && addDueOccurrence(nowMillis, wallMillis, job, remaining)
         }
         repeatingJobs.keys.removeAll(extended.keys)
         repeatingJobs += extended
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
@@ -59,6 +59,12 @@
         /** Number of tasks that are kept in memory at most. Further jobs wait; a job with more tasks can't be run. */
         public const val MAX_TASKS_IN_MEMORY: Long = 300_000
 
+        /**
+         * Number of occurrences of one job that are kept in memory at most. Each pass looks at all of them, and so does
+         * each write of the job's progress.
+         */
+        public const val MAX_OCCURRENCES_IN_MEMORY: Int = 1_000
+
         /** Attempt numbers reserved for each epoch, so that the attempts of two holders never share a number. */
         public const val ATTEMPTS_PER_EPOCH: Long = 1_000
     }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/RepeatedJobsTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/RepeatedJobsTest.kt
@@ -137,23 +137,36 @@
     // Guards against: a job with many occurrences holds a pass up, or takes more memory than there is.
     @Test
     fun `the open occurrences of the longest job are added in their order as memory allows`() {
-        val random = Random(1)
-        val job = repeated(98_304, 1, 0, step(count = 100))
-        val earlier = JobState(job, 0, 1)
-        earlier.completedOccurrences += (0 until 90_000) + (90_000 until 98_304).filter { random.nextInt(3) == 0 }
-        val registry = JobRegistry(Epoch(2)) { }
-        val bytes = progressRecordOf(earlier).encode()
-        bytes.size shouldBeLessThanOrEqual 65_536
-        val state = registry.takeUp(job, ProgressRecord.decode(bytes))
-        var last = 0
-        repeat(4_000) {
-            registry.addDueOccurrences(200_000, 200_000)
-            state.occurrences.size - last shouldBeLessThanOrEqual 1
-            last = state.occurrences.size
+        listOf(1, 100, 400).forEach { count ->
+            val random = Random(1)
+            val job = repeated(98_304, 1, 0, step(count = count))
+            val earlier = JobState(job, 0, 1)
+            earlier.completedOccurrences += (0 until 90_000) + (90_000 until 98_304).filter { random.nextInt(3) == 0 }
+            val registry = JobRegistry(Epoch(2)) { }
+            val bytes = progressRecordOf(earlier).encode()
+            bytes.size shouldBeLessThanOrEqual 65_536
+            val state = registry.takeUp(job, ProgressRecord.decode(bytes))
+            var last = 0
+            repeat(4_000) {
+                registry.addDueOccurrences(200_000, 200_000)
+                state.occurrences.size - last shouldBeLessThanOrEqual 1
+                last = state.occurrences.size
+            }
+            val open = (0 until job.occurrences) - earlier.completedOccurrences
+            val fitting = (SchedulerSettings.MAX_TASKS_IN_MEMORY / job.tasksPerOccurrence).toInt()
+            state.occurrences.keys.toList() shouldBe
+                open.take(minOf(fitting, SchedulerSettings.MAX_OCCURRENCES_IN_MEMORY))
         }
-        val open = (0 until job.occurrences) - earlier.completedOccurrences
-        val fitting = (SchedulerSettings.MAX_TASKS_IN_MEMORY / job.tasksPerOccurrence).toInt()
-        state.occurrences.keys.toList() shouldBe open.take(fitting)
+    }
+
+    // Guards against: occurrences that wait for those that last until their job is cancelled.
+    @Test
+    fun `all occurrences of a job whose tasks last are added`() {
+        val registry = JobRegistry(Epoch(2)) { }
+        val job = repeated(1_500, 1, 0, step().copy(longRunning = true))
+        val state = registry.takeUp(job, null)
+        repeat(1_500) { registry.addDueOccurrences(200_000, 200_000) }
+        state.occurrences.size shouldBe 1_500
     }
 
     // Guards against: each free place in memory goes to the same job, so that the due times of another never run.
