Settle stops and crashes across restarts by what the present incarnation shows

A run whose repeated start the earlier incarnation had confirmed was removed by the report that showed the restart, although its first start was carried out late on the present one: two runs of one task (5 of 80). A stop that the earlier incarnation had confirmed counted for a run that the present one had begun, so that a cancelled job went on for good (89 of 300). A restart counted as a crash under tasks that the present incarnation had begun, so that a job was given up after one crash (20 of 200).

What an earlier incarnation has confirmed no longer counts for a run that is kept, and a stopping run is stopped on the present incarnation again. A crash is proven against a kept run only when a report shows that it is not there. Also, by reading: the last send of a start counts against a list of machines, and the clock of an executor is taken from reports only.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
@@ -141,7 +141,7 @@
         if (id !in endedExecutors && id !in executorsDown) return false
         if (lastRequestMillis < executor.knownSinceMillis + LIST_DELAY_MILLIS) return false
         return executor.runs.values.none { run ->
-            val openMillis = run.orderedMillis?.takeIf { !run.reported || run.mayStartLate }
+            val openMillis = run.lastOrderedMillis?.takeIf { !run.reported || run.mayStartLate }
             openMillis != null && lastRequestMillis < openMillis + LIST_DELAY_MILLIS
         }
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
@@ -32,22 +32,30 @@
         }
     }
 
-    /** Records the crash of [executor] against the runs that were on it, which those in [survivors] were not. */
-    fun onExecutorCrashed(nowMillis: Long, executor: ExecutorState, survivors: Set<RunId> = emptySet()) {
+    /**
+     * Records the crash of [executor] against the runs that were on it, which those in [survivors] were not. Whether
+     * those that [isOpen] selects were on it is not known yet.
+     */
+    fun onExecutorCrashed(
+        nowMillis: Long,
+        executor: ExecutorState,
+        survivors: Set<RunId> = emptySet(),
+        isOpen: (Run) -> Boolean = { false },
+    ) {
         val runs = openRuns(executor).filter { it.id !in survivors }
         val suspects = runs.filter { !it.survivedStart }
         if (suspects.any { it.task.step.job in givenUpJobs }) {
             suspects.filter { !it.task.step.job.phase.ended }.forEach(::clear)
             return
         }
-        suspects.forEach { recordCrashAtStart(it) }
+        suspects.forEach { recordCrashAtStart(it, it.firstSeenClockMillis != null && !isOpen(it)) }
         runs.filter { it.survivedStart && !it.task.step.step.longRunning }
             .forEach { it.task.crashes.cleared += it.id.attempt }
         runs.mapTo(LinkedHashSet()) {
             it.task.step.job
         }.filter { !it.phase.ended }.forEach { scheduler.markChanged(it) }
         if (suspects.isNotEmpty()) unexplainedCrashes += suspects
-        val suspectedBefore = suspects.filter { it.task.crashes.suspicion >= TRIAL_SUSPICION }
+        val suspectedBefore = suspects.filter { it.task.crashes.suspicion >= TRIAL_SUSPICION && !isOpen(it) }
         val onlyJob = suspectedBefore.mapTo(HashSet()) { it.task.step.job }.singleOrNull()
         suspectedBefore.filter { it.task.crashes.atStart.size >= MIN_PROVEN_CRASHES }
             .firstOrNull { isAtFault(it, onlyJob, runs) }
@@ -55,17 +63,27 @@
         runs.filter { isExhausted(it.task) }.forEach { giveUp(nowMillis, it.task) }
     }
 
-    /** Records a crash against the task of [run]. A start that was never answered may not have reached the executor. */
-    private fun recordCrashAtStart(run: Run) {
+    /**
+     * Records a crash against the task of [run]. It is [proven] only if the run was on the executor; a start that was
+     * never answered may not have reached it.
+     */
+    private fun recordCrashAtStart(run: Run, proven: Boolean) {
         val crashes = run.task.crashes
-        if (run.firstSeenClockMillis == null) {
-            crashes.unresolved += run.id.attempt
-        } else {
+        if (proven) {
             crashes.unresolved -= run.id.attempt
             crashes.atStart += run.id.attempt
+        } else {
+            crashes.unresolved += run.id.attempt
         }
     }
 
+    /** Records that [run], whose start had been confirmed, was on the executor that has crashed. */
+    fun onCrashProven(run: Run) {
+        if (run.id.attempt !in run.task.crashes.unresolved) return
+        recordCrashAtStart(run, proven = true)
+        scheduler.markChanged(run.task.step.job)
+    }
+
     /** Runs of tasks that are not done whose start was sent to the present incarnation of [executor]. */
     private fun openRuns(executor: ExecutorState): List<Run> =
         (executor.runs.values + executor.lapsedRuns).filter { it.orderedMillis != null && !it.task.done }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -139,6 +139,7 @@
 
     private fun onRunListed(run: Run, pollNumber: Long, clockMillis: Long, listedRun: ReportedRun) {
         run.confirmedAtPoll = run.confirmedAtPoll ?: pollNumber
+        if (run.mayHaveEndedInCrash) crashAttribution.resolve(run.task, run.id.attempt)
         if (run.phase == RunPhase.STARTING) run.phase = RunPhase.RUNNING
         run.recordReport(clockMillis, listedRun.percent)
         if (run.survivedStart) crashAttribution.onStartSurvived(run)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -192,6 +192,7 @@
         val executor = run.executor
         val leaseEndMillis = executor.leaseEndMillis(nowMillis, leaseMillis) ?: return
         run.orderedMillis = run.orderedMillis ?: nowMillis
+        run.lastOrderedMillis = nowMillis
         executor.recordLeaseEnd(leaseEndMillis)
         run.startsInFlight++
         val spec = run.task.step.job.job.spec
@@ -236,7 +237,6 @@
             arrayOf("task" to run.id.task, "executor" to executor.record.id, "reason" to answer.reason),
         )
         registry.onOrderRefused(nowMillis, executor, answer.reason)
-        answer.clockMillis?.let { executor.recordClock(nowMillis, it) }
         when (answer.reason) {
             RefusalReason.OTHER_INSTANCE -> if (order.target == executor.target) return StartResult.EXECUTOR_GONE
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/UnreportedRunEnds.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/UnreportedRunEnds.kt
@@ -67,8 +67,7 @@
 
     /**
      * Removes runs that are not among those that a complete report [listed], although the executor had confirmed their
-     * start or stop before poll number [pollNumber], which it made the report on, was sent. A confirmed start alone is
-     * enough only if no other start of the run may be carried out late.
+     * start or stop before poll number [pollNumber], which it made the report on, was sent.
      */
     fun removeVanishedRuns(nowMillis: Long, executor: ExecutorState, pollNumber: Long, listed: Set<RunId>) {
         executor.runs.values.filter { it.id !in listed }.forEach { run ->
@@ -76,7 +75,12 @@
             if (confirmedAtPoll >= pollNumber) return@forEach
             log("run vanished", arrayOf("task" to run.id.task, "executor" to executor.record.id))
             val evidence = RunEndEvidence.NotListed(nowMillis)
-            if (run.mayHaveEndedInCrash) loseRun(nowMillis, run, evidence) else removeRun(nowMillis, run, evidence)
+            if (run.mayHaveEndedInCrash) {
+                if (run.confirmedBeforeCrash) crashAttribution.onCrashProven(run)
+                loseRun(nowMillis, run, evidence)
+            } else {
+                removeRun(nowMillis, run, evidence)
+            }
         }
     }
 
@@ -92,25 +96,46 @@
         evidence: RunEndEvidence.IncarnationEnded,
         listed: Set<RunId>,
     ) {
-        if (planned) resolveLapsedRuns(executor) else crashAttribution.onExecutorCrashed(nowMillis, executor, listed)
+        if (planned) {
+            resolveLapsedRuns(executor)
+        } else {
+            crashAttribution.onExecutorCrashed(nowMillis, executor, listed) {
+                it in executor.runs.values &&
+                    !hasEnded(it)
+            }
+        }
         executor.lapsedRuns.clear()
         executor.runs.values.toList().forEach { run ->
-            val ended = run.orderedMillis == null || (run.reported && !run.mayStartLate)
             when {
-                run.id in listed -> run.forgetReports()
-                ended && planned -> removeRun(nowMillis, run, evidence)
-                ended -> loseRun(nowMillis, run, evidence)
+                run.id in listed -> keepOnSuccessor(run)
+                hasEnded(run) && planned -> removeRun(nowMillis, run, evidence)
+                hasEnded(run) -> loseRun(nowMillis, run, evidence)
                 else -> keepAcrossRestart(run, planned)
             }
         }
     }
 
+    /** Whether [run] has ended with an earlier incarnation of its executor, or was never sent to any. */
+    private fun hasEnded(run: Run) = run.orderedMillis == null || (run.reported && !run.mayStartLate)
+
+    /** Keeps [run], which the present incarnation has begun. A stop that the earlier one confirmed does not count. */
+    private fun keepOnSuccessor(run: Run) {
+        run.forgetReports()
+        if (run.phase == RunPhase.STOPPING) stopOnSuccessor(run)
+    }
+
     private fun keepAcrossRestart(run: Run, planned: Boolean) {
         run.mayHaveEndedInCrash = !planned
+        run.confirmedBeforeCrash = run.firstSeenClockMillis != null
         run.forgetReports()
-        run.stopConfirmedAtPoll = null
         val isConfirmed = run.phase == RunPhase.RUNNING && !run.mayStartLate
-        if (!isConfirmed) scheduler.repeatStop(run, "its executor has restarted")
+        if (!isConfirmed) stopOnSuccessor(run)
+    }
+
+    private fun stopOnSuccessor(run: Run) {
+        run.confirmedAtPoll = null
+        run.stopConfirmedAtPoll = null
+        scheduler.repeatStop(run, "its executor has restarted")
     }
 
     /**
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -30,6 +30,9 @@
     /** Time at which its start was first sent; null while it waits until the suspicion against its task is stored. */
     public var orderedMillis: Long? = null
 
+    /** Time at which its start was last sent; null before the first time. */
+    public var lastOrderedMillis: Long? = null
+
     /** Number of the change of the job's progress that must be stored before the start is sent. */
     public var startAfterChange: Long = 0
 
@@ -119,6 +122,9 @@
      */
     public var mayHaveEndedInCrash: Boolean = false
 
+    /** Whether its start had been confirmed when [mayHaveEndedInCrash] was set. */
+    public var confirmedBeforeCrash: Boolean = false
+
     /** Whether a start order for it may still be carried out. */
     public val mayStartLate: Boolean get() = startsInFlight > 0 || unansweredStarts > 0
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/RunEndEvidenceTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/RunEndEvidenceTest.kt
@@ -2,8 +2,10 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import org.gypsumturn.batch.StartFault
 import org.gypsumturn.batch.VirtualFleet
 import org.gypsumturn.batch.job
+import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.step
 import kotlin.random.Random
 
@@ -46,4 +48,96 @@
         fleet.run(20_000)
         fleet.breaches.shouldBeEmpty()
     }
+
+    // Guards against: a run whose first start may still be carried out is removed, since a repeated one was confirmed.
+    @Test
+    fun `a confirmed run whose earlier start may be carried out late stays until its stop is confirmed`() {
+        val breaches = (0L..399L step 5).flatMap { offsetMillis ->
+            val fleet = VirtualFleet(2)
+            fleet.run(100)
+            fleet.executors.values.forEach { it.startFaults += StartFault.APPLIED_LATE }
+            fleet.submit(job(1, step())) { 10_000 }
+            fleet.run(30)
+            val executor = fleet.scheduler.jobs.single().runs().single().executor
+            fleet.executors.values.forEach { if (it.id != executor.record.id) it.startFaults.clear() }
+            fleet.run(625, everyMillis = 1)
+            fleet.run(1 + offsetMillis, everyMillis = 1)
+            fleet.executors.values.forEach { it.pollAnswerMillis = 50 }
+            fleet.restart(fleet.executors.getValue(executor.record.id))
+            fleet.run(3_000, everyMillis = 1)
+            fleet.breaches.map { "restart ${656 + offsetMillis} ms after the submission: $it" }
+        }
+        breaches.shouldBeEmpty()
+    }
+
+    // Guards against: a stop that an earlier incarnation confirmed counts for a run that the present one has begun.
+    @Test
+    fun `a stopped run that the next incarnation has begun late is stopped there`() {
+        val left = (1L..300L).filter { seed ->
+            val random = Random(seed)
+            val fleet = VirtualFleet(1)
+            fleet.run(100)
+            val executor = fleet.executors.values.single()
+            executor.startFaults += StartFault.APPLIED_LATE
+            executor.pollAnswerMillis = 600
+            val job = job(1, step())
+            fleet.submit(job) { 60_000 }
+            fleet.run(random.nextLong(400, 700))
+            fleet.scheduler.cancelJob(fleet.nowMillis, job.id)
+            fleet.run(random.nextLong(5, 400))
+            fleet.restart(executor)
+            // An executor without known runs is polled every four seconds.
+            fleet.run(12_000)
+            executor.runs.isNotEmpty()
+        }
+        left.shouldBeEmpty()
+    }
+
+    // Guards against: the run that shows a restart is taken for its cause.
+    @Test
+    fun `a task that the next incarnation has begun is not suspected of having crashed the earlier one`() {
+        val suspected = (1L..300L).mapNotNull { seed ->
+            val random = Random(seed)
+            val fleet = VirtualFleet(1)
+            fleet.run(100)
+            val executor = fleet.executors.values.single()
+            executor.pollAnswerMillis = random.nextLong(1, 60)
+            fleet.submit(job(1, step())) { 600 }
+            fleet.run(random.nextLong(50, 500))
+            fleet.restart(executor)
+            fleet.run(random.nextLong(1, 100), everyMillis = 1)
+            fleet.submit(job(2, step())) { 5_000 }
+            fleet.run(300, everyMillis = 1)
+            val steps = fleet.scheduler.job(job(2, step()).id)!!.occurrences.values.single().steps
+            val task = steps.single().tasks.single()
+            val wasLost = fleet.starts.any { it.task == task.name && it !in executor.runs }
+            "seed $seed: ${task.crashes.atStart} ${task.crashes.unresolved}"
+                .takeIf { task.crashes.suspicion > 0 && !wasLost }
+        }
+        suspected.shouldBeEmpty()
+    }
+
+    // Guards against: a crash that the task can't have caused, since it was begun after it, ends its job.
+    @Test
+    fun `a job is not given up for a restart that its task has not met`() {
+        val failed = (0L..399L step 2).mapNotNull { offsetMillis ->
+            val fleet = VirtualFleet(1)
+            fleet.run(100)
+            val executor = fleet.executors.values.single()
+            executor.pollAnswerMillis = 40
+            val job = job(1, step())
+            fleet.submit(job) { 5_000 }
+            fleet.run(200, everyMillis = 1)
+            var met = if (executor.runs.isEmpty()) 0 else 1
+            fleet.restart(executor)
+            fleet.run(1 + offsetMillis, everyMillis = 1)
+            if (executor.runs.isNotEmpty()) met++
+            fleet.restart(executor)
+            fleet.run(20_000)
+            val phase = fleet.scheduler.job(job.id)!!.phase
+            "second restart after ${1 + offsetMillis} ms, $met met: $phase"
+                .takeIf { met < 2 && phase != JobPhase.COMPLETED }
+        }
+        failed.shouldBeEmpty()
+    }
 }
