Add a model checker for the scheduler, first version

Small systems of holders and executors are searched for breaches of the users' rules, with the real scheduler.

--- /dev/null
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelHolder.kt
@@ -0,0 +1,146 @@
+// A holder of the control lease in the model. All calls of the scheduler under test are here, one function each.
+
+package org.gypsumturn.batch.check
+
+import org.gypsumturn.batch.TEST_SETTINGS
+import org.gypsumturn.batch.model.BatchJob
+import org.gypsumturn.batch.model.ExecutorRecord
+import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.model.OrderAnswer
+import org.gypsumturn.batch.port.PollAnswer
+import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.batch.schedule.ExecutorOrder
+import org.gypsumturn.batch.schedule.ProgressChange
+import org.gypsumturn.batch.schedule.RosterChange
+import org.gypsumturn.batch.schedule.SchedulerSettings
+import org.gypsumturn.batch.schedule.StoredRoster
+import org.gypsumturn.batch.state.ProgressRecord
+import org.gypsumturn.model.Epoch
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.JobId
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+
+/** The holder of the term that [epoch] numbers. [log] receives its decisions. */
+internal class ModelHolder(val epoch: Long, log: (String) -> Unit) {
+    private val scheduler = BatchScheduler(TEST_SETTINGS, Epoch(epoch), { event, fields ->
+        log("    $epoch: $event ${fields.joinToString { "${it.first}=${it.second}" }}")
+    })
+
+    /** Time of the last renewal of its control lease. */
+    var renewedMillis = 0L
+
+    /** Whether it does nothing at present, has no path to the store, or has ended its term. */
+    var paused = false
+    var cut = false
+    var closed = false
+
+    val acts: Boolean get() = !paused && !closed
+
+    /** Entries of executors as it knows them. */
+    val entries = LinkedHashMap<InstanceId, ExecutorRecord>()
+
+    fun configure(configuration: FleetConfiguration) = scheduler.configure(configuration)
+
+    fun addJob(nowMillis: Long, job: BatchJob, progress: ProgressRecord?, revision: Revision, neverStarted: Boolean) =
+        scheduler.addJob(nowMillis, job, progress, revision, neverStarted)
+
+    fun startRecovery(nowMillis: Long, rosters: Map<PoolId, StoredRoster>) =
+        scheduler.startRecovery(nowMillis, rosters, nowMillis + RECOVERY_MILLIS)
+
+    /** Reads the entries of all executors from the store. */
+    fun readEntries(nowMillis: Long, stored: Map<InstanceId, ExecutorRecord>) {
+        (entries.keys - stored.keys).forEach { scheduler.onExecutorUnlisted(nowMillis, it) }
+        stored.filter { entries[it.key] != it.value }.forEach { scheduler.onExecutorListed(nowMillis, it.value) }
+        entries.clear()
+        entries += stored
+        scheduler.onExecutorsRead(nowMillis)
+    }
+
+    fun onStoreRegained(nowMillis: Long) = scheduler.onStoreRegained(nowMillis)
+
+    /** Handles that the machine of executor [id] was moved or taken down. */
+    fun onMachineOrderDone(nowMillis: Long, id: InstanceId) = scheduler.onExecutorGone(nowMillis, id, planned = true)
+
+    /** Handles a list of machines without executor [id]. As in production it counts for silent executors only. */
+    fun onMachineAbsent(nowMillis: Long, id: InstanceId) {
+        if (isSilent(id)) scheduler.onExecutorGone(nowMillis, id, planned = false)
+    }
+
+    fun isSilent(id: InstanceId): Boolean = scheduler.executors[id]?.unreachableSinceMillis != null
+
+    fun runPass(nowMillis: Long): List<ExecutorOrder> =
+        scheduler.runSchedulingPass(nowMillis, nowMillis, nowMillis - renewedMillis - VALID_MILLIS)
+
+    fun takeProgressChanges(): List<ProgressChange> = scheduler.takeChanges(CHANGES)
+
+    fun onProgressStored(change: ProgressChange, revision: Revision) = scheduler.onProgressStored(change, revision)
+
+    fun takeRosterChanges(): List<RosterChange> = scheduler.takeRosterChanges(CHANGES)
+
+    fun onRosterStored(change: RosterChange, revision: Revision) = scheduler.onRosterStored(change, revision)
+
+    fun onPollAnswered(nowMillis: Long, order: ExecutorOrder.Poll, verdict: Verdict<PollAnswer>) =
+        scheduler.onPollAnswered(nowMillis, order.target.id, verdict)
+
+    fun onStartAnswered(nowMillis: Long, order: ExecutorOrder.Start, verdict: Verdict<OrderAnswer>) =
+        scheduler.onStartAnswered(nowMillis, order.run, verdict)
+
+    fun onStopAnswered(nowMillis: Long, order: ExecutorOrder.Stop, verdict: Verdict<OrderAnswer>) =
+        scheduler.onStopAnswered(nowMillis, order.target.id, order.run, verdict)
+
+    fun phaseOf(job: JobId): JobPhase = scheduler.job(job)?.visiblePhase ?: JobPhase.QUEUED
+
+    /** What can be observed of its state, with times relative to the present. */
+    fun describe(nowMillis: Long, to: StringBuilder) {
+        to.append('h').append(epoch).append(paused).append(cut).append(closed)
+        if (closed) return
+        to.append(if (cut || paused) nowMillis - renewedMillis else 0)
+        scheduler.jobs.forEach { job ->
+            to.append(job.phase).append(job.visiblePhase).append(job.completedOccurrences)
+            job.occurrences.values.flatMap { it.steps }.flatMap { it.tasks }.forEach { task ->
+                to.append(
+                    task.done,
+                ).append(task.highestAttempt).append(task.failedAttempts).append(task.crashes.atStart)
+                to.append(task.crashes.cleared).append(task.crashes.unresolved)
+            }
+        }
+        scheduler.executors.values.forEach { executor ->
+            to.append(executor.record.id.value).append(executor.record.address).append(executor.listed)
+            to.append(executor.recorded).append(executor.knowsEpoch).append(executor.failedCalls)
+            to.append(executor.unreachableSinceMillis?.let { nowMillis - it }).append(executor.pollInFlight)
+            to.append(
+                executor.incarnation?.let {
+                    nowMillis - it.startedAtMillis
+                },
+            ).append(executor.lastHandledEndNumber)
+            to.append(executor.acknowledgedEndNumber).append(executor.pendingEnds.keys)
+            to.append(executor.leaseEndMillis(nowMillis, 0)).append('/')
+            if (executor.runs.isNotEmpty()) to.append(executor.leasesLapsedAtMillis() - nowMillis)
+            executor.runs.values.sortedBy { it.id.attempt }.forEach { run ->
+                to.append(run.id.task.name()).append(run.id.attempt).append(run.phase).append(run.unansweredStarts)
+                to.append(run.retryAtMillis?.let { it - nowMillis }).append(run.confirmedClockMillis != null)
+                to.append(run.stopConfirmedClockMillis != null)
+            }
+        }
+    }
+
+    companion object {
+        /** Time after its last renewal at which another node may claim the control lease, and at which it is valid. */
+        const val LAPSE_MILLIS = 2_400L
+        private const val VALID_MILLIS = 2_250L
+
+        /** Time after which all run leases of earlier holders have lapsed, as the holder's session computes it. */
+        private val RECOVERY_MILLIS = TEST_SETTINGS.leaseMillis + TEST_SETTINGS.leaseMillis / 30 + 200
+        private const val CHANGES = 100
+
+        /** Time after which the call with [order] has failed. */
+        fun timeoutMillis(order: ExecutorOrder): Long = if (order is ExecutorOrder.Poll) {
+            (order.order.waitMillis ?: 0) + SchedulerSettings.POLL_TIMEOUT_MILLIS
+        } else {
+            SchedulerSettings.ORDER_TIMEOUT_MILLIS
+        }
+    }
+}
--- /dev/null
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
@@ -0,0 +1,337 @@
+// The model: holders that drive the real scheduler, executors, the network between them, the store and the machines.
+// Each event changes it in a way that depends on nothing else, so that a list of events always leads to the same state.
+
+package org.gypsumturn.batch.check
+
+import org.gypsumturn.batch.configuration
+import org.gypsumturn.batch.model.BatchJob
+import org.gypsumturn.batch.model.ExecutorRecord
+import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.model.RefusalReason
+import org.gypsumturn.batch.model.ResourceAmounts
+import org.gypsumturn.batch.model.RunEnd
+import org.gypsumturn.batch.queue
+import org.gypsumturn.batch.schedule.ExecutorOrder
+import org.gypsumturn.batch.schedule.StoredRoster
+import org.gypsumturn.batch.state.ProgressRecord
+import org.gypsumturn.model.InstanceId
+import org.gypsumturn.model.JobId
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.Revision
+
+/** What a model starts with: its machines, each with room for [tasksPerExecutor] tasks, and its jobs. */
+internal class Scenario(
+    val name: String,
+    val machines: Int,
+    val tasksPerExecutor: Int,
+    val endsPerReport: Int = 500,
+    val dropsQueue: Boolean = false,
+    val jobs: List<BatchJob>,
+)
+
+/** The model in the state that [scenario] describes, with idle executors that the first holder has asked. */
+internal class RunModel(val scenario: Scenario, private val log: (String) -> Unit = {}) {
+    var nowMillis = START_MILLIS
+        private set
+    val rules = RuleMonitor(MAX_ATTEMPTS)
+    val machines = List(scenario.machines) { ModelMachine(it) }
+    val holders = ArrayList<ModelHolder>()
+    val calls = ArrayList<ModelCall>()
+    val entries = LinkedHashMap<InstanceId, ExecutorRecord>()
+    var storeAway = false
+        private set
+    var queueDropped = false
+        private set
+    private val progress = HashMap<JobId, ProgressRecord>()
+    private val rosters = HashMap<PoolId, StoredRoster>()
+    private var revision = 1L
+    private val network = ModelNetwork(this, log)
+
+    val owner: ModelHolder get() = holders.last()
+
+    init {
+        machines.forEach { boot(it, "x${it.number}", "a${it.number}") }
+        takeOver()
+        settle()
+        calm(SETTLING_MILLIS)
+        scenario.jobs.forEach { job ->
+            rules.jobs[job.id] = job
+            owner.addJob(nowMillis, job, null, Revision.ABSENT, neverStarted = true)
+        }
+        calm(SETTLING_MILLIS, deliver = { it.order !is ExecutorOrder.Start })
+    }
+
+    /** Applies [event] and returns true, or changes nothing and returns false if it can't happen now. */
+    fun apply(event: ModelEvent): Boolean {
+        if (!change(event)) return false
+        settle()
+        return true
+    }
+
+    private fun change(event: ModelEvent): Boolean = when (event.action) {
+        Action.ADVANCE -> done { pass(event.number) }
+
+        Action.CALM -> done { calm(event.number) }
+
+        Action.DELIVER, Action.ARRIVE, Action.ANSWER, Action.LOSE -> network.apply(event)
+
+        Action.DONE -> endRun(event, RunEnd.DONE)
+
+        Action.FAIL -> endRun(event, RunEnd.FAILED)
+
+        Action.CRASH, Action.MOVE, Action.RESTART, Action.REHOME, Action.RENEW, Action.SLOW, Action.ENTRY ->
+            machines.find { it.name == event.target }?.let { changeMachine(it, event.action) } ?: false
+
+        Action.LAPSE -> entries.remove(InstanceId(event.target)) != null
+
+        Action.MOVED, Action.ABSENT -> onMachineNews(event)
+
+        Action.TAKEOVER -> mayTakeOver() && done { takeOver() }
+
+        Action.AWAY -> !storeAway && done {
+            storeAway = true
+            holders.forEach { it.cut = true }
+        }
+
+        Action.BACK -> storeAway && done { storeAway = false }
+
+        Action.DROP -> !queueDropped && done { queueDropped = true }
+
+        Action.PAUSE, Action.WAKE, Action.CUT, Action.MEND, Action.RELEASE ->
+            holders.find { it.epoch.toString() == event.target && !it.closed }?.let { changeHolder(it, event.action) }
+                ?: false
+    }
+
+    private inline fun done(action: () -> Unit): Boolean {
+        action()
+        return true
+    }
+
+    private fun endRun(event: ModelEvent, how: RunEnd): Boolean {
+        val executor = machines.find { it.name == event.target }?.executor ?: return false
+        val run = executor.runs.keys.elementAtOrNull(event.number.toInt()) ?: return false
+        executor.end(run, how)
+        return true
+    }
+
+    private fun changeMachine(machine: ModelMachine, action: Action): Boolean {
+        val executor = machine.executor
+        val up = executor != null
+        return when (action) {
+            Action.CRASH -> up && done { shutDown(machine, crashed = true) }
+
+            Action.MOVE -> up && done { shutDown(machine, crashed = false) }
+
+            Action.RESTART -> !up && machine.crashed && done { boot(machine, machine.lastId, machine.lastAddress) }
+
+            Action.REHOME -> !up && machine.crashed && done { boot(machine, machine.lastId, machine.nextAddress()) }
+
+            Action.RENEW -> !up && done { boot(machine, machine.nextId(), machine.lastAddress) }
+
+            Action.SLOW -> up && !executor!!.slow && done { executor.slow = true }
+
+            else -> up && !storeAway && entries[executor!!.id] != executor.record() &&
+                done { entries[executor.id] = executor.record() }
+        }
+    }
+
+    private fun shutDown(machine: ModelMachine, crashed: Boolean) {
+        val executor = machine.executor ?: return
+        rules.onExecutorEnded(executor, crashed)
+        network.onExecutorEnded(executor)
+        if (!crashed) machine.movedIds += executor.id.value
+        machine.crashed = crashed
+        machine.downMillis = nowMillis
+        machine.executor = null
+    }
+
+    private fun boot(machine: ModelMachine, id: String, address: String) {
+        val room = ResourceAmounts(TASK_CPU * scenario.tasksPerExecutor, TASK_MEMORY * scenario.tasksPerExecutor, 0)
+        // An executor is born at another time than any before, as the contract's milliseconds are.
+        val bornMillis = maxOf(nowMillis, machine.bornMillis + 1)
+        val executor =
+            ModelExecutor(InstanceId(id), address, bornMillis, room, scenario.endsPerReport, rules)
+        machine.bornMillis = bornMillis
+        machine.lastId = id
+        machine.lastAddress = address
+        machine.executor = executor
+        if (holders.isEmpty()) entries[executor.id] = executor.record()
+    }
+
+    /** Passes the answer to an order for a machine, or a list of machines that lags, to the holder that acts. */
+    private fun onMachineNews(event: ModelEvent): Boolean {
+        val holder = owner.takeIf { it.acts } ?: return false
+        val id = InstanceId(event.target)
+        if (event.action == Action.MOVED) {
+            return machines.any { event.target in it.movedIds } && done { holder.onMachineOrderDone(nowMillis, id) }
+        }
+        val absent = machines.any { it.lastId == event.target && isAbsentInList(it) }
+        return absent && holder.isSilent(id) && done { holder.onMachineAbsent(nowMillis, id) }
+    }
+
+    private fun isAbsentInList(machine: ModelMachine) =
+        machine.executor == null || (machine.downMillis >= 0 && nowMillis - machine.bornMillis < LIST_LAG_MILLIS)
+
+    private fun changeHolder(holder: ModelHolder, action: Action): Boolean = when (action) {
+        Action.PAUSE -> !holder.paused && done {
+            holder.paused = true
+            holder.cut = true
+        }
+
+        Action.WAKE -> holder.paused && done { holder.paused = false }
+
+        Action.CUT -> !holder.cut && done { holder.cut = true }
+
+        Action.MEND -> !holder.paused && holder.cut && !storeAway && done { mend(holder) }
+
+        else -> holder.acts && !holder.cut && done { holder.closed = true }
+    }
+
+    private fun mend(holder: ModelHolder) {
+        holder.cut = false
+        if (holder === owner) holder.onStoreRegained(nowMillis) else holder.closed = true
+    }
+
+    /** Whether another node may claim the control lease. */
+    fun mayTakeOver() = !storeAway && (owner.closed || nowMillis - owner.renewedMillis >= ModelHolder.LAPSE_MILLIS)
+
+    private fun takeOver() {
+        val holder = ModelHolder(holders.size + 1L, log)
+        val reading = if (queueDropped) configuration(queue("other"), guarded = false, version = 2) else CONFIGURATION
+        holder.configure(reading)
+        holder.readEntries(nowMillis, entries)
+        rules.jobs.values.forEach { holder.addJob(nowMillis, it, progress[it.id], Revision(revision), false) }
+        holder.startRecovery(nowMillis, rosters.toMap())
+        holders += holder
+    }
+
+    /** Lets each holder do what it does between two events: renew its lease, decide, and store. */
+    private fun settle() {
+        holders.filter { it.acts }.forEach { holder ->
+            repeat(2) {
+                if (!holder.cut) {
+                    if (holder !== owner) return@repeat
+                    holder.renewedMillis = nowMillis
+                    holder.readEntries(nowMillis, entries)
+                }
+                network.send(holder, holder.runPass(nowMillis))
+                if (!holder.cut) store(holder)
+            }
+        }
+    }
+
+    private fun store(holder: ModelHolder) {
+        holder.takeRosterChanges().forEach { change ->
+            rosters[change.pool] = StoredRoster(change.roster, Revision(++revision))
+            holder.onRosterStored(change, Revision(revision))
+        }
+        holder.takeProgressChanges().forEach { change ->
+            progress[change.job.job.id] = change.record
+            holder.onProgressStored(change, Revision(++revision))
+        }
+    }
+
+    /** Lets [millis] pass, during which holders decide but no call makes progress. */
+    private fun pass(millis: Long) = slices(millis) { }
+
+    /** Lets [millis] pass, during which calls that [deliver] selects are carried out and answered. */
+    fun calm(millis: Long, deliver: (ModelCall) -> Boolean = { true }) = slices(millis) { network.carryAll(deliver) }
+
+    private inline fun slices(millis: Long, each: () -> Unit) {
+        val endMillis = nowMillis + millis
+        while (nowMillis < endMillis) {
+            val sliceMillis = minOf(SLICE_MILLIS, endMillis - nowMillis)
+            nowMillis += sliceMillis
+            machines.forEach { it.executor?.advance(sliceMillis) }
+            network.failOverdue()
+            each()
+            settle()
+        }
+    }
+
+    /** Whether all jobs end, as users may expect, once all faults are over and all runs succeed. */
+    fun canComplete(): Boolean {
+        heal()
+        var roundsLeft = HEALING_ROUNDS
+        while (roundsLeft-- > 0 && !rules.jobs.keys.all { owner.phaseOf(it).ended }) {
+            calm(SLICE_MILLIS)
+            machines.mapNotNull { it.executor }.forEach(::finishRuns)
+        }
+        return rules.jobs.keys.all {
+            val phase = owner.phaseOf(it)
+            phase == JobPhase.COMPLETED || (phase == JobPhase.FAILED && rules.mayFail(it))
+        }
+    }
+
+    private fun heal() {
+        storeAway = false
+        if (mayTakeOver() && (owner.closed || owner.paused)) takeOver()
+        holders.forEach { if (it !== owner) it.closed = true }
+        owner.paused = false
+        if (owner.cut) mend(owner)
+        network.dropGhosts()
+        machines.filter { it.executor == null }.forEach { boot(it, it.nextId(), it.lastAddress) }
+        entries.clear()
+        machines.mapNotNull { it.executor }.forEach { entries[it.id] = it.record() }
+    }
+
+    private fun finishRuns(executor: ModelExecutor) {
+        executor.runs.values.filter { !it.stopping }.forEach { executor.end(it.id, RunEnd.DONE) }
+    }
+
+    fun jobOf(id: JobId): BatchJob = rules.jobs.getValue(id)
+
+    /** A text that is equal for states that the checker takes for the same. */
+    fun describe(): String = buildString {
+        append(storeAway).append(queueDropped)
+        machines.forEach { it.describe(nowMillis, this) }
+        entries.values.forEach {
+            append(it.id.value).append(it.address).append(nowMillis - it.incarnation.startedAtMillis)
+        }
+        holders.forEach { it.describe(nowMillis, this) }
+        calls.forEach { it.describe(nowMillis, this) }
+        append(rules.describe())
+    }
+
+    companion object {
+        const val TASK_CPU = 1_000L
+        const val TASK_MEMORY = 100L
+        private const val MAX_ATTEMPTS = 2
+        private const val START_MILLIS = 100_000L
+        private const val SETTLING_MILLIS = 40L
+        private const val SLICE_MILLIS = 100L
+        private const val HEALING_ROUNDS = 300
+
+        /** Time by which a list of machines may be older than what it is compared with. */
+        private const val LIST_LAG_MILLIS = 1_000L
+        private val CONFIGURATION = configuration(queue(maxAttempts = MAX_ATTEMPTS), guarded = false)
+    }
+}
+
+/** A machine and the executor on it, which is null while there is none. */
+internal class ModelMachine(val number: Int) {
+    val name = "m$number"
+    var executor: ModelExecutor? = null
+    var crashed = false
+    var downMillis = -1L
+    var bornMillis = -1L
+    var lastId = ""
+    var lastAddress = ""
+
+    /** Ids of the executors that an order for the machine has ended. */
+    val movedIds = HashSet<String>()
+    private var generation = 0
+
+    fun nextId(): String = "x$number" + LETTERS[++generation]
+
+    fun nextAddress(): String = "a$number" + LETTERS[++generation]
+
+    fun describe(nowMillis: Long, to: StringBuilder) {
+        to.append(name).append(crashed).append(lastId).append(lastAddress).append(movedIds)
+        executor?.describe(nowMillis, to)
+    }
+
+    private companion object {
+        const val LETTERS = "abcdefghijklmnopqrstuvwxyz"
+    }
+}
