--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelEvent.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelEvent.kt
@@ -52,6 +52,10 @@
     MEND,
     RELEASE,
 
+    /** The writes of a holder wait from now on, or are carried out. */
+    STALL,
+    FLUSH,
+
     /** Another holder takes over. */
     TAKEOVER,
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelHolder.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelHolder.kt
@@ -39,6 +39,9 @@
     var cut = false
     var closed = false
 
+    /** Whether its writes to the store wait. */
+    var writesStall = false
+
     val acts: Boolean get() = !paused && !closed
 
     /** Entries of executors as it knows them. */
@@ -108,7 +111,7 @@
 
     /** What can be observed of its state, with times relative to the present. */
     fun describe(nowMillis: Long, to: StringBuilder) {
-        to.append('h').append(epoch).append(paused).append(cut).append(closed)
+        to.append('h').append(epoch).append(paused).append(cut).append(closed).append(writesStall)
         if (closed) return
         to.append(if (cut || paused) nowMillis - renewedMillis else 0)
         scheduler.jobs.forEach { job ->
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
@@ -154,6 +154,7 @@
 private val FAULTS = setOf(
     Action.LOSE, Action.FAIL, Action.CRASH, Action.MOVE, Action.SLOW, Action.LAPSE, Action.ABSENT,
     Action.PAUSE, Action.CUT, Action.RELEASE, Action.AWAY, Action.DROP,
+    Action.STALL,
 )
 
 private val TIMES_MILLIS = listOf(1L, 40L, 300L, 700L, 1_500L, 3_000L)
@@ -180,6 +181,7 @@
         holder === model.owner -> add(ModelEvent(Action.PAUSE, term) to 2)
     }
     if (holder === model.owner && !holder.cut) {
+        add(ModelEvent(if (holder.writesStall) Action.FLUSH else Action.STALL, term) to 1)
         add(ModelEvent(Action.CUT, term) to 1)
         add(ModelEvent(Action.RELEASE, term) to 1)
     }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
@@ -97,7 +97,7 @@
 
         Action.DROP -> !queueDropped && done { queueDropped = true }
 
-        Action.PAUSE, Action.WAKE, Action.CUT, Action.MEND, Action.RELEASE ->
+        Action.PAUSE, Action.WAKE, Action.CUT, Action.MEND, Action.RELEASE, Action.STALL, Action.FLUSH ->
             holders.find { it.epoch.toString() == event.target && !it.closed }?.let { changeHolder(it, event.action) }
                 ?: false
     }
@@ -187,6 +187,10 @@
 
         Action.CUT -> !holder.cut && done { holder.cut = true }
 
+        Action.STALL -> !holder.writesStall && done { holder.writesStall = true }
+
+        Action.FLUSH -> holder.writesStall && done { holder.writesStall = false }
+
         Action.MEND -> !holder.paused && holder.cut && !storeAway && done { mend(holder) }
 
         else -> holder.acts && !holder.cut && done { holder.closed = true }
@@ -220,7 +224,7 @@
                     holder.readEntries(nowMillis, entries)
                 }
                 network.send(holder, holder.runPass(nowMillis))
-                if (!holder.cut) store(holder)
+                if (!holder.cut && !holder.writesStall) store(holder)
             }
         }
     }
@@ -275,6 +279,7 @@
         if (mayTakeOver() && (owner.closed || owner.paused)) takeOver()
         holders.forEach { if (it !== owner) it.closed = true }
         owner.paused = false
+        owner.writesStall = false
         if (owner.cut) mend(owner)
         network.dropGhosts()
         machines.filter { it.executor == null }.forEach { boot(it, it.nextId(), it.lastAddress) }
