--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
@@ -229,7 +229,7 @@
         }
     }
     machine.movedIds.forEach { add(ModelEvent(Action.MOVED, it) to 4) }
-    if (machine.downMillis >= 0) add(ModelEvent(Action.ABSENT, machine.lastId) to 2)
+    if (executor == null) add(ModelEvent(Action.ABSENT, machine.lastId) to 2)
 }
 
 private fun Collection<*>.indices(): LongRange = 0L until size.toLong()
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
@@ -146,7 +146,6 @@
         network.onExecutorEnded(executor)
         if (!crashed) machine.movedIds += executor.id.value
         machine.crashed = crashed
-        machine.downMillis = nowMillis
         machine.executor = null
     }
 
@@ -163,20 +162,17 @@
         if (holders.isEmpty()) entries[executor.id] = executor.record()
     }
 
-    /** Passes the answer to an order for a machine, or a list of machines that lags, to the holder that acts. */
+    /** Passes the answer to an order for a machine, or a list of machines without one that is down, to the holder that acts. */
     private fun onMachineNews(event: ModelEvent): Boolean {
         val holder = owner.takeIf { it.acts } ?: return false
         val id = InstanceId(event.target)
         if (event.action == Action.MOVED) {
             return machines.any { event.target in it.movedIds } && done { holder.onMachineOrderDone(nowMillis, id) }
         }
-        val absent = machines.any { it.lastId == event.target && isAbsentInList(it) }
+        val absent = machines.any { it.lastId == event.target && it.executor == null }
         return absent && holder.isSilent(id) && done { holder.onMachineAbsent(nowMillis, id) }
     }
 
-    private fun isAbsentInList(machine: ModelMachine) =
-        machine.executor == null || (machine.downMillis >= 0 && nowMillis - machine.bornMillis < LIST_LAG_MILLIS)
-
     private fun changeHolder(holder: ModelHolder, action: Action): Boolean = when (action) {
         Action.PAUSE -> !holder.paused && done {
             holder.paused = true
@@ -314,8 +310,6 @@
         private const val SLICE_MILLIS = 100L
         private const val HEALING_ROUNDS = 300
 
-        /** Time by which a list of machines may be older than what it is compared with. */
-        private const val LIST_LAG_MILLIS = 1_000L
         private val CONFIGURATION = configuration(queue(maxAttempts = MAX_ATTEMPTS), guarded = false)
     }
 }
@@ -325,7 +319,6 @@
     val name = "m$number"
     var executor: ModelExecutor? = null
     var crashed = false
-    var downMillis = -1L
     var bornMillis = -1L
     var lastId = ""
     var lastAddress = ""
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModelTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModelTest.kt
@@ -83,7 +83,7 @@
         const val STATES = 2_000
         const val FAULTS_AT_MOST = 2
         const val SEED = 1L
-        const val WALKS = 700
+        const val WALKS = 4_000
         const val LENGTH = 60
     }
 }
