--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelHolder.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelHolder.kt
@@ -134,7 +134,9 @@
             ).append(executor.lastHandledEndNumber)
             to.append(executor.acknowledgedEndNumber).append(executor.pendingEnds.keys)
             to.append(executor.leaseEndMillis(nowMillis, 0)).append('/')
-            if (executor.runs.isNotEmpty()) to.append(executor.leasesLapsedAtMillis(TEST_SETTINGS.leaseMillis) - nowMillis)
+            if (executor.runs.isNotEmpty()) {
+                to.append(executor.leasesLapsedAtMillis(TEST_SETTINGS.leaseMillis) - nowMillis)
+            }
             executor.runs.values.sortedBy { it.id.attempt }.forEach { run ->
                 to.append(run.id.task.name()).append(run.id.attempt).append(run.phase).append(run.unansweredStarts)
                 to.append(run.retryAtMillis?.let { it - nowMillis }).append(run.confirmedAtPoll != null)
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
@@ -162,7 +162,7 @@
         if (holders.isEmpty()) entries[executor.id] = executor.record()
     }
 
-    /** Passes the answer to an order for a machine, or a list of machines without one that is down, to the holder that acts. */
+    /** Passes the answer to an order for a machine, or a list that shows a machine as down, to the holder that acts. */
     private fun onMachineNews(event: ModelEvent): Boolean {
         val holder = owner.takeIf { it.acts } ?: return false
         val id = InstanceId(event.target)
