--- /dev/null
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModelTest.kt
@@ -0,0 +1,89 @@
+package org.gypsumturn.batch.check
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import org.gypsumturn.batch.job
+import org.gypsumturn.batch.step
+import java.io.File
+
+/**
+ * Searches the states of a small system that the real scheduler drives for breaches of the users' rules. The system
+ * properties `check.depth` and `check.walks` make the searches larger, and `check.trace` names a trace file to play.
+ */
+class RunModelTest : AnnotationSpec() {
+    private val chain =
+        Scenario("chain", machines = 2, tasksPerExecutor = 1, jobs = listOf(job(1, step(), step(after = listOf(0)))))
+    private val pair =
+        Scenario("pair", machines = 3, tasksPerExecutor = 2, endsPerReport = 1, jobs = listOf(job(1, step(count = 2))))
+    private val times = Scenario(
+        "times",
+        machines = 2,
+        tasksPerExecutor = 1,
+        jobs = listOf(job(1, step()).copy(repeats = 3, intervalMillis = 300, startAtMillis = 100_000)),
+    )
+    private val dropped =
+        Scenario("dropped", machines = 2, tasksPerExecutor = 1, dropsQueue = true, jobs = listOf(job(1, step())))
+    private val depth = System.getProperty("check.depth")?.toInt()
+    private val walks = System.getProperty("check.walks")?.toInt()
+    private val failures = setOf("LOST BY FAILURE")
+
+    @Test
+    fun `no order of a few events breaks a rule`() {
+        listOf(chain, pair).forEach { scenario ->
+            report(scenario, "breadth-first") {
+                searchBreadthFirst(depth ?: DEPTH, FAULTS_AT_MOST, if (depth == null) STATES else Int.MAX_VALUE, 20)
+            }
+        }
+    }
+
+    @Test
+    fun `no random walk breaks a rule`() {
+        listOf(chain, pair).forEach { report(it, "walks") { walkRandomly(SEED, walks ?: WALKS, LENGTH) } }
+    }
+
+    @Test
+    fun `no random walk loses a time of a scheduled job`() {
+        report(times, "walks") { walkRandomly(SEED, walks ?: WALKS, LENGTH) }
+    }
+
+    @Test
+    fun `no random walk loses a job of a dropped queue`() {
+        report(dropped, "walks") { walkRandomly(SEED, walks ?: WALKS, LENGTH) }
+    }
+
+    @Test
+    fun `no random walk lets a job fail without cause`() {
+        report(pair, "walks", emptySet()) { walkRandomly(SEED, walks ?: WALKS, LENGTH) }
+    }
+
+    @Test
+    fun `a given trace breaks no rule`() {
+        val lines = System.getProperty("check.trace")?.let { File(it).readLines() } ?: return
+        val name = lines.first().removePrefix("#").substringBefore(':').trim()
+        val events = lines.filter { it.isNotBlank() && !it.startsWith("#") }.map(ModelEvent::parse)
+        ModelSearch(listOf(chain, pair, times, dropped).single { it.name == name }).replay(events)?.toString()
+            .shouldBeNull()
+    }
+
+    private fun report(
+        scenario: Scenario,
+        kind: String,
+        ignored: Set<String> = failures,
+        search: ModelSearch.() -> SearchResult,
+    ) {
+        val startMillis = System.currentTimeMillis()
+        val result = ModelSearch(scenario, ignored).search()
+        val seconds = (System.currentTimeMillis() - startMillis) / 1_000.0
+        println("${scenario.name}, $kind: ${result.states} states or walks, depth ${result.depth}, $seconds s")
+        result.finding?.toString().shouldBeNull()
+    }
+
+    private companion object {
+        const val DEPTH = 4
+        const val STATES = 1_500
+        const val FAULTS_AT_MOST = 2
+        const val SEED = 1L
+        const val WALKS = 2_000
+        const val LENGTH = 60
+    }
+}
