--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
@@ -82,6 +82,7 @@
             .filter { it.unreachableSinceMillis != null && registry.showsEnd(it) }
             .map { it.record.id }
             .forEach { scheduler.onExecutorGone(nowMillis, it, planned = registry.isUnderOrder(it), evidence) }
+        registry.retainExecutors(scheduler.executors.keys)
     }
 
     /** Time between two readings of the list of machines. It is shorter while a decision depends on the list. */
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
@@ -127,7 +127,11 @@
             if (machine.state != MachineState.UP || machine.executor != null) endedExecutors += executor
         }
         machineByExecutor += upNow
-        machineByExecutor.keys.removeIf { machineByExecutor[it] !in machines && it !in upNow }
+    }
+
+    /** Forgets the machines of executors that are not [known] any more. */
+    fun retainExecutors(known: Set<InstanceId>) {
+        machineByExecutor.keys.retainAll(known)
     }
 
     /**
