--- a/node/src/main/kotlin/org/gypsumturn/node/MachineOrderDispatcher.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/MachineOrderDispatcher.kt
@@ -122,11 +122,7 @@
         }
     }
 
-    private fun onPageRead(
-        requestMillis: Long,
-        verdict: Verdict<MachinePage>,
-        records: MutableList<MachineRecord>,
-    ) {
+    private fun onPageRead(requestMillis: Long, verdict: Verdict<MachinePage>, records: MutableList<MachineRecord>) {
         val page = (verdict as? Verdict.Ran)?.value
         listOutage.recordResult(verdict)
         if (page == null) {
