--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -39,13 +39,14 @@
 ) {
     private val jobRegistry = JobRegistry(epoch, ::markPoolStale)
     private val registry = ExecutorRegistry(settings, epoch, log)
+    private val controlLease = ControlLeaseView(epoch, log)
     private val recovery = TakeoverRecovery()
     private val queues = KnownQueues()
     private val rosters = PoolRosters(registry, queues) { jobRegistry.activeIn(it).isNotEmpty() }
     private val faultDetector = FaultyExecutorDetector(registry, log)
     private val crashAttribution = CrashAttribution(this, log)
     private val absences = TaskAbsences(registry, queues, rosters, recovery, log)
-    private val unreportedEnds = UnreportedRunEnds(this, crashAttribution, absences, log)
+    private val unreportedEnds = UnreportedRunEnds(this, controlLease, crashAttribution, absences, log)
     private val reportHandler =
         ExecutorReportHandler(this, registry, faultDetector, crashAttribution, unreportedEnds, absences, log)
     private val adviceCache = PlacementAdviceCache(log)
@@ -382,6 +383,7 @@
      * run lease reaches beyond that time. When too little of it is left for a useful lease, executors are only polled.
      */
     public fun runSchedulingPass(nowMillis: Long, wallMillis: Long, overdueMillis: Long): List<ExecutorOrder> {
+        controlLease.update(nowMillis, overdueMillis)
         recovery.takeRecoveredPools(nowMillis) { mayReportEnds(nowMillis, it) }.forEach { pool ->
             log("recovery over", arrayOf("epoch" to epoch, "pool" to pool, "active" to activeJobs.size))
             placer.markPoolStale(pool)
@@ -394,7 +396,7 @@
             val evidence = RunEndEvidence.LeasesLapsed(registry.leasesLapsedAtMillis(executor))
             unreportedEnds.onLeasesLapsed(nowMillis, executor, evidence)
         }
-        val valid = overdueMillis < 0
+        val valid = controlLease.isValid
         val leaseMillis = settings.leaseMillis - maxOf(0, overdueMillis)
         val mayStart = leaseMillis >= SchedulerSettings.MIN_LEASE_MILLIS
         starter.leaseMillis = leaseMillis
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/UnreportedRunEnds.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/UnreportedRunEnds.kt
@@ -15,6 +15,7 @@
  */
 internal class UnreportedRunEnds(
     private val scheduler: BatchScheduler,
+    private val controlLease: ControlLeaseView,
     private val crashAttribution: CrashAttribution,
     private val absences: TaskAbsences,
     private val log: DecisionLog,
@@ -171,7 +172,14 @@
      * stays open.
      */
     fun onLeasesLapsed(nowMillis: Long, executor: ExecutorState, evidence: RunEndEvidence.LeasesLapsed) {
-        log("leases lapsed", arrayOf("executor" to executor.record.id, "runs" to executor.runs.size))
+        log(
+            "leases lapsed",
+            arrayOf(
+                "executor" to executor.record.id,
+                "runs" to executor.runs.size,
+                "overdue_ms" to controlLease.overdueMillis,
+            ),
+        )
         logLostRuns(executor)
         executor.lapsedRuns += executor.runs.values.filter { it.orderedMillis != null }
         executor.runs.values.toList().forEach { loseRun(nowMillis, it, evidence) }
