Count run leases as lapsed only while no later holder can extend them

Cause: a holder goes on with known work for 3.5 s after its control lease has lapsed, and its own record of the run leases that it gave counted as complete in that time. A successor may have adopted the runs of an executor that the former holder can't reach, and extended their leases. The former holder took them for lapsed and started the tasks on an executor that the successor had not reached yet. The same holds for the leases of its predecessor, for which a holder waits after a takeover.

Change: ControlLeaseView.soleHolderMillis is the latest time at which no later holder can have acted. Leases end runs, and end the wait after a takeover, only if they lapsed by then. Once the control lease is renewed, which shows that there was no later holder, they count at once. Executors without runs leave the registry as before.

With a holder that counts its control lease 2 s too long the simulation still shows breaches.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -381,17 +381,19 @@
      * since the store may be unreachable for all nodes. This is safe: a later holder starts none of these tasks
      * elsewhere before it has fenced every executor, or before all run leases that were given in time have lapsed. No
      * run lease reaches beyond that time. When too little of it is left for a useful lease, executors are only polled.
+     * Run leases that lapse after the control lease end no run, since a later holder may have extended them.
      */
     public fun runSchedulingPass(nowMillis: Long, wallMillis: Long, overdueMillis: Long): List<ExecutorOrder> {
         controlLease.update(nowMillis, overdueMillis)
-        recovery.takeRecoveredPools(nowMillis) { mayReportEnds(nowMillis, it) }.forEach { pool ->
+        val soleHolderMillis = controlLease.soleHolderMillis(nowMillis)
+        recovery.takeRecoveredPools(soleHolderMillis) { mayReportEnds(soleHolderMillis, it) }.forEach { pool ->
             log("recovery over", arrayOf("epoch" to epoch, "pool" to pool, "active" to activeJobs.size))
             placer.markPoolStale(pool)
         }
         jobRegistry.addDueOccurrences(nowMillis, wallMillis)
         rosters.markOutdatedRecords(nowMillis)
         registry.takeNewlyLost().forEach(crashAttribution::onExecutorLost)
-        registry.findLapsedExecutors(nowMillis, recovery::isAwaited).forEach { executor ->
+        registry.findLapsedExecutors(nowMillis, soleHolderMillis, recovery::isAwaited).forEach { executor ->
             recovery.markSeen(executor.record.id)
             val evidence = RunEndEvidence.LeasesLapsed(registry.leasesLapsedAtMillis(executor))
             unreportedEnds.onLeasesLapsed(nowMillis, executor, evidence)
@@ -407,7 +409,7 @@
         absences.observe(nowMillis)
         if (mayStart) {
             starter.releaseHeldStarts(nowMillis).forEach { onRunNotStarted(nowMillis, it) }
-            placer.placeWaitingTasks(nowMillis, if (valid) nowMillis else nowMillis - overdueMillis)
+            placer.placeWaitingTasks(nowMillis, soleHolderMillis)
         }
         registry.enqueueDuePolls(nowMillis, leaseMillis.takeIf { mayStart })
         return registry.takeOrders(mayStart)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ControlLeaseView.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ControlLeaseView.kt
@@ -16,6 +16,12 @@
 
     private var lapsedMillis = 0L
 
+    /**
+     * The latest time until [nowMillis] at which no later holder can have acted. What this holder has granted, and what
+     * is known of its predecessors, is complete only up to then: a later holder may have extended leases since.
+     */
+    fun soleHolderMillis(nowMillis: Long): Long = nowMillis - maxOf(0, overdueMillis)
+
     /** Records that at [nowMillis] the lease has lapsed for [overdueMillis], which is negative while it is valid. */
     fun update(nowMillis: Long, overdueMillis: Long) {
         val wasValid = isValid
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -324,12 +324,18 @@
     fun unknownLeasesLapsedAtMillis(sinceMillis: Long): Long = sinceMillis + slowClockMillis(longestUnknownLeaseMillis)
 
     /**
-     * Returns the silent executors with runs whose leases have all lapsed. Silent executors whose entry has been
-     * missing for longer than the settling time are removed from the registry, except those that [isAwaited] selects.
+     * Returns the silent executors with runs whose leases have all lapsed by [soleHolderMillis]. Those that lapse later
+     * may have been extended by a later holder. Silent executors whose entry has been missing for longer than the
+     * settling time are removed from the registry, except those that [isAwaited] selects.
      */
-    fun findLapsedExecutors(nowMillis: Long, isAwaited: (InstanceId) -> Boolean): List<ExecutorState> {
+    fun findLapsedExecutors(
+        nowMillis: Long,
+        soleHolderMillis: Long,
+        isAwaited: (InstanceId) -> Boolean,
+    ): List<ExecutorState> {
         val found = executors.values.filter { executor ->
-            executor.unreachableSinceMillis != null && nowMillis >= leasesLapsedAtMillis(executor) &&
+            val knownMillis = if (executor.runs.isEmpty()) nowMillis else soleHolderMillis
+            executor.unreachableSinceMillis != null && knownMillis >= leasesLapsedAtMillis(executor) &&
                 (executor.runs.isNotEmpty() || !executor.listed)
         }
         found.filter { !it.listed && nowMillis - it.unlistedMillis > settings.outageSettleMillis }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/RunEndEvidence.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/RunEndEvidence.kt
@@ -32,7 +32,10 @@
         override val label: String get() = source.label
     }
 
-    /** All leases that any holder gave the executor have lapsed, at which it ends everything. */
+    /**
+     * All leases that any holder gave the executor have lapsed, at which it ends everything. Only the sole holder knows
+     * which lease is the last, so they must have lapsed while the control lease of this one was valid.
+     */
     public data class LeasesLapsed(override val sinceMillis: Long) : Inferred {
         override val label: String get() = "leases lapsed"
     }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LapsedHolderTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LapsedHolderTest.kt
@@ -15,9 +15,10 @@
 class LapsedHolderTest : AnnotationSpec() {
     /**
      * Runs one random schedule in which some executors are silent to a holder before its control lease lapses, and
-     * another takes over, which may reach other executors than the first.
+     * another takes over, which may reach other executors than the first. The first believes that its lease lapsed
+     * [lateMillis] later than it did.
      */
-    private fun simulate(seed: Long): VirtualFleet {
+    private fun simulate(seed: Long, lateMillis: Long): VirtualFleet {
         val random = Random(seed)
         val fleet = VirtualFleet(3)
         fleet.run(100)
@@ -32,7 +33,7 @@
         fleet.validUntilMillis = validUntilMillis
         fleet.run(random.nextLong(CLAIM_MILLIS, 1_500))
         fleet.validUntilMillis = Long.MAX_VALUE / 2
-        fleet.takeOverFromLiveHolder(2, validUntilMillis)
+        fleet.takeOverFromLiveHolder(2, validUntilMillis + lateMillis)
         fleet.executors.values.filter { random.nextInt(3) == 0 }.forEach { it.unreachableFrom += fleet.scheduler }
         fleet.run(random.nextLong(1_000, 8_000))
         fleet.executors.values.forEach { it.unreachableFrom.clear() }
@@ -47,7 +48,7 @@
     @Test
     fun `no task runs twice if a holder loses an executor and then its control lease`() {
         val breaches = (1L..300L).flatMap { seed ->
-            val fleet = simulate(seed)
+            val fleet = simulate(seed, lateMillis = 0)
             val left = fleet.scheduler.activeJobs.map { "job ${it.job.id} has not ended" }
             (fleet.breaches + left).map { "seed $seed: $it" }
         }
@@ -97,6 +98,11 @@
         fleet.completedMillis.size shouldBe 1
     }
 
+    @Test
+    fun `the simulation detects a holder that counts its control lease too long`() {
+        (1L..300L).any { seed -> simulate(seed, lateMillis = 2_000).breaches.isNotEmpty() } shouldBe true
+    }
+
     private companion object {
         /** Time between the lapse of the control lease for its holder and the first claim by another process. */
         const val CLAIM_MILLIS = 150L
