Let the model checker cut single holders from single executors

Cause: the checker knew executors that no holder reaches, and single calls that are lost. What the incident needs, an executor that the former holder has lost and its successor has, and another the other way round, took dozens of events.

--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelEvent.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelEvent.kt
@@ -73,6 +73,10 @@
     SILENCE,
     HEARD,
 
+    /** The holder of term N can't reach the executor on a machine, or can reach it again. */
+    PART,
+    JOIN,
+
     /** A list of machines shows their state before it was requested. A machine order is refused as busy. */
     STALE,
     REFUSE,
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelMachine.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelMachine.kt
@@ -2,6 +2,8 @@
 
 package org.gypsumturn.batch.check
 
+import java.util.TreeSet
+
 /** A machine and the executor on it, which is null while there is none. */
 internal class ModelMachine(val number: Int) {
     val name = "m$number"
@@ -14,6 +16,9 @@
     /** Whether its executor can't be reached at present. */
     var silent = false
 
+    /** Terms of the holders that can't reach its executor at present. */
+    val partedTerms = TreeSet<Long>()
+
     /** The wave for which the machine is down, and the end of that upkeep. */
     var upkeepWave: Long? = null
     var upAgainMillis = 0L
@@ -28,7 +33,7 @@
 
     fun describe(nowMillis: Long, to: StringBuilder) {
         to.append(name).append(crashed).append(lastId).append(lastAddress).append(movedIds)
-        to.append(silent).append(upkeepWave?.let { upAgainMillis - nowMillis })
+        to.append(silent).append(partedTerms).append(upkeepWave?.let { upAgainMillis - nowMillis })
         executor?.describe(nowMillis, to)
     }
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelNetwork.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelNetwork.kt
@@ -90,8 +90,9 @@
         (call.stage == CallStage.SENT || call.stage == CallStage.WAITING) && !isSilent(call)
 
     /** Whether the call can't pass at present, since its executor can't be reached. */
-    private fun isSilent(call: ModelCall) =
-        model.machines.any { it.silent && it.executor?.address == call.order.target.address }
+    private fun isSilent(call: ModelCall) = model.machines.any {
+        (it.silent || call.holder.epoch in it.partedTerms) && it.executor?.address == call.order.target.address
+    }
 
     fun mayArrive(call: ModelCall): Boolean = call.stage == CallStage.SENT && !isSilent(call) && !call.given &&
         (call.order as? ExecutorOrder.Poll)?.order?.waitMillis != null
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
@@ -157,7 +157,7 @@
 private val FAULTS = setOf(
     Action.LOSE, Action.FAIL, Action.CRASH, Action.MOVE, Action.SLOW, Action.LAPSE, Action.ABSENT,
     Action.PAUSE, Action.CUT, Action.RELEASE, Action.AWAY, Action.DROP,
-    Action.STALL, Action.SILENCE, Action.STALE, Action.REFUSE, Action.QUIET,
+    Action.STALL, Action.SILENCE, Action.PART, Action.STALE, Action.REFUSE, Action.QUIET,
 )
 
 private val TIMES_MILLIS = listOf(1L, 40L, 300L, 700L, 1_500L, 3_000L)
@@ -239,6 +239,9 @@
         }
     }
     if (model.platform != null) return
+    machine.partedTerms.forEach { add(ModelEvent(Action.JOIN, machine.name, it) to 1) }
+    model.holders.filter { !it.closed && it.epoch !in machine.partedTerms }
+        .forEach { add(ModelEvent(Action.PART, machine.name, it.epoch) to 1) }
     machine.movedIds.forEach { add(ModelEvent(Action.MOVED, it) to 4) }
     if (executor == null) add(ModelEvent(Action.ABSENT, machine.lastId) to 2)
 }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
@@ -105,6 +105,8 @@
         ->
             machines.find { it.name == event.target }?.let { changeMachine(it, event.action) } ?: false
 
+        Action.PART, Action.JOIN -> changePath(event)
+
         Action.LAPSE -> entries.remove(InstanceId(event.target)) != null
 
         Action.MOVED, Action.ABSENT -> onMachineNews(event)
@@ -144,6 +146,12 @@
         return true
     }
 
+    private fun changePath(event: ModelEvent): Boolean {
+        val parted = machines.find { it.name == event.target }?.partedTerms ?: return false
+        val known = holders.any { it.epoch == event.number && !it.closed }
+        return if (event.action == Action.PART) known && parted.add(event.number) else parted.remove(event.number)
+    }
+
     private fun endRun(event: ModelEvent, how: RunEnd): Boolean {
         val executor = machines.find { it.name == event.target }?.executor ?: return false
         val run = executor.runs.keys.elementAtOrNull(event.number.toInt()) ?: return false
@@ -373,7 +381,10 @@
         if (owner.cut) mend(owner)
         network.dropGhosts()
         platform?.dropGhosts()
-        machines.forEach { it.silent = false }
+        machines.forEach {
+            it.silent = false
+            it.partedTerms.clear()
+        }
         machines.filter {
             it.executor == null && it.upkeepWave == null
         }.forEach { boot(it, it.nextId(), it.lastAddress) }
