Search walks of the model in which tasks run and paths are cut

Change: a scenario whose executors check admission and whose tasks run when the events begin; time also passes a second at a time there, with all polls.

--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelExecutor.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelExecutor.kt
@@ -34,6 +34,7 @@
     val address: String,
     val bornMillis: Long,
     private val capacity: ResourceAmounts,
+    private val checksAdmission: Boolean,
     private val endsPerReport: Int,
     private val rules: RuleMonitor,
 ) {
@@ -87,6 +88,7 @@
             order.run in runs -> null
             order.run.attempt <= (highestPastAttempt[order.run.task] ?: 0) -> RefusalReason.SUPERSEDED
             order.leaseEndMillis <= clockMillis -> RefusalReason.LATE
+            checksAdmission && !hasRoomFor(size) -> RefusalReason.NO_ROOM
             else -> null
         }
         if (refusal == RefusalReason.FENCED) return OrderAnswer.Refused(refusal, clockMillis)
@@ -100,6 +102,11 @@
         return OrderAnswer.Done(clockMillis)
     }
 
+    private fun hasRoomFor(size: ResourceAmounts): Boolean {
+        val count = runs.size + 1L
+        return ResourceAmounts(size.cpuMillis * count, size.memoryMb * count, 0).fitsInto(capacity)
+    }
+
     /** Stops [run]. The order was [heldUp] if it arrives after its sender has given it up. */
     fun stop(nowMillis: Long, run: RunId, epoch: Epoch, heldUp: Boolean): OrderAnswer {
         if (epoch.value < highestEpoch) return OrderAnswer.Refused(RefusalReason.FENCED, clockMillis)
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
@@ -168,6 +168,7 @@
     timesMillis.forEach { add(ModelEvent(Action.ADVANCE, number = it) to 2) }
     add(ModelEvent(Action.CALM, number = 40) to 4)
     add(ModelEvent(Action.CALM, number = 300) to 2)
+    if (scenario.tasksBegun) add(ModelEvent(Action.CALM, number = 1_000) to 10)
     addCalls(this@possibleEvents)
     platform?.let { addPlatform(this@possibleEvents, it) }
     machines.forEach { addMachine(this@possibleEvents, it) }
@@ -199,7 +200,7 @@
     model.calls.forEach { call ->
         val number = counts.merge(call.name, 1, Long::plus)!! - 1
         val late = call.given || call.holder.closed
-        // With upkeep, most polls are carried out by the events that let time pass.
+        // With upkeep, or tasks that have begun, most polls are carried out by the events that let time pass.
         if (isCarriedInTime(model, call)) return@forEach
         if (call.stage == CallStage.SENT || call.stage == CallStage.WAITING) {
             add(ModelEvent(Action.DELIVER, call.name, number) to if (late) 2 else 8)
@@ -215,7 +216,8 @@
 }
 
 private fun isCarriedInTime(model: RunModel, call: ModelCall): Boolean =
-    model.platform != null && !call.given && !call.holder.closed && call.name.startsWith("poll")
+    (model.platform != null || model.scenario.tasksBegun) && !call.given && !call.holder.closed &&
+        call.name.startsWith("poll")
 
 private fun MutableList<Pair<ModelEvent, Int>>.addMachine(model: RunModel, machine: ModelMachine) {
     val executor = machine.executor
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
@@ -23,7 +23,9 @@
 
 /**
  * What a model starts with: its machines, each with room for [tasksPerExecutor] tasks, and its jobs. With [waves], that
- * events begin, the holders also give orders for machines, and the tasks are at work when the events begin.
+ * events begin, the holders also give orders for machines, and the tasks are at work when the events begin. With
+ * [tasksBegun] the tasks run when the events begin, and polls pass while time does. With [checksAdmission] executors
+ * refuse what does not fit, so that holders also place tasks by capacities that they read long ago.
  */
 internal class Scenario(
     val name: String,
@@ -32,6 +34,8 @@
     val endsPerReport: Int = 500,
     val dropsQueue: Boolean = false,
     val waves: List<UpkeepWave> = emptyList(),
+    val tasksBegun: Boolean = false,
+    val checksAdmission: Boolean = false,
     val jobs: List<BatchJob>,
 )
 
@@ -62,7 +66,11 @@
     val owner: ModelHolder get() = holders.last()
 
     private val configuration
-        get() = if (queueDropped) configuration(queue("other"), guarded = false, version = 2) else CONFIGURATION
+        get() = if (queueDropped) {
+            configuration(queue("other"), guarded = scenario.checksAdmission, version = 2)
+        } else {
+            configuration(queue(maxAttempts = MAX_ATTEMPTS), guarded = scenario.checksAdmission)
+        }
 
     init {
         machines.forEach { boot(it, "x${it.number}", "a${it.number}") }
@@ -73,10 +81,10 @@
             rules.jobs[job.id] = job
             owner.addJob(nowMillis, job, null, Revision.ABSENT, neverStarted = true)
         }
-        if (platform == null) {
-            calm(SETTLING_MILLIS, deliver = { it.order !is ExecutorOrder.Start })
-        } else {
+        if (platform != null || scenario.tasksBegun) {
             calm(STARTING_MILLIS)
+        } else {
+            calm(SETTLING_MILLIS, deliver = { it.order !is ExecutorOrder.Start })
         }
     }
 
@@ -217,7 +225,15 @@
         // An executor is born at another time than any before, as the contract's milliseconds are.
         val bornMillis = maxOf(nowMillis, machine.bornMillis + 1)
         val executor =
-            ModelExecutor(InstanceId(id), address, bornMillis, room, scenario.endsPerReport, rules)
+            ModelExecutor(
+                InstanceId(id),
+                address,
+                bornMillis,
+                room,
+                scenario.checksAdmission,
+                scenario.endsPerReport,
+                rules,
+            )
         machine.bornMillis = bornMillis
         machine.lastId = id
         machine.lastAddress = address
@@ -425,7 +441,5 @@
         private const val RESTARTING_MILLIS = 10_000L
         private const val SLICE_MILLIS = 100L
         private const val HEALING_ROUNDS = 300
-
-        private val CONFIGURATION = configuration(queue(maxAttempts = MAX_ATTEMPTS), guarded = false)
     }
 }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModelTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModelTest.kt
@@ -43,6 +43,14 @@
     private val chain =
         Scenario("chain", machines = 2, tasksPerExecutor = 1, jobs = listOf(job(1, step(), step(after = listOf(0)))))
     private val pair = pairScenario()
+    private val begun = Scenario(
+        "begun",
+        machines = 3,
+        tasksPerExecutor = 2,
+        tasksBegun = true,
+        checksAdmission = true,
+        jobs = listOf(job(1, step(count = 2, estimateMillis = 60_000))),
+    )
     private val times = Scenario(
         "times",
         machines = 2,
@@ -70,6 +78,12 @@
         listOf(chain, pair).forEach { report(it, "walks") { walkRandomly(SEED, walks ?: WALKS, LENGTH) } }
     }
 
+    // Guards against: a holder that has lost its lease starts tasks again that its successor keeps running.
+    @Test
+    fun `no random walk breaks a rule while tasks run and paths are cut`() {
+        report(begun, "walks") { walkRandomly(SEED, walks ?: WALKS, LENGTH) }
+    }
+
     @Test
     fun `no random walk loses a time of a scheduled job`() {
         report(times, "walks") { walkRandomly(SEED, walks ?: WALKS, LENGTH) }
@@ -103,7 +117,7 @@
         val name = lines.first().removePrefix("#").substringBefore(':').trim()
         val events = lines.filter { it.isNotBlank() && !it.startsWith("#") }.map(ModelEvent::parse)
         ModelSearch(
-            listOf(chain, pair, times, dropped, upkeep, twoWaves).single {
+            listOf(chain, pair, begun, times, dropped, upkeep, twoWaves).single {
                 it.name == name
             },
         ).replay(events)?.toString()
