Give no orders once another process is known to be the holder

Cause: a refused start or poll can tell a holder that it was fenced off. The session did its due work once more before the elector ended it, and started the task that had been refused on another executor. A successor waits for that executor, so that no rule was broken, but the holder knew that its lease was gone.

Change: HolderSession.runDueWork does nothing once the session is fenced off.

Result: the test in ControlLeaseElectorTest saw two starts before, one now.

--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -139,9 +139,12 @@
     public fun pendingJobCount(nowMillis: Long, queue: QueueId): Int? =
         if (ready && jobFeedAge.isWithinBound(nowMillis)) scheduler.pendingJobCount(queue) else null
 
-    /** Does all work that is due at [now]. Does nothing until the stored state has been read. */
+    /**
+     * Does all work that is due at [now]. Does nothing until the stored state has been read, and once another process
+     * has taken the lease over.
+     */
     public fun runDueWork(now: ClockReadings) {
-        if (!ready || closed) return
+        if (!ready || closed || fencedOff) return
         val overdueMillis = lease.overdueMillis(now)
         scheduler.runSchedulingPass(now.steadyMillis, now.wallMillis, overdueMillis).forEach(orderSender::send)
         scheduler.takeQuestions().forEach(orderSender::askAdvisor)
--- a/node/src/test/kotlin/org/gypsumturn/node/ControlLeaseElectorTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/ControlLeaseElectorTest.kt
@@ -89,6 +89,7 @@
     /** Answers polls with a report without runs, and records the runs that are started. */
     private class IdleExecutors : ExecutorCalls {
         val starts = ArrayList<RunId>()
+        val startAnswers = ArrayDeque<VerdictCallback<OrderAnswer>>()
         var fencesOff = false
 
         override fun startRun(
@@ -98,6 +99,7 @@
             onVerdict: VerdictCallback<OrderAnswer>,
         ) {
             starts += order.run
+            startAnswers += onVerdict
         }
 
         override fun stopRun(
@@ -209,6 +211,23 @@
         owner.contains("\"epoch\":1,") shouldBe false
     }
 
+    // Guards against: a holder that learns of its successor by a refused start starts the task on another executor.
+    @Test
+    fun `a holder that an executor has fenced off gives no further orders`() {
+        val store = SlowStore()
+        val job = BatchJob(JobId("00"), "h.example", "/q/", "", listOf(Step(1, ResourceAmounts(1_000, 100, 0), 500)))
+        val write = RowWrite(JobRows.job(job.id, JobRows.partitions.first()), JobRows.encode(job))
+        store.memory.transact(RowTransaction(emptyList(), listOf(write)), 0) { }
+        val executors = IdleExecutors()
+        val elector = elector("a", store, executors)
+        elector.configure(configuration())
+        runFor(elector, 200)
+        executors.starts.size shouldBe 1
+        executors.startAnswers.removeFirst()(Verdict.Ran(OrderAnswer.Refused(RefusalReason.FENCED, 1_000)))
+        elector.runDueWork()
+        executors.starts.size shouldBe 1
+    }
+
     private fun runFor(elector: ControlLeaseElector, millis: Long) {
         repeat((millis / 10).toInt()) {
             aheadMillis += 10
