Acknowledge ends only directly after the report that lists them

What users may see: a task runs again after it has ended as done (TWICE).

Cause: each poll carried the number up to which ends may be dropped, also when nothing new was to be acknowledged. The number has no incarnation. An executor that had restarted under its id took it for its own ends, and dropped those that it had not reported yet; the holder then found that the run had vanished, and started the task again.

Change: the number goes out only with the poll that directly follows a report, and only until a report has answered it. The simulated fleet counts a success that is dropped on acknowledgement as seen, as the users do.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -213,7 +213,7 @@
         }
         executor.inconclusivePolls = 0
         return when (val answer = verdict.value) {
-            is PollAnswer.Reported -> onReport(nowMillis, executor, order.number, answer.report)
+            is PollAnswer.Reported -> onReport(nowMillis, executor, order, answer.report)
 
             is PollAnswer.Refused -> {
                 onOrderRefused(nowMillis, executor, answer.reason)
@@ -250,9 +250,10 @@
     private fun onReport(
         nowMillis: Long,
         executor: ExecutorState,
-        pollNumber: Long,
+        order: ExecutorOrder.Poll,
         report: ExecutorReport,
     ): PollResult {
+        val pollNumber = order.number
         val incarnation = report.incarnation
         val known = executor.incarnation
         val newIncarnation = incarnation != null && known != null && incarnation != known
@@ -274,6 +275,10 @@
         }
         executor.failedCalls = 0
         executor.refusedPolls = 0
+        executor.hasJustReported = true
+        if (pollNumber > executor.incarnationKnownAtPoll) {
+            executor.acknowledgedEndNumber = maxOf(executor.acknowledgedEndNumber, order.order.acknowledgedEndNumber)
+        }
         executor.recordClock(nowMillis, report.clockMillis)
         val mayHaveUnknownLeases = executor.hasRestarted || epoch.value > SchedulerSettings.FIRST_EPOCH
         if (!executor.knowsEpoch && mayHaveUnknownLeases) {
@@ -356,6 +361,15 @@
         }
     }
 
+    /**
+     * Number up to which a poll tells [executor] to drop its ends; 0 for none. The number counts for any incarnation
+     * that the poll reaches, and a later one would drop ends that it has never reported. So it is sent only directly
+     * after a report, and only until a report has answered it.
+     */
+    private fun endNumberToAcknowledge(executor: ExecutorState): Long =
+        executor.acknowledgeableEndNumber().takeIf { executor.hasJustReported && it > executor.acknowledgedEndNumber }
+            ?: 0
+
     private fun nextPollMillis(executor: ExecutorState): Long = when {
         executor.unreachableSinceMillis != null || executor.refusedPolls > 0 ->
             executor.lastPollMillis + SchedulerSettings.RETRY_MILLIS
@@ -378,7 +392,8 @@
         val busy = awaitsEnds && executor.failedCalls == 0
         val leaseEndMillis = leaseMillis?.takeIf { extend }?.let { executor.leaseEndMillis(nowMillis, it) }
         leaseEndMillis?.let(executor::recordLeaseEnd)
-        executor.acknowledgedEndNumber = executor.acknowledgeableEndNumber()
+        val acknowledgedEndNumber = endNumberToAcknowledge(executor)
+        executor.hasJustReported = false
         executor.pollInFlight = true
         executor.pollNumber = ++lastPollNumber
         executor.lastPollMillis = nowMillis
@@ -388,7 +403,7 @@
         orders += ExecutorOrder.Poll(
             executor.target,
             executor.pollNumber,
-            PollOrder(epoch, executor.acknowledgedEndNumber, leaseEndMillis, wait),
+            PollOrder(epoch, acknowledgedEndNumber, leaseEndMillis, wait),
         )
     }
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -119,9 +119,12 @@
     /** Highest number of an end that was handled. */
     public var lastHandledEndNumber: Long = 0
 
-    /** Number up to which the executor was told to drop its ends. */
+    /** Highest number of an end that its present incarnation is known to have been told to drop. */
     public var acknowledgedEndNumber: Long = 0
 
+    /** Whether the last poll was answered by a report, so that the executor was up in its present incarnation. */
+    public var hasJustReported: Boolean = false
+
     /** Incarnation that answered last; null before the first answer. */
     public var incarnation: Incarnation? = null
 
@@ -234,6 +237,7 @@
         latestLeaseEndMillis = 0
         lastHandledEndNumber = 0
         acknowledgedEndNumber = 0
+        hasJustReported = false
         pendingEnds.clear()
         lapsedRuns.clear()
         unwantedRuns = emptyMap()
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -659,7 +659,9 @@
         if (executor.refusesPolls) return PollAnswer.Refused(RefusalReason.UNHEALTHY)
         executor.highestEpoch = order.order.epoch.value
         order.order.leaseEndMillis?.let { executor.extendLease(nowMillis, it) }
-        executor.ends.removeAll { it.endNumber <= order.order.acknowledgedEndNumber }
+        val dropped = executor.ends.filter { it.endNumber <= order.order.acknowledgedEndNumber }
+        dropped.filter { it.end == RunEnd.DONE }.forEach { doneTasks += it.run.task }
+        executor.ends -= dropped.toSet()
         // Once the holder has seen a success, the task must not be started again. A former holder cannot store it, so
         // that only the report to its successor counts.
         val listedEnds = executor.ends.take(executor.endsPerReport)
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/RunEndEvidenceTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/RunEndEvidenceTest.kt
@@ -32,6 +32,33 @@
         }
     }
 
+    // Guards against: an executor that has restarted drops ends that nobody has seen, since polls still acknowledge the
+    // numbers of its earlier incarnation.
+    @Test
+    fun `a task that ends on the next incarnation while the answers to polls are lost is not started again`() {
+        val breaches = (1L..300L).flatMap { seed ->
+            val random = Random(seed)
+            val fleet = VirtualFleet(2)
+            fleet.run(100)
+            fleet.submit(job(1, step(count = 8))) { 200 }
+            fleet.run(1_000)
+            val executor = fleet.executors.values.first()
+            executor.pollAnswerMillis = random.nextLong(1, 60)
+            fleet.restart(executor)
+            executor.answersArrive = false
+            repeat(4) { number ->
+                val taskMillis = random.nextLong(20, 300)
+                fleet.submit(job(10 + number, step())) { taskMillis }
+                fleet.run(random.nextLong(1, 20))
+            }
+            fleet.run(random.nextLong(200, 1_500))
+            executor.answersArrive = true
+            fleet.run(15_000)
+            fleet.breaches.map { "seed $seed: $it" }
+        }
+        breaches.shouldBeEmpty()
+    }
+
     // Guards against: leases of an earlier term count as lapsed before this term has given any.
     @Test
     fun `a run adopted from an earlier term is not started elsewhere while a lease of that term may hold`() {
