Keep the checker's list of machine events within the linter's complexity

Cause: the events that cut paths made addMachine too complex for detekt.

Change: addPaths is a function of its own.

--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
@@ -241,11 +241,15 @@
         }
     }
     if (model.platform != null) return
+    addPaths(model, machine)
+    machine.movedIds.forEach { add(ModelEvent(Action.MOVED, it) to 4) }
+    if (executor == null) add(ModelEvent(Action.ABSENT, machine.lastId) to 2)
+}
+
+private fun MutableList<Pair<ModelEvent, Int>>.addPaths(model: RunModel, machine: ModelMachine) {
     machine.partedTerms.forEach { add(ModelEvent(Action.JOIN, machine.name, it) to 1) }
     model.holders.filter { !it.closed && it.epoch !in machine.partedTerms }
         .forEach { add(ModelEvent(Action.PART, machine.name, it.epoch) to 1) }
-    machine.movedIds.forEach { add(ModelEvent(Action.MOVED, it) to 4) }
-    if (executor == null) add(ModelEvent(Action.ABSENT, machine.lastId) to 2)
 }
 
 private val CALM_TIMES_MILLIS = listOf(300L, 1_000L, 3_000L)
