Ask callers for the API keys of their workspaces

Installations in which several customers share the pools list them in the configuration, with their keys. The list was not read, so that jobs with unknown or removed keys ran.

- The configuration has a directory of workspaces.
It keeps digests of the keys only, and rejects shared or blank keys, weights that are not positive and negative caps; what is in force then stays in force, and one line says why without a key.
- Callers of a queue that is not public need exactly one bearer key that is valid in the newest configuration; otherwise the answer is 401.
Queues of installations without workspaces stay open.
- A job carries its workspace.
Callers of other workspaces get 410 for it, from the holder and from the stored rows alike.

Tests: WorkspaceDirectoryTest, CallerIngressTest, NodeJobRequestHandlerTest, PlatformFleetUpdateFeedTest.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/desk/JobRequestHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/desk/JobRequestHandler.kt
@@ -6,12 +6,18 @@
 import org.gypsumturn.batch.model.BatchJob
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.model.Queue
+import org.gypsumturn.batch.model.WorkspaceDirectory
 import org.gypsumturn.model.JobId
+import org.gypsumturn.model.WorkspaceId
 
 /** The queue that a request is for, if there is one. */
 public sealed interface RouteResult {
-    /** The request is for [queue]. */
-    public data class Found(public val queue: Queue) : RouteResult
+    /**
+     * The request is for [queue].
+     *
+     * @property workspaces the workspaces of the callers that may use the queue; null if it is open to all callers
+     */
+    public class Found(public val queue: Queue, public val workspaces: WorkspaceDirectory? = null) : RouteResult
 
     /** The current configuration has no queue for the request. */
     public data object Unknown : RouteResult
@@ -38,6 +44,9 @@
     /** There is no queue for the request. */
     public data object NoSuchQueue : CallerAnswer
 
+    /** The caller has no API key that is valid for the queue. The request has no effect. */
+    public data object Unauthorized : CallerAnswer
+
     /** The queue has no job with the requested id. */
     public data object NoSuchJob : CallerAnswer
 
@@ -59,7 +68,8 @@
 
 /**
  * Handles the requests of callers. Each call replies exactly once, from any thread, within `deadlineMillis`
- * milliseconds.
+ * milliseconds. `workspace` is the caller's; null where the queue is open to all callers. Jobs of other workspaces do
+ * not exist for the caller.
  */
 public interface JobRequestHandler {
     /** Finds the queue that serves [path] at [host]. */
@@ -69,10 +79,10 @@
     public fun submit(queue: Queue, job: BatchJob, deadlineMillis: Long, reply: (CallerAnswer) -> Unit)
 
     /** Replies with the state of job [id]. */
-    public fun queryState(queue: Queue, id: JobId, deadlineMillis: Long, reply: (CallerAnswer) -> Unit)
+    public fun queryState(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, reply: (CallerAnswer) -> Unit)
 
     /** Cancels job [id]. The reply is [CallerAnswer.CancelStored] once the cancellation is stored. */
-    public fun cancel(queue: Queue, id: JobId, deadlineMillis: Long, reply: (CallerAnswer) -> Unit)
+    public fun cancel(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, reply: (CallerAnswer) -> Unit)
 
     /** Replies with the number of jobs of [queue] of which no task has been started yet. */
     public fun countPending(queue: Queue, deadlineMillis: Long, reply: (CallerAnswer) -> Unit)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/model/BatchJob.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/model/BatchJob.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.serialization.Serializable
 import org.gypsumturn.model.JobId
+import org.gypsumturn.model.WorkspaceId
 
 /**
  * Resources that a task needs or that an executor offers.
@@ -105,6 +106,7 @@
  * @property repeats number of occurrences of a scheduled job; 0 for a job that runs once, immediately
  * @property intervalMillis time between the starts of two occurrences
  * @property startAtMillis when the first occurrence is due, in milliseconds since 1970
+ * @property workspace workspace of the caller; null where the queue is public or there are no workspaces
  */
 @Serializable
 public data class BatchJob(
@@ -116,6 +118,7 @@
     public val repeats: Int = 0,
     public val intervalMillis: Long = 0,
     public val startAtMillis: Long = 0,
+    public val workspace: WorkspaceId? = null,
 ) {
     /** The identity of the queue that it was submitted to. */
     public val queue: QueueId get() = queueId(host, pathPrefix)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/model/Configuration.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/model/Configuration.kt
@@ -37,6 +37,7 @@
  * @property stretch factor on the longest chain of dependent work of a job in its duration target
  * @property targetDurationMillis constant that is added to the stretched chain in the duration target
  * @property advice timing of the placement advisor; null where the queue needs no advice
+ * @property isPublic whether callers need no API key, so that its jobs belong to no workspace
  */
 public data class Queue(
     public val id: QueueId,
@@ -49,6 +50,7 @@
     public val targetDurationMillis: Long,
     public val timeoutMillis: Long,
     public val advice: AdvisorTiming?,
+    public val isPublic: Boolean = false,
 )
 
 /**
@@ -68,12 +70,18 @@
 /** Limits on the requests of callers. */
 public data class CallerLimits(public val maxBodyBytes: Int)
 
-/** One complete version of the configuration. Versions increase, but not always by one. */
+/**
+ * One complete version of the configuration. Versions increase, but not always by one.
+ *
+ * @property workspaces the workspaces that share the pools; null where the fleet has a single customer, whose callers
+ * need no API keys
+ */
 public class FleetConfiguration(
     public val version: Long,
     public val queues: List<Queue>,
     public val pools: Map<PoolId, PoolRecord>,
     public val limits: CallerLimits,
+    public val workspaces: WorkspaceDirectory? = null,
 ) {
     private val queuesById = queues.associateBy { it.id }
     private val queuesByHost = queues.groupBy { it.host }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -11,6 +11,7 @@
 import org.gypsumturn.batch.model.FleetConfiguration
 import org.gypsumturn.batch.model.Incarnation
 import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.model.KeyedWorkspace
 import org.gypsumturn.batch.model.OrderAnswer
 import org.gypsumturn.batch.model.PoolRecord
 import org.gypsumturn.batch.model.Queue
@@ -22,6 +23,8 @@
 import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.model.Step
 import org.gypsumturn.batch.model.TaskName
+import org.gypsumturn.batch.model.Workspace
+import org.gypsumturn.batch.model.WorkspaceDirectory
 import org.gypsumturn.batch.model.queueId
 import org.gypsumturn.batch.port.Advice
 import org.gypsumturn.batch.port.PollAnswer
@@ -46,6 +49,7 @@
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.WorkspaceId
 
 internal val POOL = PoolId("render")
 internal const val HOST = "shop.example"
@@ -58,11 +62,20 @@
     stretch: Double = 1.6,
 ): Queue = Queue(queueId(HOST, "/$name/"), HOST, "/$name/", pool, priority, maxAttempts, stretch, 600, 3_000, null)
 
-internal fun configuration(vararg queues: Queue, version: Long = 1, guarded: Boolean = true): FleetConfiguration {
+internal fun configuration(
+    vararg queues: Queue,
+    version: Long = 1,
+    guarded: Boolean = true,
+    workspaces: List<Workspace>? = null,
+): FleetConfiguration {
     val pools = queues.map { it.pool }.distinct().map { PoolRecord(it, guarded, false, "/health") }
-    return FleetConfiguration(version, queues.toList(), pools.associateBy { it.id }, CallerLimits(262_144))
+    val directory = workspaces?.let { list -> WorkspaceDirectory(list.map { KeyedWorkspace(it, listOf("key-$it")) }) }
+    return FleetConfiguration(version, queues.toList(), pools.associateBy { it.id }, CallerLimits(262_144), directory)
 }
 
+internal fun workspace(name: String, weight: Double = 1.0, capCpuMillis: Long = 0): Workspace =
+    Workspace(WorkspaceId(name), weight, ResourceAmounts(capCpuMillis))
+
 internal fun job(number: Int, vararg steps: Step, queue: String = "quick"): BatchJob =
     BatchJob(JobId("%016x".format(number)), HOST, "/$queue/", "spec", steps.toList())
 
--- a/model/src/main/kotlin/org/gypsumturn/model/Ids.kt
+++ b/model/src/main/kotlin/org/gypsumturn/model/Ids.kt
@@ -41,6 +41,15 @@
     override fun toString(): String = value
 }
 
+/** Name of a workspace: a customer whose jobs share the pools with those of others. */
+@JvmInline
+@Serializable
+public value class WorkspaceId(public val value: String) : Comparable<WorkspaceId> {
+    override fun compareTo(other: WorkspaceId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
 /** Identifier of a job, chosen by the submitter or by the accepting process; unique in the fleet. */
 @JvmInline
 @Serializable
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -129,7 +129,7 @@
     /** The state of job [id] that callers may see; null until the stored state has been read. */
     public fun jobState(id: JobId): HolderAnswer? {
         if (!ready) return null
-        return scheduler.job(id)?.let { HolderAnswer.State(it.visiblePhase) } ?: HolderAnswer.NoJob
+        return scheduler.job(id)?.let { HolderAnswer.State(it.visiblePhase, it.job.workspace) } ?: HolderAnswer.NoJob
     }
 
     /**
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
@@ -21,6 +21,7 @@
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.WorkspaceId
 import org.gypsumturn.model.failureOrNull
 import org.gypsumturn.model.map
 
@@ -41,8 +42,8 @@
 
 /** What the holder of the control lease knows of a job. */
 public sealed interface HolderAnswer {
-    /** The holder has the job, and callers may see that it is in [phase]. */
-    public data class State(public val phase: JobPhase) : HolderAnswer
+    /** The holder has the job of [workspace], and callers may see that it is in [phase]. */
+    public data class State(public val phase: JobPhase, public val workspace: WorkspaceId?) : HolderAnswer
 
     /** The holder does not have the job. It may still be stored, if the holder has not read it yet. */
     public data object NoJob : HolderAnswer
@@ -65,7 +66,8 @@
 ) : JobRequestHandler {
     override fun route(host: String, path: String): RouteResult {
         val current = configuration() ?: return RouteResult.NotConfigured
-        return current.route(host, path)?.let { RouteResult.Found(it) } ?: RouteResult.Unknown
+        val queue = current.route(host, path) ?: return RouteResult.Unknown
+        return RouteResult.Found(queue, current.workspaces.takeUnless { queue.isPublic })
     }
 
     override fun submit(queue: Queue, job: BatchJob, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
@@ -79,8 +81,8 @@
         commit("submit", job.id, write, deadlineMillis, CallerAnswer.Accepted, reply)
     }
 
-    override fun cancel(queue: Queue, id: JobId, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
-        isKnown(id, deadlineMillis) { jobIsKnown ->
+    override fun cancel(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
+        isKnown(id, workspace, deadlineMillis) { jobIsKnown ->
             when (jobIsKnown) {
                 null -> reply(CallerAnswer.NotAccepted(CallerAnswer.Cause.NOT_READY, RETRY_AFTER_MILLIS))
 
@@ -98,22 +100,38 @@
     }
 
     /** Tells whether the holder knows job [id] or it is stored; null if that can't be found out. */
-    private fun isKnown(id: JobId, deadlineMillis: Long, onResult: (Boolean?) -> Unit) {
+    private fun isKnown(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, onResult: (Boolean?) -> Unit) {
         holder.queryState(id, minOf(deadlineMillis, HOLDER_TIMEOUT_MILLIS)) { answer ->
-            if (answer is HolderAnswer.State) onResult(true) else isStored(id, deadlineMillis, onResult)
+            if (answer is HolderAnswer.State) {
+                onResult(isVisible(answer.workspace, workspace))
+            } else {
+                isStored(id, workspace, deadlineMillis, onResult)
+            }
         }
     }
 
-    override fun queryState(queue: Queue, id: JobId, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
+    override fun queryState(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
         holder.queryState(id, minOf(deadlineMillis, HOLDER_TIMEOUT_MILLIS)) { answer ->
             when (answer) {
-                is HolderAnswer.State -> reply(CallerAnswer.State(answer.phase))
-                HolderAnswer.NoJob -> replyWithStateOfStored(id, deadlineMillis, reply)
-                null -> replyWithStoredProgress(id, deadlineMillis, reply)
+                is HolderAnswer.State -> reply(
+                    if (isVisible(answer.workspace, workspace)) {
+                        CallerAnswer.State(answer.phase)
+                    } else {
+                        CallerAnswer.NoSuchJob
+                    },
+                )
+
+                HolderAnswer.NoJob -> replyWithStateOfStored(id, workspace, JobPhase.QUEUED, deadlineMillis, reply)
+
+                null -> replyWithStoredProgress(id, workspace, deadlineMillis, reply)
             }
         }
     }
 
+    /** Whether a caller of workspace [caller] may know of a job of workspace [owner]. Null stands for any caller. */
+    private fun isVisible(owner: WorkspaceId?, caller: WorkspaceId?): Boolean =
+        owner == null || caller == null || owner == caller
+
     override fun countPending(queue: Queue, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
         holder.countPending(queue, minOf(deadlineMillis, HOLDER_TIMEOUT_MILLIS)) { count ->
             val refusal = CallerAnswer.NotAccepted(CallerAnswer.Cause.NOT_READY, RETRY_AFTER_MILLIS)
@@ -121,24 +139,38 @@
         }
     }
 
-    private fun replyWithStoredProgress(id: JobId, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
+    private fun replyWithStoredProgress(
+        id: JobId,
+        workspace: WorkspaceId?,
+        deadlineMillis: Long,
+        reply: (CallerAnswer) -> Unit,
+    ) {
         readRow(JobRows.progress(id), deadlineMillis) { verdict ->
-            val value = (verdict as? Verdict.Ran)?.value?.value
+            val phase = (verdict as? Verdict.Ran)?.value?.value?.let { ProgressRecord.decode(it).phase }
             when {
                 verdict !is Verdict.Ran -> reply(CallerAnswer.NotAccepted(CallerAnswer.Cause.NOT_READY, null))
-                value != null -> reply(CallerAnswer.State(ProgressRecord.decode(value).phase))
-                else -> replyWithStateOfStored(id, deadlineMillis, reply)
+
+                phase != null && workspace == null -> reply(CallerAnswer.State(phase))
+
+                // The row of the progress does not tell whose job it is.
+                else -> replyWithStateOfStored(id, workspace, phase ?: JobPhase.QUEUED, deadlineMillis, reply)
             }
         }
     }
 
-    /** Replies for a job without known progress. It is queued if it is stored, and does not exist otherwise. */
-    private fun replyWithStateOfStored(id: JobId, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
-        isStored(id, deadlineMillis) { stored ->
+    /** Replies that the job is in [phase] if it is stored, and that it does not exist otherwise. */
+    private fun replyWithStateOfStored(
+        id: JobId,
+        workspace: WorkspaceId?,
+        phase: JobPhase,
+        deadlineMillis: Long,
+        reply: (CallerAnswer) -> Unit,
+    ) {
+        isStored(id, workspace, deadlineMillis) { stored ->
             reply(
                 when (stored) {
                     null -> CallerAnswer.NotAccepted(CallerAnswer.Cause.NOT_READY, null)
-                    true -> CallerAnswer.State(JobPhase.QUEUED)
+                    true -> CallerAnswer.State(phase)
                     false -> CallerAnswer.NoSuchJob
                 },
             )
@@ -146,22 +178,34 @@
     }
 
     /**
-     * Tells whether job [id] is stored. Any node may have accepted it, so that all partitions are read. Null if the job
-     * was not found and a partition could not be read.
+     * Tells whether job [id] is stored and [workspace] may know of it. Any node may have accepted it, so that all
+     * partitions are read. Null if the job was not found and a partition could not be read.
      */
-    private fun isStored(id: JobId, deadlineMillis: Long, onResult: (Boolean?) -> Unit) {
+    private fun isStored(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, onResult: (Boolean?) -> Unit) {
         var open = JobRows.partitions.size
         var isFound = false
         var readFailed = false
         JobRows.partitions.forEach { partition ->
             readRow(JobRows.job(id, partition), deadlineMillis) { verdict ->
-                if (verdict is Verdict.Ran) isFound = isFound || verdict.value != null else readFailed = true
+                if (verdict is Verdict.Ran) {
+                    isFound = isFound || verdict.value?.value?.let { isVisible(ownerOf(it), workspace) } == true
+                } else {
+                    readFailed = true
+                }
                 open--
                 if (open == 0) onResult(if (isFound || !readFailed) isFound else null)
             }
         }
     }
 
+    /** The workspace of the job in the row [value]; null also for a row that can't be read, which nobody can own. */
+    private fun ownerOf(value: ByteArray): WorkspaceId? = try {
+        JobRows.decode(value).workspace
+    } catch (e: IllegalArgumentException) {
+        logEvent("row unreadable", "table" to JobRows.TABLE, "why" to e.message)
+        null
+    }
+
     private fun readRow(address: RowAddress, deadlineMillis: Long, onResult: (Verdict<StoredRow?>) -> Unit) {
         val timeoutMillis = minOf(deadlineMillis, READ_TIMEOUT_MILLIS)
         store.read(address.table, address.partition, address.key, 1, timeoutMillis) { verdict ->
--- a/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
@@ -12,6 +12,7 @@
 import org.gypsumturn.batch.model.QueueId
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.WorkspaceId
 import org.gypsumturn.transport.Endpoint
 import org.gypsumturn.transport.HttpAnswer
 import org.gypsumturn.transport.HttpCall
@@ -24,9 +25,9 @@
 
 private val json = Json { ignoreUnknownKeys = true }
 
-/** The answer to a query for a job. [phase] is null if the lease holder does not have the job. */
+/** The answer to a query for a job of [workspace]. [phase] is null if the lease holder does not have the job. */
 @Serializable
-private class JobAnswer(val phase: JobPhase? = null)
+private class JobAnswer(val phase: JobPhase? = null, val workspace: WorkspaceId? = null)
 
 /** The answer to a query for the number of jobs that have not been started. */
 @Serializable
@@ -57,8 +58,8 @@
 ) : HolderQueries {
     override fun queryState(id: JobId, timeoutMillis: Long, reply: (HolderAnswer?) -> Unit) {
         askHolder({ local.queryJobState(id, reply) }, "$JOB_PATH_PREFIX$id", timeoutMillis, { reply(null) }) { answer ->
-            val phase = json.decodeFromString(JobAnswer.serializer(), answer.body.decodeToString()).phase
-            reply(phase?.let { HolderAnswer.State(it) } ?: HolderAnswer.NoJob)
+            val job = json.decodeFromString(JobAnswer.serializer(), answer.body.decodeToString())
+            reply(job.phase?.let { HolderAnswer.State(it, job.workspace) } ?: HolderAnswer.NoJob)
         }
     }
 
@@ -111,7 +112,7 @@
         when {
             path.startsWith(JOB_PATH_PREFIX) ->
                 local.queryJobState(JobId(path.removePrefix(JOB_PATH_PREFIX))) { answer ->
-                    reply(answer?.let { okAnswer(JobAnswer.serializer(), JobAnswer(phaseOf(it))) } ?: notHolderAnswer())
+                    reply(answer?.let { okAnswer(JobAnswer.serializer(), jobAnswerOf(it)) } ?: notHolderAnswer())
                 }
 
             path.startsWith(PENDING_PATH_PREFIX) -> {
@@ -125,7 +126,10 @@
         }
     }
 
-    private fun phaseOf(answer: HolderAnswer): JobPhase? = (answer as? HolderAnswer.State)?.phase
+    private fun jobAnswerOf(answer: HolderAnswer): JobAnswer = when (answer) {
+        is HolderAnswer.State -> JobAnswer(answer.phase, answer.workspace)
+        HolderAnswer.NoJob -> JobAnswer()
+    }
 
     private fun <T> okAnswer(serializer: KSerializer<T>, value: T) =
         ServedAnswer(HttpStatus.OK, json.encodeToString(serializer, value).encodeToByteArray())
--- /dev/null
+++ b/node/src/test/kotlin/org/gypsumturn/node/NodeJobRequestHandlerTest.kt
@@ -0,0 +1,119 @@
+// Which jobs a caller may know of, when the holder answers and when only the stored rows tell.
+
+package org.gypsumturn.node
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.gypsumturn.batch.desk.CallerAnswer
+import org.gypsumturn.batch.desk.RouteResult
+import org.gypsumturn.batch.model.BatchJob
+import org.gypsumturn.batch.model.CallerLimits
+import org.gypsumturn.batch.model.FleetConfiguration
+import org.gypsumturn.batch.model.JobLimits
+import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.model.KeyedWorkspace
+import org.gypsumturn.batch.model.Queue
+import org.gypsumturn.batch.model.ResourceAmounts
+import org.gypsumturn.batch.model.Step
+import org.gypsumturn.batch.model.Workspace
+import org.gypsumturn.batch.model.WorkspaceDirectory
+import org.gypsumturn.batch.model.queueId
+import org.gypsumturn.batch.port.RowTransaction
+import org.gypsumturn.batch.port.RowWrite
+import org.gypsumturn.batch.state.JobRows
+import org.gypsumturn.batch.state.ProgressRecord
+import org.gypsumturn.model.JobId
+import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.WorkspaceId
+
+class NodeJobRequestHandlerTest : AnnotationSpec() {
+    private val own = WorkspaceId("own")
+    private val other = WorkspaceId("other")
+    private val job =
+        BatchJob(JobId("00c0ffee00c0ffee"), "h", "/q/", "", listOf(Step(1, ResourceAmounts(500))), workspace = own)
+
+    private val store = MemoryRowStore()
+    private var holderAnswer: HolderAnswer? = null
+    private var configuration: FleetConfiguration? = null
+    private val holder = object : HolderQueries {
+        override fun queryState(id: JobId, timeoutMillis: Long, reply: (HolderAnswer?) -> Unit) = reply(holderAnswer)
+
+        override fun countPending(queue: Queue, timeoutMillis: Long, reply: (Int?) -> Unit) = reply(null)
+    }
+    private val handler = NodeJobRequestHandler(
+        { configuration },
+        store,
+        holder,
+        JobCommitter(store, { false }, { _, action -> action() }) { 0 },
+        JobRows.partitions.first(),
+        JobLimits(65_536),
+        NodeMetrics(PrometheusRegistry()),
+    )
+
+    private fun put(vararg writes: RowWrite) {
+        store.transact(RowTransaction(emptyList(), writes.toList()), 1_000) { }
+    }
+
+    private fun storeJob() = put(RowWrite(JobRows.job(job.id, JobRows.partitions.last()), JobRows.encode(job)))
+
+    private fun stateFor(caller: WorkspaceId?): CallerAnswer {
+        lateinit var answer: CallerAnswer
+        handler.queryState(job.id, caller, 1_000) { answer = it }
+        return answer
+    }
+
+    private fun cancelFor(caller: WorkspaceId?): CallerAnswer {
+        lateinit var answer: CallerAnswer
+        handler.cancel(job.id, caller, 1_000) { answer = it }
+        return answer
+    }
+
+    // Guards against: a caller is told the state of a job of another workspace, or ends it.
+    @Test
+    fun `a job of another workspace does not exist for a caller, whoever tells of it`() {
+        storeJob()
+        val progress = ProgressRecord(JobPhase.RUNNING).encode()
+        listOf(HolderAnswer.State(JobPhase.RUNNING, own), HolderAnswer.NoJob, null).forEach { answer ->
+            holderAnswer = answer
+            stateFor(other) shouldBe CallerAnswer.NoSuchJob
+            cancelFor(other) shouldBe CallerAnswer.NoSuchJob
+        }
+        put(RowWrite(JobRows.progress(job.id), progress))
+        stateFor(other) shouldBe CallerAnswer.NoSuchJob
+    }
+
+    @Test
+    fun `a caller gets the state of its own job, also from the stored rows`() {
+        storeJob()
+        holderAnswer = HolderAnswer.State(JobPhase.RUNNING, own)
+        stateFor(own) shouldBe CallerAnswer.State(JobPhase.RUNNING)
+        holderAnswer = HolderAnswer.NoJob
+        stateFor(own) shouldBe CallerAnswer.State(JobPhase.QUEUED)
+        holderAnswer = null
+        put(RowWrite(JobRows.progress(job.id), ProgressRecord(JobPhase.COMPLETED).encode()))
+        stateFor(own) shouldBe CallerAnswer.State(JobPhase.COMPLETED)
+        cancelFor(own) shouldBe CallerAnswer.CancelStored
+    }
+
+    // Guards against: a queue that has become public hides the jobs that were submitted with keys before.
+    @Test
+    fun `callers of a public queue see all of its jobs`() {
+        storeJob()
+        holderAnswer = HolderAnswer.State(JobPhase.RUNNING, own)
+        stateFor(null) shouldBe CallerAnswer.State(JobPhase.RUNNING)
+    }
+
+    // Guards against: a public queue asks for keys, or one that is not lets callers in without.
+    @Test
+    fun `only queues that are not public have workspaces`() {
+        val directory =
+            WorkspaceDirectory(listOf(KeyedWorkspace(Workspace(own, 1.0, ResourceAmounts.NONE), listOf("key"))))
+        val queues = listOf("/q/" to false, "/open/" to true).map { (prefix, isPublic) ->
+            Queue(queueId("h", prefix), "h", prefix, PoolId("p"), 0, 1, 1.0, 0, 3_000, null, isPublic)
+        }
+        configuration = FleetConfiguration(1, queues, emptyMap(), CallerLimits(1_000), directory)
+        (handler.route("h", "/q/1") as RouteResult.Found).workspaces shouldBe directory
+        (handler.route("h", "/open/1") as RouteResult.Found).workspaces shouldBe null
+    }
+}
--- a/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
@@ -170,7 +170,7 @@
         store = storeWithPeers(startServer { _, reply -> reply(ServedAnswer(200, "{\"rows\":7".encodeToByteArray())) })
         write().shouldBeInstanceOf<Verdict.MayHaveRun>()
         val answer = CompletableFuture<ServedAnswer>()
-        val request = ServedRequest("POST", RelayedRowStore.PATH, "", "{}".encodeToByteArray()) { null }
+        val request = ServedRequest("POST", RelayedRowStore.PATH, "", "{}".encodeToByteArray()) { emptyList() }
         store.handle(request) { answer.complete(it) }
         answer.get(10, TimeUnit.SECONDS).status shouldBe 400
     }
--- a/transport/src/main/kotlin/org/gypsumturn/transport/HttpMessages.kt
+++ b/transport/src/main/kotlin/org/gypsumturn/transport/HttpMessages.kt
@@ -35,10 +35,13 @@
     public val path: String,
     public val host: String,
     public val body: ByteArray,
-    private val headerOf: (String) -> String?,
+    private val headersOf: (String) -> List<String>,
 ) {
     /** Returns the value of the first header called [name], ignoring case, or null if there is none. */
-    public fun header(name: String): String? = headerOf(name)
+    public fun header(name: String): String? = headersOf(name).firstOrNull()
+
+    /** Returns the values of all headers called [name], ignoring case. */
+    public fun headers(name: String): List<String> = headersOf(name)
 }
 
 /** The answer that [HttpServer] sends to a [ServedRequest]. */
--- a/transport/src/main/kotlin/org/gypsumturn/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/gypsumturn/transport/HttpServer.kt
@@ -109,7 +109,7 @@
                     message.uri(),
                     headers.get(HttpHeaderNames.HOST).orEmpty(),
                     ByteBufUtil.getBytes(message.content()),
-                ) { headers.get(it) }
+                ) { headers.getAll(it) }
             val keepAlive = HttpUtil.isKeepAlive(message)
             var answered = false
             handler(request) { answer ->
--- a/transport/src/main/kotlin/org/gypsumturn/transport/HttpStatus.kt
+++ b/transport/src/main/kotlin/org/gypsumturn/transport/HttpStatus.kt
@@ -6,6 +6,7 @@
 public object HttpStatus {
     public const val OK: Int = 200
     public const val BAD_REQUEST: Int = 400
+    public const val UNAUTHORIZED: Int = 401
     public const val NOT_FOUND: Int = 404
     public const val CONFLICT: Int = 409
     public const val GONE: Int = 410
