Hold workspaces to their caps, also through takeovers

Nothing counted what a workspace has running, so that one with several times its usual load took the whole pool.

The holder counts the runs of each workspace from the decision to start them until they are known to have ended: starts without an answer, runs that are being stopped and runs of silent executors count. After a takeover, all tasks that an earlier holder may have started count too, but not more than the executors hold that have not reported. A start must keep the cap; a workspace with less than half of its cap in use gets one more task of any size. Pool sizing counts no more backlog of a workspace than its cap lets it work off.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/DemandReader.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/DemandReader.kt
@@ -8,18 +8,24 @@
 import org.gypsumturn.batch.state.JobState
 import org.gypsumturn.batch.state.StepState
 import org.gypsumturn.model.PoolId
+import org.gypsumturn.model.WorkspaceId
 
-/** Adds up the demand of one pool. */
+/** Adds up the demand of one pool. The backlog is kept by workspace; null stands for jobs without one. */
 private class DemandAccumulator {
     var heldCpuMillis = 0.0
-    var backlogCpuMillis = 0.0
+    val backlogByWorkspace = HashMap<WorkspaceId?, Double>()
     var leastMachines = 0
-
-    fun demand() = PoolDemand(heldCpuMillis, backlogCpuMillis, leastMachines)
 }
 
-/** The demand of each pool that runs the jobs of a queue in [configuration]. */
-public fun demandByPool(scheduler: BatchScheduler, configuration: FleetConfiguration): Map<PoolId, PoolDemand> {
+/**
+ * The demand of each pool that runs the jobs of a queue in [configuration]. A workspace counts with no more backlog
+ * than its cap lets it work off in [clearMillis], so that no machines are paid for that it must not use.
+ */
+public fun demandByPool(
+    scheduler: BatchScheduler,
+    configuration: FleetConfiguration,
+    clearMillis: Double,
+): Map<PoolId, PoolDemand> {
     val sums = configuration.workingPools.associateWith { DemandAccumulator() }
     scheduler.executors.values.forEach { executor ->
         sums[executor.record.pool]?.let { it.heldCpuMillis += executor.used.cpuMillis }
@@ -28,7 +34,22 @@
         val queue = configuration.queue(job.job.queue) ?: return@forEach
         sums[queue.pool]?.let { addJob(it, job) }
     }
-    return sums.mapValues { it.value.demand() }
+    val backlogs = HashMap<WorkspaceId?, Double>()
+    sums.values.forEach { sum ->
+        sum.backlogByWorkspace.forEach { (id, work) -> backlogs.merge(id, work, Double::plus) }
+    }
+    val usable = backlogs.mapValues { (id, work) -> usablePart(scheduler, id, work / clearMillis) }
+    return sums.mapValues { (_, sum) ->
+        val backlog = sum.backlogByWorkspace.entries.sumOf { (id, work) -> work * usable.getValue(id) }
+        PoolDemand(sum.heldCpuMillis, backlog, sum.leastMachines)
+    }
+}
+
+/** The part of [neededCpuMillis] that the cap of workspace [id] leaves it. */
+private fun usablePart(scheduler: BatchScheduler, id: WorkspaceId?, neededCpuMillis: Double): Double {
+    val capCpuMillis = id?.let { scheduler.workspace(it)?.cap?.cpuMillis?.takeIf { cap -> cap > 0 } } ?: return 1.0
+    val leftCpuMillis = maxOf(0L, capCpuMillis - scheduler.workspaceUse(id).atMost.cpuMillis)
+    return if (neededCpuMillis <= leftCpuMillis) 1.0 else leftCpuMillis / neededCpuMillis
 }
 
 private fun addJob(sum: DemandAccumulator, job: JobState) {
@@ -44,5 +65,6 @@
 }
 
 private fun addUnstartedTasks(sum: DemandAccumulator, state: StepState) {
-    sum.backlogCpuMillis += state.unstartedCount.toDouble() * state.step.size.cpuMillis * state.step.estimateMillis
+    val work = state.unstartedCount.toDouble() * state.step.size.cpuMillis * state.step.estimateMillis
+    sum.backlogByWorkspace.merge(state.job.job.workspace, work, Double::plus)
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
@@ -263,7 +263,7 @@
     }
 
     private fun poolSizingInputs(nowMillis: Long, configuration: FleetConfiguration): List<PoolSizingInput> =
-        demandByPool(scheduler, configuration).map { (pool, demand) ->
+        demandByPool(scheduler, configuration, policy.backlogClearMillis).map { (pool, demand) ->
             val assigned = registry.assigned(pool).filter { executorOf(it.id)?.cordoned != true }
             val cpu = assigned.maxOfOrNull { it.capacity.cpuMillis }
                 ?: registry.allMachines.maxOfOrNull { it.capacity.cpuMillis }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/model/BatchJob.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/model/BatchJob.kt
@@ -31,6 +31,16 @@
     public operator fun minus(other: ResourceAmounts): ResourceAmounts =
         ResourceAmounts(cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators)
 
+    public operator fun times(factor: Int): ResourceAmounts =
+        ResourceAmounts(cpuMillis * factor, memoryMb * factor, accelerators * factor)
+
+    /** The lower value of each component. */
+    public fun atMost(other: ResourceAmounts): ResourceAmounts = ResourceAmounts(
+        minOf(cpuMillis, other.cpuMillis),
+        minOf(memoryMb, other.memoryMb),
+        minOf(accelerators, other.accelerators),
+    )
+
     public companion object {
         public val NONE: ResourceAmounts = ResourceAmounts()
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -11,6 +11,7 @@
 import org.gypsumturn.batch.model.OrderAnswer
 import org.gypsumturn.batch.model.QueueId
 import org.gypsumturn.batch.model.RunId
+import org.gypsumturn.batch.model.Workspace
 import org.gypsumturn.batch.port.Advice
 import org.gypsumturn.batch.port.PollAnswer
 import org.gypsumturn.batch.state.ExecutorState
@@ -20,12 +21,14 @@
 import org.gypsumturn.batch.state.Run
 import org.gypsumturn.batch.state.RunEndEvidence
 import org.gypsumturn.batch.state.RunPhase
+import org.gypsumturn.batch.workspace.WorkspaceUse
 import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.WorkspaceId
 
 /**
  * Schedules jobs during one term of the control lease, which [epoch] numbers. All calls must come from one thread.
@@ -37,7 +40,8 @@
     private val log: DecisionLog,
     stepOrder: StepOrder = orderByPlan,
 ) {
-    private val jobRegistry = JobRegistry(epoch, ::markPoolStale)
+    private val usage = WorkspaceUsage()
+    private val jobRegistry = JobRegistry(epoch, usage, ::markPoolStale)
     private val registry = ExecutorRegistry(settings, epoch, log)
     private val controlLease = ControlLeaseView(epoch, log)
     private val recovery = TakeoverRecovery()
@@ -50,7 +54,9 @@
     private val reportHandler =
         ExecutorReportHandler(this, registry, faultDetector, crashAttribution, unreportedEnds, absences, log)
     private val adviceCache = PlacementAdviceCache(log)
-    private val starter = TaskStarter(epoch, adviceCache, registry, crashAttribution, ::markChanged, log, stepOrder)
+    private val ledger = WorkspaceLedger(usage, jobRegistry, registry, queues, recovery)
+    private val starter =
+        TaskStarter(epoch, adviceCache, registry, crashAttribution, ::markChanged, log, stepOrder, ledger)
     private val placer = WaitingTaskPlacer(jobRegistry, queues, rosters, recovery, starter)
     private val runMover = RunMover(this, registry, faultDetector, log)
 
@@ -77,9 +83,16 @@
     /** Number of jobs of [queue] of which no task has been started. */
     public fun pendingJobCount(queue: QueueId): Int = jobRegistry.activeIn(queue).count { it.phase == JobPhase.QUEUED }
 
+    /** The workspace [id] as the newest configuration that had it; null if none had. */
+    public fun workspace(id: WorkspaceId): Workspace? = ledger[id]
+
+    /** The capacity that workspace [id] uses on all executors. */
+    public fun workspaceUse(id: WorkspaceId): WorkspaceUse = ledger.useOf(id)
+
     /** Applies [configuration]. */
     public fun configure(configuration: FleetConfiguration) {
         queues.applyConfiguration(configuration)
+        ledger.configure(configuration.workspaces)
         placer.configure(configuration)
     }
 
@@ -135,7 +148,9 @@
         }
         this.rosters.applyStored(rosters)
         queues.applyStored(rosters.values.map { it.roster })
-        if (activeJobs.isEmpty() || epoch.value <= SchedulerSettings.FIRST_EPOCH) return
+        // Runs of jobs that have ended count against the cap of their workspace until they are known to have stopped.
+        val hasUnknownRuns = activeJobs.isNotEmpty() || jobs.any { it.job.workspace != null }
+        if (!hasUnknownRuns || epoch.value <= SchedulerSettings.FIRST_EPOCH) return
         recovery.awaitExecutors(rosters.mapValues { it.value.roster }, untilMillis)
         absences.onTakeover(nowMillis, activeJobs)
     }
@@ -409,6 +424,7 @@
         absences.observe(nowMillis)
         if (mayStart) {
             starter.releaseHeldStarts(nowMillis).forEach { onRunNotStarted(nowMillis, it) }
+            ledger.refresh()
             placer.placeWaitingTasks(nowMillis, soleHolderMillis)
         }
         registry.enqueueDuePolls(nowMillis, leaseMillis.takeIf { mayStart })
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobRegistry.kt
@@ -27,9 +27,13 @@
 
 /**
  * Jobs known in the term that [epoch] numbers. [onWaitingTasks] is called for each job that may have new tasks to
- * start.
+ * start. The runs of each job are counted in [usage].
  */
-internal class JobRegistry(private val epoch: Epoch, private val onWaitingTasks: (JobState) -> Unit) {
+internal class JobRegistry(
+    private val epoch: Epoch,
+    private val usage: WorkspaceUsage = WorkspaceUsage(),
+    private val onWaitingTasks: (JobState) -> Unit,
+) {
     private val jobsById = HashMap<JobId, JobState>()
     private val changedJobs = LinkedHashSet<JobState>()
     private var lastChangeNumber = 0L
@@ -61,7 +65,7 @@
     /** Adds [job] without its tasks. [neverStarted] tells that no earlier holder can have started any of them. */
     fun add(nowMillis: Long, job: BatchJob, revision: Revision, neverStarted: Boolean): JobState {
         val first = if (neverStarted) 1L else epoch.value * SchedulerSettings.ATTEMPTS_PER_EPOCH + 1
-        val state = JobState(job, nowMillis, first)
+        val state = JobState(job, nowMillis, first, job.workspace?.let(usage::counterOf))
         state.revision = revision
         state.onTaskCountChanged = { tasksInMemory += it }
         jobsById[job.id] = state
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TakeoverRecovery.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TakeoverRecovery.kt
@@ -33,6 +33,12 @@
     fun isOverFor(queue: QueueId, pool: PoolId): Boolean =
         !executorsUnknown && pool !in unseen && earlierPools[queue].orEmpty().none { it in unseen }
 
+    /** Whether an executor may still run tasks that are not known to this holder. */
+    val isActive: Boolean get() = executorsUnknown || unseen.isNotEmpty()
+
+    /** The executors that may run tasks that are not known to this holder; null while any executor may. */
+    val awaitedExecutors: Set<InstanceId>? get() = if (executorsUnknown) null else unseen.values.flatten().toSet()
+
     /** Whether executor [id] may still run tasks that are not known to this holder. */
     fun isAwaited(id: InstanceId): Boolean = unseen.values.any { id in it }
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -36,6 +36,7 @@
     private val recordChange: (JobState) -> Long,
     private val log: DecisionLog,
     private val stepOrder: StepOrder,
+    private val ledger: WorkspaceLedger,
 ) {
     /** Length of the lease that start orders give from now on. */
     var leaseMillis = 0L
@@ -79,6 +80,7 @@
             waiting.step.tasks.filter { it.needsRun(nowMillis) && it.runs.isEmpty() && !it.suspected }
                 .filter { nowMillis - waitingSinceMillis(it) >= CORDONED_RESTART_MILLIS }
                 .forEach { task ->
+                    if (!ledger.allowsStart(waiting.step)) return@forEach
                     val executor = chooseExecutor(waiting.step, cordoned) ?: return@forEach
                     startRun(nowMillis, task, executor, nextAttempt(task), storeFirst = false)
                 }
@@ -104,6 +106,7 @@
             return
         }
         for (task in waiting) {
+            if (!ledger.allowsStart(step)) return
             val executor = chooseExecutorFor(task, candidates)
             if (executor != null) {
                 startRun(nowMillis, task, executor, nextAttempt(task), task.suspected)
@@ -147,7 +150,7 @@
 
     /** Starts all members of a gang, or none of them if they do not all fit. */
     private fun placeGang(nowMillis: Long, step: StepState, waiting: List<Task>, candidates: List<ExecutorState>) {
-        if (waiting.size != step.tasks.size) return
+        if (waiting.size != step.tasks.size || !ledger.allowsStart(step, step.tasks.size)) return
         val groups = if (step.step.sameRack) candidates.groupBy { it.record.rack }.values else listOf(candidates)
         val plan = groups.firstNotNullOfOrNull { gangPlan(step, it) } ?: gangPlan(step, candidates) ?: return
         val attempt = waiting.maxOf { nextAttempt(it) }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ExecutorState.kt
@@ -138,6 +138,9 @@
     /** Sizes of the reported runs that no job needs. They are being stopped and take up capacity until then. */
     private var unwantedRuns: Map<RunId, ResourceAmounts> = emptyMap()
 
+    /** The reported runs that no job needs and that have not ended yet, with their sizes. */
+    internal val unwantedRunSizes: Map<RunId, ResourceAmounts> get() = unwantedRuns
+
     /** Whether it has reported runs that no job needs and that have not ended yet. */
     public val hasUnwantedRuns: Boolean get() = unwantedRuns.isNotEmpty()
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -277,12 +277,14 @@
 
     internal fun onRunAdded(task: Task, run: Run) {
         runCount++
+        job.heldCapacity?.add(run.reservedSize)
         runCountByExecutor.merge(run.executor, 1, Int::plus)
         if (!task.done && task.runs.size == 1) unstartedCount--
     }
 
     internal fun onRunRemoved(task: Task, run: Run) {
         runCount--
+        job.heldCapacity?.remove(run.reservedSize)
         runCountByExecutor.computeIfPresent(run.executor) { _, count -> (count - 1).takeIf { it > 0 } }
         if (!task.done && task.runs.isEmpty()) unstartedCount++
     }
@@ -306,8 +308,14 @@
  *
  * @property acceptedMillis time on the steady clock at which this process learned of the job
  * @property firstAttempt lowest attempt number for its tasks
+ * @property heldCapacity counts the runs of its workspace; null if it belongs to none
  */
-public class JobState(public val job: BatchJob, public val acceptedMillis: Long, public val firstAttempt: Long) {
+public class JobState(
+    public val job: BatchJob,
+    public val acceptedMillis: Long,
+    public val firstAttempt: Long,
+    internal val heldCapacity: CapacityCounter? = null,
+) {
     private val mutableOccurrences = LinkedHashMap<Int, Occurrence>(1)
 
     /** Occurrences that have become due and are kept in memory, by number. */
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -262,6 +262,9 @@
     private val succeededTasks = HashSet<TaskName>()
     private val events = java.util.PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
     private val submittedJobs = HashMap<JobId, BatchJob>()
+    val capMonitor = CapMonitor {
+        this.executors.values.flatMap { it.runs.values }.map { submittedJobs[it.id.task.job] to it }
+    }
     private var revision = 100L
     private val stored = HashMap<JobId, ProgressRecord>()
 
@@ -590,6 +593,7 @@
                 "$id exceeds the capacity of ${executor.id}"
         }
         executor.runs[id] = VirtualExecutor.VirtualRun(id, nowMillis, size)
+        capMonitor.findBreach(configuration, id, size)?.let(breaches::add)
         if (id.task in crashingTasks) after(CRASH_DELAY_MILLIS) { if (id in executor.runs) crash(executor) }
         return OrderAnswer.Done(clockMillis)
     }
