Size pools by the tasks that can run, and mend takeovers during moves

Three causes:

- The backlog counted steps that still waited for others, and tasks longer than the time in which a backlog should be worked off counted with more processors than all of them can use.
Only tasks that could start now count, each with no more than it takes up.
- After a takeover no machine was returned from a pool until that pool had a new backlog.
Jobs of earlier terms now show that a pool has worked.

Tests: DemandReaderTest, and MachineOrderPlannerTest for both takeovers.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/DemandReader.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/DemandReader.kt
@@ -32,7 +32,7 @@
     }
     scheduler.activeJobs.forEach { job ->
         val queue = configuration.queue(job.job.queue) ?: return@forEach
-        sums[queue.pool]?.let { addJob(it, job) }
+        sums[queue.pool]?.let { addJob(it, job, clearMillis) }
     }
     val backlogs = HashMap<WorkspaceId?, Double>()
     sums.values.forEach { sum ->
@@ -52,9 +52,16 @@
     return if (neededCpuMillis <= leftCpuMillis) 1.0 else leftCpuMillis / neededCpuMillis
 }
 
-private fun addJob(sum: DemandAccumulator, job: JobState) {
-    job.occurrences.values.flatMap { it.steps }.forEach { state ->
-        if (state.step.longRunning) addLongRunningStep(sum, state.step) else addUnstartedTasks(sum, state)
+private fun addJob(sum: DemandAccumulator, job: JobState, clearMillis: Double) {
+    job.occurrences.values.forEach { occurrence ->
+        occurrence.steps.forEach { state ->
+            when {
+                state.step.longRunning -> addLongRunningStep(sum, state.step)
+
+                // A step that waits for others gets the capacity that these release.
+                occurrence.isReady(state) -> addUnstartedTasks(sum, state, clearMillis)
+            }
+        }
     }
 }
 
@@ -64,7 +71,12 @@
     sum.leastMachines = maxOf(sum.leastMachines, neededMachines)
 }
 
-private fun addUnstartedTasks(sum: DemandAccumulator, state: StepState) {
-    val work = state.unstartedCount.toDouble() * state.step.size.cpuMillis * state.step.estimateMillis
+/**
+ * Adds the tasks of [state] that have not been started. A task that takes longer than [clearMillis] counts with that
+ * time: with more capacity than all tasks take up at once, none of them would end earlier.
+ */
+private fun addUnstartedTasks(sum: DemandAccumulator, state: StepState, clearMillis: Double) {
+    val taskMillis = minOf(state.step.estimateMillis.toDouble(), clearMillis)
+    val work = state.unstartedCount * state.step.size.cpuMillis * taskMillis
     sum.backlogByWorkspace.merge(state.job.job.workspace, work, Double::plus)
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
@@ -41,7 +41,10 @@
     private val waves = LinkedHashMap<Long, UpkeepWaveProgress>()
     private val idleSince = HashMap<InstanceId, Long>()
     private val pendingReports = LinkedHashMap<Long, WaveReport>()
+
+    /** Pools whose machines may be returned to the spare pool. */
     private val workedPools = HashSet<PoolId>()
+    private var earlierJobsChecked = false
     private val heldOrders = HeldOrders(log)
 
     /** Machines for which earlier lease holders may have given orders shortly before this term. */
@@ -51,9 +54,21 @@
         scheduler.mayRepeatEvacuation = budget::mayEndRun
     }
 
-    /** Sets the [machines] for which earlier lease holders may have given orders shortly before this term. */
-    public fun markOrderedByPredecessors(machines: Set<MachineId>) {
+    /** The executors that these orders were to end. */
+    private var endedByPredecessors: Set<InstanceId> = emptySet()
+
+    /**
+     * Sets the [machines] for which earlier lease holders may have given orders shortly before this term, and the
+     * [executors] on them that the orders were to end. Such an executor no longer answers. Without its machine, nothing
+     * but the lapse of all leases would show that it has ended, and the tasks of its pool would wait for that.
+     */
+    public fun markOrderedByPredecessors(
+        machines: Set<MachineId>,
+        executors: Map<InstanceId, MachineId> = emptyMap(),
+    ) {
         orderedByPredecessors = machines
+        endedByPredecessors = executors.keys
+        registry.addEarlierExecutors(executors)
     }
 
     /**
@@ -95,7 +110,10 @@
         scheduler.executors.values
             .filter { it.unreachableSinceMillis != null && registry.showsEnd(it) }
             .map { it.record.id }
-            .forEach { scheduler.onExecutorGone(nowMillis, it, planned = registry.isUnderOrder(it), evidence) }
+            .forEach { id ->
+                val planned = registry.isUnderOrder(id) || id in endedByPredecessors
+                scheduler.onExecutorGone(nowMillis, id, planned, evidence)
+            }
         registry.retainExecutors(scheduler.executors.keys)
         val listed = registry.allMachines.filter { it.state == MachineState.UP }.mapNotNullTo(HashSet()) { it.executor }
         budget.recordListed(nowMillis, listed)
@@ -262,8 +280,17 @@
         }
     }
 
-    private fun poolSizingInputs(nowMillis: Long, configuration: FleetConfiguration): List<PoolSizingInput> =
-        demandByPool(scheduler, configuration, policy.backlogClearMillis).map { (pool, demand) ->
+    /** Marks the pools that have worked under earlier lease holders, of which ended jobs are still known. */
+    private fun checkEarlierJobs(configuration: FleetConfiguration) {
+        if (earlierJobsChecked) return
+        earlierJobsChecked = true
+        scheduler.jobs.filterNot { it.longRunning }
+            .mapNotNullTo(workedPools) { configuration.queue(it.job.queue)?.pool }
+    }
+
+    private fun poolSizingInputs(nowMillis: Long, configuration: FleetConfiguration): List<PoolSizingInput> {
+        checkEarlierJobs(configuration)
+        return demandByPool(scheduler, configuration, policy.backlogClearMillis).map { (pool, demand) ->
             val assigned = registry.assigned(pool).filter { executorOf(it.id)?.cordoned != true }
             val cpu = assigned.maxOfOrNull { it.capacity.cpuMillis }
                 ?: registry.allMachines.maxOfOrNull { it.capacity.cpuMillis }
@@ -277,6 +304,7 @@
                 idleMachines(nowMillis, assigned),
             )
         }
+    }
 
     private fun idleMachines(nowMillis: Long, machines: List<MachineRecord>): List<IdleMachine> =
         machines.mapNotNull { machine ->
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
@@ -154,6 +154,11 @@
         machineByExecutor += upNow
     }
 
+    /** Adds executors that an earlier lease holder has seen on the given machines. */
+    fun addEarlierExecutors(machineByEarlierExecutor: Map<InstanceId, MachineId>) {
+        machineByExecutor += machineByEarlierExecutor
+    }
+
     /** Forgets the machines of executors that are not [known] any more. */
     fun retainExecutors(known: Set<InstanceId>) {
         machineByExecutor.keys.retainAll(known)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/PoolSizing.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/PoolSizing.kt
@@ -14,7 +14,7 @@
  * Demand of a pool.
  *
  * @property heldCpuMillis processors that current runs use, in thousandths of a core
- * @property backlogCpuMillis work of the tasks that have not been started, in thousandths of a core times milliseconds
+ * @property backlogCpuMillis work of the tasks that could be started now, in thousandths of a core times milliseconds
  * @property leastMachines lower bound on the machines, from steps that bound their long-running tasks per executor
  */
 public data class PoolDemand(
@@ -39,8 +39,8 @@
 /**
  * State of one pool, as input of the sizing.
  *
- * @property hasWorked whether the pool has had a backlog since the term of the lease began. Before that, the machines
- * that the operator gave it are not returned to the spare pool.
+ * @property hasWorked whether the pool has had a backlog, in this term of the lease or an earlier one. Before that, the
+ * machines that the operator gave it are not returned to the spare pool.
  * @property machineCount machines in the pool, including those that are being moved to it
  * @property machineCpuMillis processors of one machine, in thousandths of a core
  * @property idle machines of the pool without runs
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineOrderPlannerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineOrderPlannerTest.kt
@@ -259,4 +259,36 @@
         machines.fleet.starts.size shouldBeGreaterThan 20
         machines.fleet.breaches.shouldBeEmpty()
     }
+
+    // Guards against: what a holder has moved out of a pool shortly before its end holds back the tasks of the pool for
+    // as long as leases last.
+    @Test
+    fun `after a takeover, tasks do not wait for executors that the earlier holder has moved away`() {
+        val fleet = VirtualFleet(4)
+        val machines = VirtualMachines(fleet, spares = 0)
+        fleet.submit(job(1, step(count = 30)))
+        machines.run(500)
+        val moved = machines.machines.first { fleet.executors.getValue(it.executor!!).runs.isEmpty() }
+        val ended = moved.executor!!
+        machines.carryOut(fleet.nowMillis, moved, MachineOrder.Move(moved.id, ended, SPARE))
+        fleet.executors.values.filter { it.runs.isNotEmpty() }.take(1).forEach(fleet::restart)
+        fleet.takeOver(2)
+        machines.takeOver(3_500, mapOf(ended to moved.id))
+        machines.run(3_000)
+        fleet.log.first { "recovery over" in it && "epoch, 2" in it }
+        fleet.breaches.shouldBeEmpty()
+    }
+
+    // Guards against: after each takeover the machines of a pool without new jobs stay in it.
+    @Test
+    fun `idle machines go back after a takeover, also from a pool that has no new jobs`() {
+        val fleet = VirtualFleet(4)
+        val machines = VirtualMachines(fleet, spares = 0)
+        fleet.submit(job(1, step(count = 4)))
+        machines.run(1_500)
+        fleet.takeOver(2)
+        machines.takeOver(0, emptyMap())
+        machines.run(5_000)
+        machines.machines.count { it.pool == SPARE } shouldBe 3
+    }
 }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/VirtualMachines.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/VirtualMachines.kt
@@ -77,6 +77,12 @@
         fleet.scheduler.configure(configuration)
     }
 
+    /** Lets a new lease holder take over that knows which machines, and executors on them, were [ordered] before. */
+    fun takeOver(handoverMillis: Long, ordered: Map<InstanceId, MachineId>) {
+        planner = newPlanner(handoverMillis)
+        planner.markOrderedByPredecessors(ordered.values.toSet(), ordered)
+    }
+
     /** Lets a new lease holder take over. It knows which machines were taken down, and which were [ordered] before. */
     fun takeOver(wave: UpkeepWave, handoverMillis: Long, ordered: Set<MachineId>) {
         planner = newPlanner(handoverMillis)
--- a/node/src/main/kotlin/org/gypsumturn/node/MachineOrderDispatcher.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/MachineOrderDispatcher.kt
@@ -27,6 +27,7 @@
 import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.Failure
 import org.gypsumturn.model.FailureKind
+import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.failureOrNull
 import kotlin.math.abs
@@ -55,6 +56,9 @@
     /** The machines stored in [OrderedMachineRow], and when the last order for each of them was decided. */
     private val lastOrderMillis = LinkedHashMap<MachineId, Long>()
 
+    /** The executors that these orders were to end, with their machines; stored like the machines. */
+    private val orderedExecutors = LinkedHashMap<InstanceId, MachineId>()
+
     /** Orders that may be sent, since their machines are stored in [OrderedMachineRow]. */
     private val ordersToSend = ArrayDeque<MachineOrder>()
     private var recordPending = false
@@ -79,14 +83,14 @@
             val number = row.address.key.toLongOrNull()
             val value = row.value
             if (number != null && value != null) reportsOfPredecessors[number] = WaveRows.decode(number, value)
-            if (row.address == OrderedMachineRow.ADDRESS && value != null) markOrdered(OrderedMachineRow.decode(value))
         }
-    }
-
-    private fun markOrdered(machines: Set<MachineId>) {
-        planner.markOrderedByPredecessors(machines)
+        val values = rows.associate { it.address to it.value }
+        val machines = values[OrderedMachineRow.ADDRESS]?.let(OrderedMachineRow::decode).orEmpty()
+        val executors = values[OrderedMachineRow.EXECUTORS_ADDRESS]?.let(OrderedMachineRow::decodeExecutors).orEmpty()
+        planner.markOrderedByPredecessors(machines, executors)
         val nowMillis = NodeClock.steadyMillis()
         machines.forEach { lastOrderMillis[it] = nowMillis }
+        orderedExecutors += executors
     }
 
     /**
@@ -159,16 +163,25 @@
     private fun recordAndSend(nowMillis: Long, orders: List<MachineOrder>) {
         if (orders.isEmpty()) return
         val previousOrderMillis = LinkedHashMap(lastOrderMillis)
-        val areRecorded = orders.all { it.machine in lastOrderMillis }
+        val areRecorded = orders.all { order ->
+            order.machine in lastOrderMillis && order.executor.let { it == null || it in orderedExecutors }
+        }
         lastOrderMillis.values.removeIf { nowMillis - it > times.handoverMillis }
-        orders.forEach { lastOrderMillis[it.machine] = nowMillis }
+        orders.forEach { order ->
+            lastOrderMillis[order.machine] = nowMillis
+            order.executor?.let { orderedExecutors[it] = order.machine }
+        }
+        orderedExecutors.values.retainAll(lastOrderMillis.keys)
         if (areRecorded) {
             orders.forEach(::sendOrder)
             return
         }
         recordPending = true
-        val write = RowWrite(OrderedMachineRow.ADDRESS, OrderedMachineRow.encode(lastOrderMillis.keys))
-        store.transact(RowTransaction(listOf(fence.condition()), listOf(write)), WRITE_TIMEOUT_MILLIS) { verdict ->
+        val writes = listOf(
+            RowWrite(OrderedMachineRow.ADDRESS, OrderedMachineRow.encode(lastOrderMillis.keys)),
+            RowWrite(OrderedMachineRow.EXECUTORS_ADDRESS, OrderedMachineRow.encodeExecutors(orderedExecutors)),
+        )
+        store.transact(RowTransaction(listOf(fence.condition()), writes), WRITE_TIMEOUT_MILLIS) { verdict ->
             post { if (!closed) onRecorded(orders, previousOrderMillis, verdict) }
         }
     }
