Show the use, cap and waiting tasks of each workspace

An operator could not tell a job that waits for room from one whose workspace is at its cap. The holder shows both every two seconds as gauges by workspace (at most 200 of them), and logs when a cap begins and ceases to hold back starts: workspace held back, workspace released.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -21,6 +21,7 @@
 import org.gypsumturn.batch.state.Run
 import org.gypsumturn.batch.state.RunEndEvidence
 import org.gypsumturn.batch.state.RunPhase
+import org.gypsumturn.batch.workspace.WorkspaceStatus
 import org.gypsumturn.batch.workspace.WorkspaceUse
 import org.gypsumturn.model.Epoch
 import org.gypsumturn.model.InstanceId
@@ -55,7 +56,7 @@
     private val reportHandler =
         ExecutorReportHandler(this, registry, faultDetector, crashAttribution, unreportedEnds, absences, log)
     private val adviceCache = PlacementAdviceCache(log)
-    private val ledger = WorkspaceLedger(usage, jobRegistry, registry, queues, recovery)
+    private val ledger = WorkspaceLedger(usage, jobRegistry, registry, queues, recovery, log)
     private val order: StepOrder = stepOrder ?: when (settings.overloadOrder) {
         OverloadOrder.PLAN -> orderByPlan
         OverloadOrder.COST -> orderByCost { id -> ledger[id]?.weight }
@@ -94,6 +95,9 @@
     /** The capacity that workspace [id] uses on all executors. */
     public fun workspaceUse(id: WorkspaceId): WorkspaceUse = ledger.useOf(id)
 
+    /** The state of all workspaces, for the operator. */
+    public fun workspaceStatus(): List<WorkspaceStatus> = ledger.status()
+
     /** Applies [configuration]. */
     public fun configure(configuration: FleetConfiguration) {
         queues.applyConfiguration(configuration)
@@ -429,7 +433,7 @@
         absences.observe(nowMillis)
         if (mayStart) {
             starter.releaseHeldStarts(nowMillis).forEach { onRunNotStarted(nowMillis, it) }
-            ledger.refresh()
+            ledger.refresh(nowMillis)
             placer.placeWaitingTasks(nowMillis, soleHolderMillis)
         }
         registry.enqueueDuePolls(nowMillis, leaseMillis.takeIf { mayStart })
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/WorkspaceLedger.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/WorkspaceLedger.kt
@@ -12,6 +12,7 @@
 import org.gypsumturn.batch.state.CapacityCounter
 import org.gypsumturn.batch.state.JobState
 import org.gypsumturn.batch.state.StepState
+import org.gypsumturn.batch.workspace.WorkspaceStatus
 import org.gypsumturn.batch.workspace.WorkspaceUse
 import org.gypsumturn.batch.workspace.capAllows
 import org.gypsumturn.model.WorkspaceId
@@ -32,7 +33,12 @@
     private val registry: ExecutorRegistry,
     private val queues: KnownQueues,
     private val recovery: TakeoverRecovery,
+    private val log: DecisionLog,
 ) {
+    /** When the cap of a workspace last held back a start, for those that are held back. */
+    private val heldBackMillis = HashMap<WorkspaceId, Long>()
+    private var refreshedMillis = 0L
+
     /** Workspaces that a configuration removes stay known, since they may have unfinished jobs. */
     private val workspaces = HashMap<WorkspaceId, Workspace>()
     private var unwanted: Map<WorkspaceId, ResourceAmounts> = emptyMap()
@@ -57,12 +63,43 @@
     /** Whether the cap of the workspace of [step] allows [count] more of its tasks, which must start together. */
     fun allowsStart(step: StepState, count: Int = 1): Boolean {
         val workspace = step.job.job.workspace?.let(workspaces::get) ?: return true
-        return capAllows(workspace.cap, useOf(workspace.id), step.reservedSize, count)
+        val isAllowed = capAllows(workspace.cap, useOf(workspace.id), step.reservedSize, count)
+        if (!isAllowed && heldBackMillis.put(workspace.id, refreshedMillis) == null) {
+            log("workspace held back", fieldsOf(workspace))
+        }
+        return isAllowed
+    }
+
+    private fun fieldsOf(workspace: Workspace): Array<Pair<String, Any?>> {
+        val use = useOf(workspace.id)
+        return arrayOf(
+            "workspace" to workspace.id,
+            "held" to use.held,
+            "unconfirmed" to use.unconfirmed,
+            "cap" to workspace.cap,
+        )
+    }
+
+    /** The state of all workspaces. */
+    fun status(): List<WorkspaceStatus> {
+        val waiting = HashMap<WorkspaceId, Int>()
+        jobs.active.forEach { job -> job.job.workspace?.let { waiting.merge(it, waitingTasks(job), Int::plus) } }
+        return workspaces.values.map {
+            WorkspaceStatus(it, useOf(it.id), waiting[it.id] ?: 0, it.id in heldBackMillis)
+        }
+    }
+
+    private fun waitingTasks(job: JobState): Int = job.occurrences.values.sumOf { occurrence ->
+        occurrence.steps.filter(occurrence::isReady).sumOf { it.unstartedCount }
     }
 
     /** Counts anew what is not counted run by run. Must be called before each placement. */
-    fun refresh() {
+    fun refresh(nowMillis: Long) {
         if (!isActive) return
+        refreshedMillis = nowMillis
+        val released = heldBackMillis.filterValues { nowMillis - it > HELD_BACK_MILLIS }.keys
+        released.mapNotNull(workspaces::get).forEach { log("workspace released", fieldsOf(it)) }
+        heldBackMillis -= released.toSet()
         unwanted = unwantedRuns()
         unconfirmed = if (recovery.isActive) unconfirmedTasks() else emptyMap()
     }
@@ -113,4 +150,9 @@
             sum + executor.record.capacity
         }
     }
+
+    private companion object {
+        /** A workspace is held back until its cap has allowed all starts for so long. */
+        const val HELD_BACK_MILLIS = 1_000L
+    }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -30,6 +30,7 @@
 import org.gypsumturn.batch.state.JobState
 import org.gypsumturn.batch.state.PoolRoster
 import org.gypsumturn.batch.state.ProgressRecord
+import org.gypsumturn.batch.workspace.WorkspaceStatus
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.PoolId
@@ -49,6 +50,7 @@
 /**
  * One term of holding [lease]. Its state belongs to the control thread.
  *
+ * @param reportWorkspaces receives the state of the workspaces from time to time, and none at the end of the term
  * @param post runs an action on the control thread
  * @param postDelayed runs an action on the control thread after a delay in milliseconds
  */
@@ -58,6 +60,7 @@
     machineTimes: MachineTimes,
     private val ports: SessionPorts,
     decisionLog: DecisionLog,
+    private val reportWorkspaces: (List<WorkspaceStatus>) -> Unit,
     private val post: Post,
     private val postDelayed: DelayedPost,
 ) {
@@ -95,6 +98,7 @@
     private val jobFeedAge = FeedAge(MAX_COUNT_AGE_MILLIS)
     private val storeOutage = OutageLog("store lost", "store regained", "by" to "holder")
     private var lastRemovalMillis = 0L
+    private var workspacesReportedMillis = 0L
 
     /** Whether the store or an executor has shown that another process has taken the lease over. */
     public val fencedOff: Boolean get() = fence.superseded || scheduler.fencedOff
@@ -108,6 +112,7 @@
     /** Ends the session. Answers that arrive later are ignored. */
     public fun close() {
         closed = true
+        reportWorkspaces(emptyList())
         orderSender.closed = true
         machines?.close()
         takeoverReader.cancelled = true
@@ -148,6 +153,10 @@
         val overdueMillis = lease.overdueMillis(now)
         scheduler.runSchedulingPass(now.steadyMillis, now.wallMillis, overdueMillis).forEach(orderSender::send)
         scheduler.takeQuestions().forEach(orderSender::askAdvisor)
+        if (now.steadyMillis - workspacesReportedMillis >= WORKSPACE_REPORT_MILLIS) {
+            workspacesReportedMillis = now.steadyMillis
+            reportWorkspaces(scheduler.workspaceStatus())
+        }
         if (overdueMillis < 0) {
             progressWriter.writeIfDue(now.steadyMillis)
             configuration?.let { machines?.runDueWork(now, it) }
@@ -387,6 +396,9 @@
         /** Time between two removals of rows of expired jobs. */
         const val REMOVAL_INTERVAL_MILLIS = 2_000L
 
+        /** Time between two reports of the state of the workspaces. */
+        const val WORKSPACE_REPORT_MILLIS = 2_000L
+
         /** Number of jobs whose rows are removed at once. */
         const val MAX_REMOVED_JOBS = 40
     }
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeMetrics.kt
@@ -4,11 +4,14 @@
 
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.gypsumturn.batch.desk.CallerAnswer
+import org.gypsumturn.batch.model.ResourceAmounts
 import org.gypsumturn.batch.schedule.DecisionLog
+import org.gypsumturn.batch.workspace.WorkspaceStatus
 import org.gypsumturn.runtime.log.droppedLogLines
 import org.gypsumturn.transport.HttpStatus
 import org.gypsumturn.transport.ServedAnswer
@@ -64,6 +67,27 @@
             .classicUpperBounds(0.5, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 7.0, 8.0, 9.0, 10.0, 15.0, 30.0, 60.0)
             .register(registry)
 
+    private val workspaceAmounts =
+        Gauge.builder()
+            .name("gypsumturn_node_workspace_amount")
+            .help("Processors in thousandths of a core and memory in megabytes of each workspace, by kind of amount.")
+            .labelNames("workspace", "resource", "kind")
+            .register(registry)
+
+    private val workspaceWaiting =
+        Gauge.builder()
+            .name("gypsumturn_node_workspace_waiting_tasks")
+            .help("Tasks of each workspace that could be started and have no run.")
+            .labelNames("workspace")
+            .register(registry)
+
+    private val workspaceHeldBack =
+        Gauge.builder()
+            .name("gypsumturn_node_workspace_held_back")
+            .help("1 while the cap of the workspace holds back starts.")
+            .labelNames("workspace")
+            .register(registry)
+
     private val writer = PrometheusTextFormatWriter.builder().build()
 
     init {
@@ -80,6 +104,27 @@
         answerSeconds.labelValues(call).observe(tookMillis / MILLIS_PER_SECOND)
     }
 
+    /**
+     * Replaces the state of the workspaces, of which at most [MAX_WORKSPACES] are shown. An empty list removes all, as
+     * when another process has become the lease holder.
+     */
+    public fun recordWorkspaces(workspaces: List<WorkspaceStatus>) {
+        listOf(workspaceAmounts, workspaceWaiting, workspaceHeldBack).forEach { it.clear() }
+        workspaces.take(MAX_WORKSPACES).forEach { status ->
+            val name = status.workspace.id.value
+            recordAmounts(name, "cap", status.workspace.cap)
+            recordAmounts(name, "held", status.use.held)
+            recordAmounts(name, "unconfirmed", status.use.unconfirmed)
+            workspaceWaiting.labelValues(name).set(status.waitingTasks.toDouble())
+            workspaceHeldBack.labelValues(name).set(if (status.isHeldBack) 1.0 else 0.0)
+        }
+    }
+
+    private fun recordAmounts(workspace: String, kind: String, amounts: ResourceAmounts) {
+        workspaceAmounts.labelValues(workspace, "cpu", kind).set(amounts.cpuMillis.toDouble())
+        workspaceAmounts.labelValues(workspace, "memory", kind).set(amounts.memoryMb.toDouble())
+    }
+
     /** A log that counts each event and passes it on to [log]. It also records how long tasks waited to start. */
     public fun countEvents(log: DecisionLog): DecisionLog = { event, fields ->
         events.labelValues(event).inc()
@@ -112,5 +157,8 @@
 
     private companion object {
         const val PATH = "/metrics"
+
+        /** Workspaces that are shown, so that a configuration with very many does not fill the collector. */
+        const val MAX_WORKSPACES = 200
     }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -80,6 +80,7 @@
                 machineTimes(),
                 sessionPorts(),
                 decisionLog,
+                metrics::recordWorkspaces,
                 post,
                 postDelayedOnControlThread,
             )
