--- a/node/src/main/kotlin/org/gypsumturn/node/OrderedMachineRow.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/OrderedMachineRow.kt
@@ -1,6 +1,7 @@
 // The stored rows that list the machines with recent orders and the executors that the orders were to end. A lease
-// holder stores them there before it sends an order. The next holder gives no orders for these machines for a while, and
-// may order all others at once. It takes an executor for ended once the list of machines shows another one in its place.
+// holder stores them there before it sends an order. The next holder gives no orders for these machines for a while,
+// and may order all others at once. It takes an executor for ended once the list of machines shows another one in its
+// place.
 
 package org.gypsumturn.node
 
