Size rising pools by the work that arrives, and notice moved machines that are off

While more work arrives than is under way, the processors that it will need count now, up to the cap of its workspace. - An executor whose machine the earlier holder had moved to the spare pool was not taken for ended, since no other executor is on a machine that is off. A machine that is listed in another pool shows the end now.

Tests: DemandReaderTest, MachineOrderPlannerTest.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
@@ -290,7 +290,7 @@
 
     private fun poolSizingInputs(nowMillis: Long, configuration: FleetConfiguration): List<PoolSizingInput> {
         checkEarlierJobs(configuration)
-        return demandByPool(scheduler, configuration, policy.backlogClearMillis).map { (pool, demand) ->
+        return demandByPool(nowMillis, scheduler, configuration, policy.backlogClearMillis).map { (pool, demand) ->
             val assigned = registry.assigned(pool).filter { executorOf(it.id)?.cordoned != true }
             val cpu = assigned.maxOfOrNull { it.capacity.cpuMillis }
                 ?: registry.allMachines.maxOfOrNull { it.capacity.cpuMillis }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
@@ -165,14 +165,14 @@
     }
 
     /**
-     * Whether the last list shows that [executor], which does not answer, has ended: its machine is not up, or has
-     * another executor. The list must have been requested so long after the incarnation was known that it can't show a
-     * time before that. A run that was ordered shortly before the request may be on a later incarnation, which the list
-     * does not show yet. That a machine is missing in the list shows nothing.
+     * Whether the last list shows that [executor], which does not answer, has ended: its machine is not up, has another
+     * executor, or is in another pool. The list must have been requested so long after the incarnation was known that
+     * it can't show a time before that. A run that was ordered shortly before the request may be on a later
+     * incarnation, which the list does not show yet. That a machine is missing in the list shows nothing.
      */
     fun showsEnd(executor: ExecutorState): Boolean {
         val id = executor.record.id
-        if (id !in endedExecutors && id !in executorsDown) return false
+        if (id !in endedExecutors && id !in executorsDown && !isOfOtherPool(executor)) return false
         if (lastRequestMillis < executor.knownSinceMillis + LIST_DELAY_MILLIS) return false
         return executor.runs.values.none { run ->
             val openMillis = run.lastOrderedMillis?.takeIf { !run.reported || run.mayStartLate }
@@ -180,6 +180,12 @@
         }
     }
 
+    /** Whether the machine of [executor] is in another pool now, where it may be off. A move ends an executor. */
+    private fun isOfOtherPool(executor: ExecutorState): Boolean {
+        val machine = machineByExecutor[executor.record.id]?.let { machines[it] } ?: return false
+        return machine.executor != executor.record.id && machine.pool != executor.record.pool
+    }
+
     /** Whether the last list shows that an order has ended executor [id]. */
     fun isUnderOrder(id: InstanceId): Boolean = id in executorsUnderOrders
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/PoolSizing.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/PoolSizing.kt
@@ -14,11 +14,15 @@
  * Demand of a pool.
  *
  * @property heldCpuMillis processors that current runs use, in thousandths of a core
+ * @property finiteCpuMillis the part of them that runs use which end by themselves
+ * @property arrivingCpuMillis processors that the jobs need which arrive at the present rate, in thousandths of a core
  * @property backlogCpuMillis work of the tasks that could be started now, in thousandths of a core times milliseconds
  * @property leastMachines lower bound on the machines, from steps that bound their long-running tasks per executor
  */
 public data class PoolDemand(
     public val heldCpuMillis: Double,
+    public val finiteCpuMillis: Double,
+    public val arrivingCpuMillis: Double,
     public val backlogCpuMillis: Double,
     public val leastMachines: Int,
 )
@@ -108,6 +112,12 @@
 public fun demandRatio(pool: PoolSizingInput, policy: SizingPolicy): Double =
     neededCpuMillis(pool, policy) / maxOf(1.0, pool.machineCount * pool.machineCpuMillis * USABLE_CPU_FRACTION)
 
-/** Processors for the current runs and for working off the backlog in time, in thousandths of a core. */
-private fun neededCpuMillis(pool: PoolSizingInput, policy: SizingPolicy): Double =
-    pool.demand.heldCpuMillis + pool.demand.backlogCpuMillis / policy.backlogClearMillis
+/**
+ * Processors for the current runs and for working off the backlog in time, in thousandths of a core. While more work
+ * arrives than is under way, the processors that it will need count.
+ */
+private fun neededCpuMillis(pool: PoolSizingInput, policy: SizingPolicy): Double {
+    val demand = pool.demand
+    val rising = maxOf(0.0, demand.arrivingCpuMillis - demand.finiteCpuMillis)
+    return demand.heldCpuMillis + rising + demand.backlogCpuMillis / policy.backlogClearMillis
+}
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/DemandReaderTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/DemandReaderTest.kt
@@ -23,11 +23,37 @@
         fleet = VirtualFleet(0, configuration = configuration(queue(), workspaces = workspaces))
     }
 
+    private fun demand(): PoolDemand {
+        fleet.run(50)
+        return demandByPool(fleet.nowMillis, fleet.scheduler, fleet.configuration, CLEAR_MILLIS).getValue(POOL)
+    }
+
     /** Processors that are needed to work off the backlog in time, in thousandths of a core. */
-    private fun neededCpuMillis(): Double {
+    private fun neededCpuMillis(): Double = demand().backlogCpuMillis / CLEAR_MILLIS
+
+    // Guards against: a pool follows a steep rise only once a backlog has grown.
+    @Test
+    fun `work that arrives counts by its rate, with the steps that wait for others`() {
+        fleet.submit(job(1, step(count = 2, estimateMillis = 500), step(count = 4, after = listOf(0))))
+        demand().arrivingCpuMillis shouldBe 5_000.0
+        fleet.run(1_000)
+        demand().arrivingCpuMillis shouldBe 0.0
+    }
+
+    // Guards against: after a takeover all jobs from before count as arriving, and machines are moved for them.
+    @Test
+    fun `jobs from before a takeover do not arrive again`() {
+        fleet.submit(job(1, step(count = 10)))
         fleet.run(50)
-        val demand = demandByPool(fleet.scheduler, fleet.configuration, CLEAR_MILLIS).getValue(POOL)
-        return demand.heldCpuMillis + demand.backlogCpuMillis / CLEAR_MILLIS
+        fleet.takeOver(2)
+        demand().arrivingCpuMillis shouldBe 0.0
+    }
+
+    // Guards against: a workspace that sends several times what its cap allows fills the fleet with machines.
+    @Test
+    fun `what a workspace sends counts up to its cap`() {
+        fleet.submit(job(1, step(count = 20)).copy(workspace = WorkspaceId("a")))
+        demand().arrivingCpuMillis shouldBe 6_000.0
     }
 
     @Test
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineOrderPlannerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineOrderPlannerTest.kt
@@ -271,6 +271,8 @@
         val moved = machines.machines.first { fleet.executors.getValue(it.executor!!).runs.isEmpty() }
         val ended = moved.executor!!
         machines.carryOut(fleet.nowMillis, moved, MachineOrder.Move(moved.id, ended, SPARE))
+        moved.state = MachineState.UP
+        moved.pool = SPARE
         fleet.executors.values.filter { it.runs.isNotEmpty() }.take(1).forEach(fleet::restart)
         fleet.takeOver(2)
         machines.takeOver(3_500, mapOf(ended to moved.id))
