Give jobs up only with a valid control lease

Such a job now waits, without further starts, until the lease is valid again; otherwise the successor decides.

Test: LapsedHolderTest, a holder gives up a job only with a valid control lease.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -232,6 +232,19 @@
     /** Marks the progress of [job] as changed and returns the number of the change. */
     internal fun markChanged(job: JobState): Long = jobRegistry.markChanged(job)
 
+    /**
+     * Gives [job] up as failed. Without a valid control lease that waits until the lease is valid again, and none of its
+     * tasks is started until then: a later holder may go on with the job by what it knows.
+     */
+    internal fun giveUpJob(nowMillis: Long, job: JobState) {
+        job.isGivenUp = true
+        if (controlLease.isValid) endJob(nowMillis, job, JobPhase.FAILED)
+    }
+
+    private fun endGivenUpJobs(nowMillis: Long) {
+        activeJobs.filter { it.isGivenUp }.forEach { endJob(nowMillis, it, JobPhase.FAILED) }
+    }
+
     /** Ends [job] in [phase] and stops its runs. */
     internal fun endJob(nowMillis: Long, job: JobState, phase: JobPhase) {
         log("job ended", arrayOf("job" to job.job.id, "phase" to phase))
@@ -427,6 +440,7 @@
         val mayStart = leaseMillis >= SchedulerSettings.MIN_LEASE_MILLIS
         starter.leaseMillis = leaseMillis
         if (valid) {
+            endGivenUpJobs(nowMillis)
             registry.takeDueRetries(nowMillis).forEach { repeatOrder(nowMillis, it) }
             runMover.moveDueRuns(nowMillis)
         }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/CrashAttribution.kt
@@ -11,7 +11,6 @@
 
 package org.gypsumturn.batch.schedule
 
-import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.model.RunId
 import org.gypsumturn.batch.state.ExecutorState
 import org.gypsumturn.batch.state.JobState
@@ -142,7 +141,7 @@
                 "cleared" to task.crashes.cleared.size,
             ),
         )
-        scheduler.endJob(nowMillis, job, JobPhase.FAILED)
+        scheduler.giveUpJob(nowMillis, job)
         givenUpJobs += job
         clearOthersInCrashesOf(job)
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorReportHandler.kt
@@ -131,7 +131,7 @@
         if (task.failedAttempts.size >= maxFailures(job)) {
             val failures = task.failedAttempts.size
             log("job hopeless", arrayOf("job" to job.job.id, "task" to task.name, "failures" to failures))
-            scheduler.endJob(nowMillis, job, JobPhase.FAILED)
+            scheduler.giveUpJob(nowMillis, job)
         }
     }
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/WaitingTaskPlacer.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/WaitingTaskPlacer.kt
@@ -68,7 +68,7 @@
     private fun waitingSteps(nowMillis: Long, knownMillis: Long, queue: Queue): List<WaitingStep> =
         jobs.activeIn(queue.id)
             .filter { job -> job.firstAttempt == 1L || recovery.isOverFor(queue.id, queue.pool) }
-            .filter { job -> job.acceptedMillis <= knownMillis }
+            .filter { job -> job.acceptedMillis <= knownMillis && !job.isGivenUp }
             .flatMap { job -> job.occurrences.values }
             .flatMap { occurrence -> waitingSteps(nowMillis, queue, occurrence) }
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -338,6 +338,9 @@
 
     public var endedMillis: Long = 0
 
+    /** Whether it ends as failed once the holder has a valid control lease. */
+    public var isGivenUp: Boolean = false
+
     /** Numbers of the occurrences that were completed and removed from memory. */
     public val completedOccurrences: MutableSet<Int> = HashSet(0)
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LapsedHolderTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LapsedHolderTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.shouldBe
 import org.gypsumturn.batch.VirtualFleet
 import org.gypsumturn.batch.job
+import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.step
 import kotlin.random.Random
 
@@ -43,6 +44,27 @@
         return fleet
     }
 
+    // Guards against: a holder without a valid lease fails a job and stops its tasks, while its successor goes on with it.
+    @Test
+    fun `a holder gives up a job only with a valid control lease`() {
+        val fleet = VirtualFleet(3)
+        fleet.run(100)
+        val failing = job(1, step(count = 1), step(count = 2, estimateMillis = 20_000))
+        fleet.failingJobs += failing.id
+        fleet.submit(failing) { if (it.step == 0) 500 else 20_000 }
+        fleet.run(700)
+        fleet.validUntilMillis = fleet.nowMillis
+        fleet.run(1_000)
+        fleet.log.count { "job hopeless" in it } shouldBe 1
+        fleet.scheduler.job(failing.id)!!.phase shouldBe JobPhase.RUNNING
+        fleet.log.none { "task stopped" in it } shouldBe true
+        fleet.validUntilMillis = Long.MAX_VALUE / 2
+        fleet.run(300)
+        fleet.scheduler.job(failing.id)!!.phase shouldBe JobPhase.FAILED
+        fleet.executors.values.flatMap { it.runs.keys }.shouldBeEmpty()
+        fleet.starts.count { it.task.step == 0 } shouldBe 2
+    }
+
     // Guards against: a holder without a valid lease takes the leases that it gave to a silent executor for the last
     // ones, although its successor has extended them.
     @Test
