--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -233,8 +233,8 @@
     internal fun markChanged(job: JobState): Long = jobRegistry.markChanged(job)
 
     /**
-     * Gives [job] up as failed. Without a valid control lease that waits until the lease is valid again, and none of its
-     * tasks is started until then: a later holder may go on with the job by what it knows.
+     * Gives [job] up as failed. Without a valid control lease that waits until the lease is valid again, and none of
+     * its tasks is started until then: a later holder may go on with the job by what it knows.
      */
     internal fun giveUpJob(nowMillis: Long, job: JobState) {
         job.isGivenUp = true
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LapsedHolderTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LapsedHolderTest.kt
@@ -44,7 +44,8 @@
         return fleet
     }
 
-    // Guards against: a holder without a valid lease fails a job and stops its tasks, while its successor goes on with it.
+    // Guards against: a holder without a valid lease fails a job and stops its tasks, while its successor goes on with
+    // them.
     @Test
     fun `a holder gives up a job only with a valid control lease`() {
         val fleet = VirtualFleet(3)
