--- a/review/stand-2/review2/Main.java
+++ b/review/stand-2/review2/Main.java
@@ -27,8 +27,6 @@
                 case "large-progress" -> LargeProgress.run(record, trouble);
                 case "pipelined" -> Pipelined.run(record, trouble);
                 case "expired-jobs" -> ExpiredJobs.run(record, trouble);
-                case "cancelled-in-transit" -> CancelledInTransit.run(record, trouble);
-                case "gang-checkpoints" -> GangCheckpoints.run(record, trouble);
                 default -> 2;
             };
         } catch (Exception e) {
