--- a/review/stand-2/review2/Main.java
+++ b/review/stand-2/review2/Main.java
@@ -27,6 +27,7 @@
                 case "large-progress" -> LargeProgress.run(record, trouble);
                 case "pipelined" -> Pipelined.run(record, trouble);
                 case "expired-jobs" -> ExpiredJobs.run(record, trouble);
+                case "unfounded-failure" -> UnfoundedFailure.run(record, trouble);
                 default -> 2;
             };
         } catch (Exception e) {
--- a/review/stand-2/review2/Web.java
+++ b/review/stand-2/review2/Web.java
@@ -61,6 +61,10 @@
         server = null;
     }
 
+    synchronized boolean isOpen() {
+        return server != null;
+    }
+
     private void serve(HttpExchange exchange) throws IOException {
         try (InputStream in = exchange.getRequestBody()) {
             String body = new String(in.readAllBytes(), StandardCharsets.UTF_8);
--- a/review/stand-2/review2/Worker.java
+++ b/review/stand-2/review2/Worker.java
@@ -102,14 +102,23 @@
         born = System.currentTimeMillis();
         clockStart = Store.steadyMillis() - 1_000;
         up = true;
-        web.start();
+        if (!web.isOpen()) web.start();
         announce();
     }
 
-    /** Ends the life at once. What runs here ends with it. */
+    /** Ends the life at once. What runs here ends with it. Connections are refused from then on. */
     synchronized void crash() {
-        up = false;
         web.stop();
+        endLife();
+    }
+
+    /** As above, but the executor is silent: it takes connections and answers nothing. */
+    synchronized void crashSilently() {
+        endLife();
+    }
+
+    private void endLife() {
+        up = false;
         running.forEach((key, run) -> {
             record.run(id, "end", key.task, key.attempt, "crashed");
             if (run.gang != null) gangs.breakUp(run.gang);
@@ -218,12 +227,21 @@
         }
     }
 
+    /** While this is set, no call of the system reaches the executor, and none of its answers reaches the system. */
+    volatile boolean cutOff;
+
     private Web.Answer handle(Web.Request request) throws Exception {
+        if (cutOff) return null;
+        Web.Answer answer = perform(request);
+        return cutOff ? null : answer;
+    }
+
+    private Web.Answer perform(Web.Request request) throws Exception {
         String expected = request.header("X-Gypsumturn-Expect-Instance");
         if (expected != null && !expected.equals(id)) return new Web.Answer(421, "{}");
         Map<String, Object> body = Json.object(request.body());
         return switch (request.path()) {
-            case "/-/run-start" -> startRun(body);
+            case "/-/run-start" -> startInTimeOrLate(body);
             case "/-/run-stop" -> stopRun(body);
             case "/-/hold" -> hold(body);
             default -> new Web.Answer(404, "{}");
@@ -250,6 +268,29 @@
         leaseEnd = Math.max(leaseEnd, Math.min(wanted, clock() + MAX_HOLD_MILLIS));
     }
 
+    /** Tells how late a start is carried out, which then has no answer; 0 for one that is carried out at once. */
+    ToLongFunction<String> lateMillis = task -> 0;
+
+    private Web.Answer startInTimeOrLate(Map<String, Object> body) {
+        if (!isUp()) return null;
+        String task = (String) body.get("task");
+        long late = lateMillis.applyAsLong(task);
+        if (late == 0) return startRun(body);
+        record.line("%s: the start of %s gets no answer and is carried out %d ms later", id, task, late);
+        Thread thread = new Thread(() -> {
+            try {
+                Thread.sleep(late);
+            } catch (InterruptedException e) {
+                return;
+            }
+            Web.Answer answer = startRun(body);
+            record.line("%s: the late start of %s is carried out: %s", id, task, answer == null ? "not up" : answer.status());
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return null;
+    }
+
     private synchronized Web.Answer startRun(Map<String, Object> body) {
         if (!up) return null;
         if (isFenced(body)) return refused("fence");
