--- a/review/stand-2/review2/Checks.java
+++ b/review/stand-2/review2/Checks.java
@@ -10,6 +10,11 @@
 final class Checks {
     /** TWICE: number of work units of which two runs were at work at the same time. */
     static int overlaps(Record record) {
+        return overlapping(record).size();
+    }
+
+    /** The work units of which two runs were at work at the same time. */
+    static List<String> overlapping(Record record) {
         Map<String, Integer> running = new HashMap<>();
         List<String> found = new ArrayList<>();
         for (Record.Event event : record.events) {
@@ -19,6 +24,6 @@
                 running.merge(event.task(), -1, Integer::sum);
             }
         }
-        return found.size();
+        return found;
     }
 }
--- a/review/stand-2/review2/Main.java
+++ b/review/stand-2/review2/Main.java
@@ -28,6 +28,7 @@
                 case "pipelined" -> Pipelined.run(record, trouble);
                 case "expired-jobs" -> ExpiredJobs.run(record, trouble);
                 case "unfounded-failure" -> UnfoundedFailure.run(record, trouble);
+                case "late-start" -> LateStart.run(record, trouble);
                 default -> 2;
             };
         } catch (Exception e) {
