--- a/review/stand-2/review2/Main.java
+++ b/review/stand-2/review2/Main.java
@@ -25,7 +25,7 @@
         try {
             result = switch (arguments[0]) {
                 case "large-progress" -> LargeProgress.run(record, trouble);
-                case "pipelined" -> Pipelined.run(record, trouble);
+                case "cancelled-in-transit" -> CancelledInTransit.run(record, trouble);
                 case "expired-jobs" -> ExpiredJobs.run(record, trouble);
                 case "unfounded-failure" -> UnfoundedFailure.run(record, trouble);
                 case "late-start" -> LateStart.run(record, trouble);
