Store the cancellation of a job that is not found

Callers saw: a caller whose POST had no answer left and sent a DELETE to another node.

Cause: NodeJobRequestHandler.cancel looked the job up, answered "no such job" and stored nothing. The look-up can't see a job that is on its way.

Change: the cancellation is stored before each answer, also for an unknown id; without that there is no 410. Its row names the queue and the workspace of the caller, and the holder applies it only to a job that this caller may see; each caller has a row of its own, and the answer is the same for an unknown job and for a job of another workspace. The holder keeps cancellations without a job as long as ended jobs (status_seconds and 30 s), then removes their rows on condition that they are unchanged, and forgets them once that is stored. A node repeats the write of a job for 10 s at most, whatever deadline the caller names. With 20,000 cancellations without a job at the holder, further ones are rejected with 429. The rows of jobs are read and removed by the new JobIntake, taken out of HolderSession.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/desk/JobRequestHandler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/desk/JobRequestHandler.kt
@@ -81,8 +81,18 @@
     /** Replies with the state of job [id]. */
     public fun queryState(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, reply: (CallerAnswer) -> Unit)
 
-    /** Cancels job [id]. The reply is [CallerAnswer.CancelStored] once the cancellation is stored. */
-    public fun cancel(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, reply: (CallerAnswer) -> Unit)
+    /**
+     * Cancels job [id]. The reply is [CallerAnswer.CancelStored], or [CallerAnswer.NoSuchJob] if no such job was found,
+     * once the cancellation is stored. In both cases a submission that is still under way, or is repeated shortly
+     * after, creates no job that runs.
+     */
+    public fun cancel(
+        queue: Queue,
+        id: JobId,
+        workspace: WorkspaceId?,
+        deadlineMillis: Long,
+        reply: (CallerAnswer) -> Unit,
+    )
 
     /** Replies with the number of jobs of [queue] of which no task has been started yet. */
     public fun countPending(queue: Queue, deadlineMillis: Long, reply: (CallerAnswer) -> Unit)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobRows.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobRows.kt
@@ -9,6 +9,8 @@
 import org.gypsumturn.batch.model.BatchJob
 import org.gypsumturn.batch.port.RowAddress
 import org.gypsumturn.model.JobId
+import java.security.MessageDigest
+import java.util.HexFormat
 
 private val json = Json {
     ignoreUnknownKeys = true
@@ -28,6 +30,9 @@
 
     private const val CANCEL_SUFFIX = "/cancel"
 
+    /** Bytes of the digest that tells the cancellations of different callers apart. */
+    private const val CALLER_DIGEST_BYTES = 16
+
     /** Partition of the progress of jobs and of waves. */
     public const val PROGRESS_PARTITION: String = "progress"
 
@@ -43,16 +48,26 @@
     /** Address of the row of job [id] in [partition]. */
     public fun job(id: JobId, partition: String): RowAddress = RowAddress(TABLE, partition, id.value)
 
-    /** Address of the row of the cancellation of job [id] in [partition]. */
-    public fun cancellation(id: JobId, partition: String): RowAddress =
-        RowAddress(TABLE, partition, id.value + CANCEL_SUFFIX)
+    /**
+     * Address of the row of the cancellation of job [id] in [partition]. Each [caller] for which the cancellation is
+     * conditional has a row of its own, so that no caller can overwrite the cancellation of another one.
+     */
+    public fun cancellation(id: JobId, partition: String, caller: CancellationCaller? = null): RowAddress {
+        val suffix = caller?.let { "/" + digestOf(it) }.orEmpty()
+        return RowAddress(TABLE, partition, id.value + CANCEL_SUFFIX + suffix)
+    }
+
+    private fun digestOf(caller: CancellationCaller): String {
+        val digest = MessageDigest.getInstance("SHA-256").digest(json.encodeToString(caller).encodeToByteArray())
+        return HexFormat.of().formatHex(digest, 0, CALLER_DIGEST_BYTES)
+    }
 
     /** Address of the row of the progress of job [id]. */
     public fun progress(id: JobId): RowAddress = RowAddress(PROGRESS_TABLE, PROGRESS_PARTITION, id.value)
 
     /** The job whose cancellation is stored at [address], or null if that is no address of a cancellation. */
     public fun cancelledJob(address: RowAddress): JobId? =
-        if (address.key.endsWith(CANCEL_SUFFIX)) JobId(address.key.removeSuffix(CANCEL_SUFFIX)) else null
+        if (CANCEL_SUFFIX in address.key) JobId(address.key.substringBefore(CANCEL_SUFFIX)) else null
 
     /** Encodes [job] as the value of its row. */
     public fun encode(job: BatchJob): ByteArray = json.encodeToString(BatchJob.serializer(), job).encodeToByteArray()
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -1,5 +1,5 @@
 // The work of the holder of the control lease during one term. It reads the stored state, follows the changes of jobs
-// and executors, schedules tasks, stores their progress, and removes the rows of jobs that ended long ago.
+// and executors, schedules tasks, and stores their progress.
 
 package org.gypsumturn.node
 
@@ -16,27 +16,21 @@
 import org.gypsumturn.batch.port.FleetUpdatePage
 import org.gypsumturn.batch.port.MachineControl
 import org.gypsumturn.batch.port.PlacementAdvisor
-import org.gypsumturn.batch.port.RowAddress
 import org.gypsumturn.batch.port.RowChanges
 import org.gypsumturn.batch.port.RowStore
-import org.gypsumturn.batch.port.RowTransaction
-import org.gypsumturn.batch.port.RowWrite
 import org.gypsumturn.batch.port.StoredRow
 import org.gypsumturn.batch.schedule.BatchScheduler
 import org.gypsumturn.batch.schedule.DecisionLog
 import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.batch.schedule.StoredRoster
 import org.gypsumturn.batch.state.JobRows
-import org.gypsumturn.batch.state.JobState
 import org.gypsumturn.batch.state.PoolRoster
-import org.gypsumturn.batch.state.ProgressRecord
 import org.gypsumturn.batch.workspace.WorkspaceStatus
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
-import org.gypsumturn.model.failureOrNull
 
 /** The services that a session calls. [machines] and [advisor] are null if none is configured. */
 public class SessionPorts(
@@ -69,6 +63,7 @@
     private val orderSender = ExecutorOrderSender(scheduler, ports.executors, ports.advisor, epoch, post)
     private val fence = ProgressFence(ports.store, epoch, post, postDelayed)
     private val progressWriter = ProgressWriter(scheduler, fence, ports.store, post)
+    private val jobIntake = JobIntake(scheduler, ports.store, settings, decisionLog, post)
     private val takeoverReader = TakeoverReader(ports.store, post, postDelayed, ::onJobsRead)
     private val machines =
         ports.machines?.let {
@@ -86,10 +81,7 @@
         }
     private val waves = LinkedHashMap<Long, UpkeepWave>()
 
-    /** Jobs whose cancellation was read before the job itself. */
-    private val earlyCancellations = HashSet<JobId>()
     private val storedRosters = HashMap<PoolId, StoredRoster>()
-    private val rowsByJob = HashMap<JobId, MutableSet<RowAddress>>()
     private var configuration: FleetConfiguration? = null
     private var jobsLoaded = false
     private var executorsLoaded = false
@@ -97,7 +89,6 @@
     private var closed = false
     private val jobFeedAge = FeedAge(MAX_COUNT_AGE_MILLIS)
     private val storeOutage = OutageLog("store lost", "store regained", "by" to "holder")
-    private var lastRemovalMillis = 0L
     private var workspacesReportedMillis = 0L
 
     /** Whether the store or an executor has shown that another process has taken the lease over. */
@@ -115,6 +106,7 @@
         reportWorkspaces(emptyList())
         orderSender.closed = true
         machines?.close()
+        jobIntake.closed = true
         takeoverReader.cancelled = true
         fence.cancelled = true
     }
@@ -134,7 +126,9 @@
     /** The state of job [id] that callers may see; null until the stored state has been read. */
     public fun jobState(id: JobId): HolderAnswer? {
         if (!ready) return null
-        return scheduler.job(id)?.let { HolderAnswer.State(it.visiblePhase, it.job.workspace) } ?: HolderAnswer.NoJob
+        val accepts = jobIntake.acceptsUnmatched
+        return scheduler.job(id)?.let { HolderAnswer.State(it.visiblePhase, it.job.workspace, accepts) }
+            ?: HolderAnswer.NoJob(accepts)
     }
 
     /**
@@ -160,19 +154,19 @@
         if (overdueMillis < 0) {
             progressWriter.writeIfDue(now.steadyMillis)
             configuration?.let { machines?.runDueWork(now, it) }
-            removeExpiredRows(now.steadyMillis)
+            jobIntake.removeExpiredRows(now.steadyMillis)
         }
     }
 
     private fun onJobsRead(stored: StoredJobs) {
         val nowMillis = NodeClock.steadyMillis()
-        val progress = stored.progressRows.associateBy { it.address.key }
-        stored.jobRows.forEach { row -> applyJobRow(nowMillis, row, progress[row.address.key], neverStarted = false) }
+        jobIntake.applyRows(nowMillis, stored.jobRows, stored.progressRows, neverStarted = false)
         logEvent(
             "jobs read",
             "epoch" to epoch,
             "jobs" to scheduler.jobs.size,
             "active" to scheduler.activeJobs.size,
+            "cancellations" to jobIntake.unmatchedCount,
             "revision" to stored.jobsRevision,
         )
         machines?.applyStoredWaves(stored.waveRows)
@@ -183,31 +177,6 @@
         becomeReadyIfLoaded()
     }
 
-    /**
-     * Applies a row of a job or of a cancellation. [neverStarted] tells that no earlier holder can have started the
-     * job, and is false for each row that was stored when this term began. The revision of the row can't tell this,
-     * since the node that accepted the job may write the row again.
-     */
-    private fun applyJobRow(nowMillis: Long, row: StoredRow, progress: StoredRow?, neverStarted: Boolean) {
-        val value = row.value ?: return
-        val cancelled = JobRows.cancelledJob(row.address)
-        rowsByJob.getOrPut(cancelled ?: JobId(row.address.key)) { HashSet(1) } += row.address
-        if (cancelled != null) {
-            if (scheduler.job(cancelled) == null) earlyCancellations += cancelled
-            scheduler.cancelJob(nowMillis, cancelled)
-            return
-        }
-        try {
-            val record = progress?.value?.let { ProgressRecord.decode(it) }
-            val revision = progress?.revision ?: Revision.ABSENT
-            val job = JobRows.decode(value)
-            scheduler.addJob(nowMillis, job, record, revision, neverStarted)
-            if (earlyCancellations.remove(job.id)) scheduler.cancelJob(nowMillis, job.id)
-        } catch (e: IllegalArgumentException) {
-            logEvent("row unreadable", "key" to row.address.key, "why" to e.message)
-        }
-    }
-
     private fun applyRosterRows(rows: List<StoredRow>) {
         rows.forEach { row ->
             val value = row.value ?: return@forEach
@@ -236,7 +205,7 @@
             is RowChanges.Known -> {
                 val nowMillis = NodeClock.steadyMillis()
                 jobFeedAge.recordAnswer(nowMillis)
-                changes.rows.forEach { applyJobRow(nowMillis, it, null, neverStarted = true) }
+                jobIntake.applyRows(nowMillis, changes.rows, neverStarted = true)
                 awaitJobChanges(changes.revision)
             }
 
@@ -252,7 +221,7 @@
     private fun onJobsReadAgain(stored: StoredJobs) {
         val nowMillis = NodeClock.steadyMillis()
         jobFeedAge.recordAnswer(nowMillis)
-        stored.jobRows.forEach { applyJobRow(nowMillis, it, null, neverStarted = true) }
+        jobIntake.applyRows(nowMillis, stored.jobRows, neverStarted = true)
         awaitJobChanges(stored.jobsRevision)
     }
 
@@ -334,40 +303,6 @@
         logEvent("session ready", "epoch" to epoch, "executors" to scheduler.executors.size)
     }
 
-    /** Removes the rows of jobs whose state is no longer kept. */
-    private fun removeExpiredRows(nowMillis: Long) {
-        if (nowMillis - lastRemovalMillis < REMOVAL_INTERVAL_MILLIS) return
-        lastRemovalMillis = nowMillis
-        val expired = scheduler.takeExpiredJobs(nowMillis, MAX_REMOVED_JOBS)
-        if (expired.isNotEmpty()) removeRows(expired)
-    }
-
-    /**
-     * Removes the rows of [jobs]. The progress of a job goes only after the job itself, since a stored job without
-     * progress would be taken for a new one.
-     */
-    private fun removeRows(jobs: List<JobState>) {
-        val groups = jobs.flatMap { rowsByJob.remove(it.job.id).orEmpty() }.groupBy { it.partition }.values
-        var open = groups.size
-        var failed = false
-        groups.forEach { rows ->
-            remove(rows) { removed ->
-                open--
-                failed = failed || !removed
-                if (open == 0 && !failed) remove(jobs.map { JobRows.progress(it.job.id) }) { }
-            }
-        }
-    }
-
-    private fun remove(rows: List<RowAddress>, onDone: (Boolean) -> Unit) {
-        val transaction = RowTransaction(emptyList(), rows.map { RowWrite(it, null) })
-        ports.store.transact(transaction, CALL_TIMEOUT_MILLIS) { verdict ->
-            // The next lease holder reads rows that are left as jobs that have ended, and removes them.
-            verdict.failureOrNull()?.let { logEvent("rows not removed", "rows" to rows.size, "why" to it.message) }
-            post { if (!closed) onDone(verdict is Verdict.Ran) }
-        }
-    }
-
     private companion object {
         /** How long a long poll waits for changes. */
         const val POLL_WAIT_MILLIS = 1_000L
@@ -378,7 +313,7 @@
         /** Callers may get a count of waiting jobs that is at most this old. */
         const val MAX_COUNT_AGE_MILLIS = 2_000L
 
-        /** Timeout of a read or a removal. */
+        /** Timeout of a read. */
         const val CALL_TIMEOUT_MILLIS = 1_500L
 
         /** Pause before a failed call is repeated. */
@@ -393,13 +328,7 @@
         /** Time that the last order of an earlier lease holder may take to reach an executor. */
         const val LEASE_SLACK_MILLIS = 200L
 
-        /** Time between two removals of rows of expired jobs. */
-        const val REMOVAL_INTERVAL_MILLIS = 2_000L
-
         /** Time between two reports of the state of the workspaces. */
         const val WORKSPACE_REPORT_MILLIS = 2_000L
-
-        /** Number of jobs whose rows are removed at once. */
-        const val MAX_REMOVED_JOBS = 40
     }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
@@ -15,8 +15,10 @@
 import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.RowWrite
 import org.gypsumturn.batch.port.StoredRow
+import org.gypsumturn.batch.state.CancellationCaller
 import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.batch.state.ProgressRecord
+import org.gypsumturn.batch.state.StoredCancellation
 import org.gypsumturn.model.Failure
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.JobId
@@ -42,11 +44,18 @@
 
 /** What the holder of the control lease knows of a job. */
 public sealed interface HolderAnswer {
+    /** Whether cancellations of jobs that are not found may be stored; otherwise the holder has too many of them. */
+    public val acceptsCancellations: Boolean
+
     /** The holder has the job of [workspace], and callers may see that it is in [phase]. */
-    public data class State(public val phase: JobPhase, public val workspace: WorkspaceId?) : HolderAnswer
+    public data class State(
+        public val phase: JobPhase,
+        public val workspace: WorkspaceId?,
+        override val acceptsCancellations: Boolean = true,
+    ) : HolderAnswer
 
     /** The holder does not have the job. It may still be stored, if the holder has not read it yet. */
-    public data object NoJob : HolderAnswer
+    public data class NoJob(override val acceptsCancellations: Boolean = true) : HolderAnswer
 }
 
 /**
@@ -54,6 +63,7 @@
  *
  * @param partition partition in which this node stores jobs and cancellations
  * @param limits limits on the jobs that are accepted
+ * @param nowMillis reads the monotonic clock
  */
 public class NodeJobRequestHandler(
     private val configuration: () -> FleetConfiguration?,
@@ -63,6 +73,7 @@
     private val partition: String,
     private val limits: JobLimits,
     private val metrics: NodeMetrics,
+    private val nowMillis: () -> Long = NodeClock::steadyMillis,
 ) : JobRequestHandler {
     override fun route(host: String, path: String): RouteResult {
         val current = configuration() ?: return RouteResult.NotConfigured
@@ -78,34 +89,85 @@
             return
         }
         val write = RowWrite(JobRows.job(job.id, partition), row)
-        commit("submit", job.id, write, deadlineMillis, CallerAnswer.Accepted, reply)
+        commit(CallerCall("submit", job.id, nowMillis(), deadlineMillis), write, CallerAnswer.Accepted, reply)
     }
 
-    override fun cancel(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
-        isKnown(id, workspace, deadlineMillis) { jobIsKnown ->
-            when (jobIsKnown) {
-                null -> reply(CallerAnswer.NotAccepted(CallerAnswer.Cause.NOT_READY, RETRY_AFTER_MILLIS))
-
-                false -> {
-                    logEvent("cancel", "job" to id, "outcome" to "no such job")
-                    reply(CallerAnswer.NoSuchJob)
+    /**
+     * Stores the cancellation also if the job is not found, since its submission may be under way at another node or in
+     * the store. In that case the holder decides whether the caller may cancel the job, once it reads the job. The
+     * answer is the same for a job that does not exist and for a job of another workspace.
+     */
+    override fun cancel(
+        queue: Queue,
+        id: JobId,
+        workspace: WorkspaceId?,
+        deadlineMillis: Long,
+        reply: (CallerAnswer) -> Unit,
+    ) {
+        val call = CallerCall("cancel", id, nowMillis(), deadlineMillis)
+        lookUp(id, workspace, deadlineMillis) { result ->
+            when (result) {
+                LookUp.Unreadable -> reply(refuse(call, CallerAnswer.Cause.NOT_READY, "a partition can't be read"))
+
+                LookUp.Found -> {
+                    val write = RowWrite(JobRows.cancellation(id, partition), StoredCancellation.CHECKED.encode())
+                    commit(call, write, CallerAnswer.CancelStored, reply)
                 }
 
-                true -> {
-                    val write = RowWrite(JobRows.cancellation(id, partition), CANCELLATION_VALUE)
-                    commit("cancel", id, write, deadlineMillis, CallerAnswer.CancelStored, reply)
-                }
+                is LookUp.NotFound -> cancelUnknown(call, CancellationCaller(queue, workspace), result, reply)
             }
         }
     }
 
-    /** Tells whether the holder knows job [id] or it is stored; null if that can't be found out. */
-    private fun isKnown(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, onResult: (Boolean?) -> Unit) {
+    private fun cancelUnknown(
+        call: CallerCall,
+        caller: CancellationCaller,
+        lookUp: LookUp.NotFound,
+        reply: (CallerAnswer) -> Unit,
+    ) {
+        logEvent(
+            "cancel without job",
+            "job" to call.id,
+            "workspace" to caller.workspace,
+            "looked_at" to lookUp.source,
+            "look_up_ms" to nowMillis() - call.startMillis,
+            "accepted" to lookUp.acceptsCancellations,
+        )
+        if (!lookUp.acceptsCancellations) {
+            reply(refuse(call, CallerAnswer.Cause.OVERLOADED, "too many cancellations without a job"))
+            return
+        }
+        val address = JobRows.cancellation(call.id, partition, caller)
+        commit(call, RowWrite(address, StoredCancellation(caller).encode()), CallerAnswer.NoSuchJob, reply)
+    }
+
+    /** Result of looking a job up, as far as the caller may know of it. */
+    private sealed interface LookUp {
+        data object Found : LookUp
+
+        /** [source] names what was looked at. */
+        class NotFound(val source: String, val acceptsCancellations: Boolean) : LookUp
+
+        data object Unreadable : LookUp
+    }
+
+    private fun lookUp(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, onResult: (LookUp) -> Unit) {
         holder.queryState(id, minOf(deadlineMillis, HOLDER_TIMEOUT_MILLIS)) { answer ->
+            val accepts = answer?.acceptsCancellations ?: true
             if (answer is HolderAnswer.State) {
-                onResult(isVisible(answer.workspace, workspace))
+                val isVisible = isVisible(answer.workspace, workspace)
+                onResult(if (isVisible) LookUp.Found else LookUp.NotFound("holder", accepts))
             } else {
-                isStored(id, workspace, deadlineMillis, onResult)
+                val source = if (answer == null) "stored rows" else "holder and stored rows"
+                isStored(id, workspace, deadlineMillis) { stored ->
+                    onResult(
+                        when (stored) {
+                            null -> LookUp.Unreadable
+                            true -> LookUp.Found
+                            false -> LookUp.NotFound(source, accepts)
+                        },
+                    )
+                }
             }
         }
     }
@@ -121,7 +183,7 @@
                     },
                 )
 
-                HolderAnswer.NoJob -> replyWithStateOfStored(id, workspace, JobPhase.QUEUED, deadlineMillis, reply)
+                is HolderAnswer.NoJob -> replyWithStateOfStored(id, workspace, JobPhase.QUEUED, deadlineMillis, reply)
 
                 null -> replyWithStoredProgress(id, workspace, deadlineMillis, reply)
             }
@@ -213,35 +275,43 @@
         }
     }
 
-    private fun commit(
-        call: String,
-        id: JobId,
-        write: RowWrite,
-        deadlineMillis: Long,
-        success: CallerAnswer,
-        reply: (CallerAnswer) -> Unit,
-    ) {
-        val startMillis = NodeClock.steadyMillis()
-        committer.commit(write, startMillis + deadlineMillis - replyMarginMillis(deadlineMillis)) { verdict ->
+    /** A request about job [id] that arrived at [startMillis] and whose caller waits for [deadlineMillis]. */
+    private class CallerCall(val name: String, val id: JobId, val startMillis: Long, val deadlineMillis: Long)
+
+    /**
+     * Stores [write] and replies with [success] once it is stored. The write is repeated for almost as long as the
+     * caller waits, but never for longer than [MAX_COMMIT_MILLIS], so that a cancellation outlives it. A look-up before
+     * it does not shorten this time, since a cancellation is of use also if its answer comes too late.
+     */
+    private fun commit(call: CallerCall, write: RowWrite, success: CallerAnswer, reply: (CallerAnswer) -> Unit) {
+        val timeoutMillis = minOf(call.deadlineMillis - replyMarginMillis(call.deadlineMillis), MAX_COMMIT_MILLIS)
+        committer.commit(write, nowMillis() + timeoutMillis) { verdict ->
             val answer = when (verdict) {
                 is Verdict.Ran -> success
                 is Verdict.MayHaveRun -> CallerAnswer.Unknown
                 is Verdict.NotRun -> CallerAnswer.NotAccepted(causeOf(verdict.failure), RETRY_AFTER_MILLIS)
             }
-            val tookMillis = NodeClock.steadyMillis() - startMillis
-            logEvent(
-                call,
-                "job" to id,
-                "outcome" to answer.javaClass.simpleName,
-                "why" to verdict.failureOrNull()?.message,
-                "config" to configuration()?.version,
-                "took_ms" to tookMillis,
-            )
-            metrics.recordAnswer(call, answer, tookMillis)
+            record(call, answer, verdict.failureOrNull()?.message)
             reply(answer)
         }
     }
 
+    private fun refuse(call: CallerCall, cause: CallerAnswer.Cause, reason: String): CallerAnswer =
+        CallerAnswer.NotAccepted(cause, RETRY_AFTER_MILLIS).also { record(call, it, reason) }
+
+    private fun record(call: CallerCall, answer: CallerAnswer, reason: String?) {
+        val tookMillis = nowMillis() - call.startMillis
+        logEvent(
+            call.name,
+            "job" to call.id,
+            "outcome" to answer.javaClass.simpleName,
+            "why" to reason,
+            "config" to configuration()?.version,
+            "took_ms" to tookMillis,
+        )
+        metrics.recordAnswer(call.name, answer, tookMillis)
+    }
+
     private fun replyMarginMillis(deadlineMillis: Long) =
         minOf(MAX_REPLY_MARGIN_MILLIS, deadlineMillis / REPLY_MARGIN_DIVISOR)
 
@@ -249,12 +319,17 @@
         if (failure.kind == FailureKind.OVERLOADED) CallerAnswer.Cause.OVERLOADED else CallerAnswer.Cause.NOT_READY
 
     private companion object {
-        val CANCELLATION_VALUE = "{}".encodeToByteArray()
-
         /** Time before a caller's deadline that is left for the reply: this, or the deadline divided by the divisor. */
         const val MAX_REPLY_MARGIN_MILLIS = 100L
         const val REPLY_MARGIN_DIVISOR = 5
 
+        /**
+         * Longest time for which a write is repeated, whatever deadline the caller sends. Cancellations of jobs that
+         * are not known are kept for [org.gypsumturn.batch.schedule.SchedulerSettings.endedJobKeptMillis], which is
+         * more than 30 s and so leaves time for a store that performs a write late.
+         */
+        const val MAX_COMMIT_MILLIS = 10_000L
+
         /** Timeout of reading one row. */
         const val READ_TIMEOUT_MILLIS = 1_000L
 
--- a/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
@@ -27,7 +27,11 @@
 
 /** The answer to a query for a job of [workspace]. [phase] is null if the lease holder does not have the job. */
 @Serializable
-private class JobAnswer(val phase: JobPhase? = null, val workspace: WorkspaceId? = null)
+private class JobAnswer(
+    val phase: JobPhase? = null,
+    val workspace: WorkspaceId? = null,
+    val acceptsCancellations: Boolean = true,
+)
 
 /** The answer to a query for the number of jobs that have not been started. */
 @Serializable
@@ -59,7 +63,10 @@
     override fun queryState(id: JobId, timeoutMillis: Long, reply: (HolderAnswer?) -> Unit) {
         askHolder({ local.queryJobState(id, reply) }, "$JOB_PATH_PREFIX$id", timeoutMillis, { reply(null) }) { answer ->
             val job = json.decodeFromString(JobAnswer.serializer(), answer.body.decodeToString())
-            reply(job.phase?.let { HolderAnswer.State(it, job.workspace) } ?: HolderAnswer.NoJob)
+            reply(
+                job.phase?.let { HolderAnswer.State(it, job.workspace, job.acceptsCancellations) }
+                    ?: HolderAnswer.NoJob(job.acceptsCancellations),
+            )
         }
     }
 
@@ -127,8 +134,8 @@
     }
 
     private fun jobAnswerOf(answer: HolderAnswer): JobAnswer = when (answer) {
-        is HolderAnswer.State -> JobAnswer(answer.phase, answer.workspace)
-        HolderAnswer.NoJob -> JobAnswer()
+        is HolderAnswer.State -> JobAnswer(answer.phase, answer.workspace, answer.acceptsCancellations)
+        is HolderAnswer.NoJob -> JobAnswer(acceptsCancellations = answer.acceptsCancellations)
     }
 
     private fun <T> okAnswer(serializer: KSerializer<T>, value: T) =
--- a/node/src/test/kotlin/org/gypsumturn/node/MemoryRowStore.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/MemoryRowStore.kt
@@ -25,6 +25,9 @@
     val rows = LinkedHashMap<RowAddress, StoredRow>()
     var failureMode = StoreFailureMode.NONE
     var callCount = 0
+
+    /** Whether transactions are refused while reads are served. */
+    var refusesWrites = false
     private var revision = 0L
 
     override fun transact(
@@ -32,6 +35,7 @@
         timeoutMillis: Long,
         onVerdict: VerdictCallback<TransactionOutcome>,
     ) {
+        if (refusesWrites) return onVerdict(Verdict.NotRun(Failure(FailureKind.NOT_READY, "status 503")))
         answerOrFail(onVerdict) {
             val conditionsHold = transaction.conditions.all {
                 (rows[it.address]?.revision ?: Revision.ABSENT) == it.revision
--- a/node/src/test/kotlin/org/gypsumturn/node/NodeJobRequestHandlerTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/NodeJobRequestHandlerTest.kt
@@ -3,7 +3,10 @@
 package org.gypsumturn.node
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.gypsumturn.batch.desk.CallerAnswer
 import org.gypsumturn.batch.desk.RouteResult
@@ -21,8 +24,12 @@
 import org.gypsumturn.batch.model.queueId
 import org.gypsumturn.batch.port.RowTransaction
 import org.gypsumturn.batch.port.RowWrite
+import org.gypsumturn.batch.port.StoredRow
+import org.gypsumturn.batch.schedule.SchedulerSettings
+import org.gypsumturn.batch.state.CancellationCaller
 import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.batch.state.ProgressRecord
+import org.gypsumturn.batch.state.StoredCancellation
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.WorkspaceId
@@ -33,7 +40,10 @@
     private val job =
         BatchJob(JobId("00c0ffee00c0ffee"), "h", "/q/", "", listOf(Step(1, ResourceAmounts(500))), workspace = own)
 
+    private val queue = Queue(job.queue, "h", "/q/", PoolId("p"), 0, 1, 1.0, 0, 3_000, null)
+
     private val store = MemoryRowStore()
+    private val actions = ArrayList<() -> Unit>()
     private var holderAnswer: HolderAnswer? = null
     private var configuration: FleetConfiguration? = null
     private val holder = object : HolderQueries {
@@ -51,6 +61,15 @@
         NodeMetrics(PrometheusRegistry()),
     )
 
+    @BeforeEach
+    fun reset() {
+        store.rows.clear()
+        store.failureMode = StoreFailureMode.NONE
+        store.refusesWrites = false
+        holderAnswer = null
+        actions.clear()
+    }
+
     private fun put(vararg writes: RowWrite) {
         store.transact(RowTransaction(emptyList(), writes.toList()), 1_000) { }
     }
@@ -65,7 +84,7 @@
 
     private fun cancelFor(caller: WorkspaceId?): CallerAnswer {
         lateinit var answer: CallerAnswer
-        handler.cancel(job.id, caller, 1_000) { answer = it }
+        handler.cancel(queue, job.id, caller, 1_000) { answer = it }
         return answer
     }
 
@@ -74,7 +93,7 @@
     fun `a job of another workspace does not exist for a caller, whoever tells of it`() {
         storeJob()
         val progress = ProgressRecord(JobPhase.RUNNING).encode()
-        listOf(HolderAnswer.State(JobPhase.RUNNING, own), HolderAnswer.NoJob, null).forEach { answer ->
+        listOf(HolderAnswer.State(JobPhase.RUNNING, own), HolderAnswer.NoJob(), null).forEach { answer ->
             holderAnswer = answer
             stateFor(other) shouldBe CallerAnswer.NoSuchJob
             cancelFor(other) shouldBe CallerAnswer.NoSuchJob
@@ -88,7 +107,7 @@
         storeJob()
         holderAnswer = HolderAnswer.State(JobPhase.RUNNING, own)
         stateFor(own) shouldBe CallerAnswer.State(JobPhase.RUNNING)
-        holderAnswer = HolderAnswer.NoJob
+        holderAnswer = HolderAnswer.NoJob()
         stateFor(own) shouldBe CallerAnswer.State(JobPhase.QUEUED)
         holderAnswer = null
         put(RowWrite(JobRows.progress(job.id), ProgressRecord(JobPhase.COMPLETED).encode()))
@@ -116,4 +135,87 @@
         (handler.route("h", "/q/1") as RouteResult.Found).workspaces shouldBe directory
         (handler.route("h", "/open/1") as RouteResult.Found).workspaces shouldBe null
     }
+
+    private fun cancellationsOf(caller: WorkspaceId?): List<StoredRow> {
+        val address = JobRows.cancellation(job.id, JobRows.partitions.first(), CancellationCaller(queue, caller))
+        return store.rows.values.filter { it.address == address }
+    }
+
+    // Guards against: a caller learns from the answer, or from what is stored, that another workspace has a job.
+    @Test
+    fun `a cancellation is handled alike for an unknown job and for a job of another workspace`() {
+        listOf(HolderAnswer.NoJob(), HolderAnswer.State(JobPhase.RUNNING, own)).forEach { answer ->
+            store.rows.clear()
+            holderAnswer = answer
+            cancelFor(other) shouldBe CallerAnswer.NoSuchJob
+            val row = cancellationsOf(other).single()
+            StoredCancellation.decode(row.value!!).appliesTo(job) shouldBe false
+        }
+    }
+
+    // Guards against: a caller replaces the cancellation of another one by its own, which does not apply to the job.
+    @Test
+    fun `cancellations of an unknown job by several callers are stored side by side`() {
+        holderAnswer = HolderAnswer.NoJob()
+        listOf(own, other, null).forEach { cancelFor(it) shouldBe CallerAnswer.NoSuchJob }
+        store.rows.size shouldBe 3
+        listOf(own to true, other to false, null to true).forEach { (caller, applies) ->
+            StoredCancellation.decode(cancellationsOf(caller).single().value!!).appliesTo(job) shouldBe applies
+        }
+    }
+
+    // Guards against: 410 on the strength of a look-up alone, while the job is on its way.
+    @Test
+    fun `a cancellation is answered only once it is stored`() {
+        listOf(HolderAnswer.NoJob(), HolderAnswer.State(JobPhase.RUNNING, other), null).forEach { answer ->
+            holderAnswer = answer
+            store.failureMode = StoreFailureMode.REFUSES
+            cancelFor(own).shouldBeInstanceOf<CallerAnswer.NotAccepted>()
+            store.failureMode = StoreFailureMode.NONE
+            store.refusesWrites = true
+            cancelFor(own).shouldBeInstanceOf<CallerAnswer.NotAccepted>()
+            store.refusesWrites = false
+        }
+    }
+
+    // Guards against: requests to cancel unknown jobs fill the memory of the holder and the store.
+    @Test
+    fun `a holder with too many cancellations without a job accepts only those of known jobs`() {
+        val rejected = CallerAnswer.NotAccepted(CallerAnswer.Cause.OVERLOADED, 1_000)
+        holderAnswer = HolderAnswer.NoJob(acceptsCancellations = false)
+        cancelFor(own) shouldBe rejected
+        holderAnswer = HolderAnswer.State(JobPhase.RUNNING, other, acceptsCancellations = false)
+        cancelFor(own) shouldBe rejected
+        store.rows.size shouldBe 0
+        holderAnswer = HolderAnswer.State(JobPhase.RUNNING, own, acceptsCancellations = false)
+        cancelFor(own) shouldBe CallerAnswer.CancelStored
+    }
+
+    // Guards against: a node writes a job for as long as its caller says, and outlives the cancellation of the job.
+    @Test
+    fun `a write is not repeated for longer than a cancellation is certain to be kept`() {
+        var nowMillis = 0L
+        val answers = ArrayList<CallerAnswer>()
+        val patient = handlerWithClock { nowMillis }
+        store.failureMode = StoreFailureMode.SILENT
+        patient.submit(queue, job, 3_600_000, answers::add)
+        while (answers.isEmpty()) {
+            nowMillis += 100
+            actions.toList().also { actions.clear() }.forEach { it() }
+        }
+        answers.single() shouldBe CallerAnswer.Unknown
+        nowMillis shouldBeLessThanOrEqual 10_000
+        nowMillis shouldBeLessThan SchedulerSettings(5_000, 6_000, statusSeconds = 1).endedJobKeptMillis / 2
+    }
+
+    private fun handlerWithClock(nowMillis: () -> Long) = NodeJobRequestHandler(
+        { configuration },
+        store,
+        holder,
+        JobCommitter(store, { false }, { _, action -> actions += action }, nowMillis),
+        JobRows.partitions.first(),
+        JobLimits(65_536),
+        NodeMetrics(PrometheusRegistry()),
+        nowMillis,
+    )
 }
