--- a/node/src/test/kotlin/org/gypsumturn/node/CancellationModelTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/CancellationModelTest.kt
@@ -1,5 +1,6 @@
-// Random orders of submissions and cancellations of the same jobs, with lost and late writes, takeovers and a store that
-// discards its history. The request handlers, the takeover reader and the intake of the lease holder are the real ones.
+// Random orders of submissions and cancellations of the same jobs, with lost and late writes, takeovers and a store
+// that discards its history. The request handlers, the takeover reader and the intake of the lease holder are the real
+// ones.
 
 package org.gypsumturn.node
 
@@ -187,7 +188,11 @@
                 val state = term.scheduler.job(job.spec.id) ?: return@forEach
                 val isCancelled = state.phase == JobPhase.CANCELLED
                 val mustBe = job.cancelledMillis?.let { it < answeredBeforeMillis } == true
-                if (mustBe && !isCancelled) breaches += "$moment: ${job.spec.id} is ${state.phase} after its cancellation"
+                if (mustBe &&
+                    !isCancelled
+                ) {
+                    breaches += "$moment: ${job.spec.id} is ${state.phase} after its cancellation"
+                }
                 if (isCancelled && !job.wasCancelledByOwner) breaches += "$moment: nobody has cancelled ${job.spec.id}"
             }
         }
--- a/node/src/test/kotlin/org/gypsumturn/node/LossyRowStore.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/LossyRowStore.kt
@@ -1,5 +1,5 @@
-// A store in virtual time whose answers may be lost. A write without an answer takes effect at once, some seconds later,
-// or never.
+// A store in virtual time whose answers may be lost. A write without an answer takes effect at once, some seconds
+// later, or never.
 
 package org.gypsumturn.node
 
