--- a/jobs/src/main/kotlin/org/gypsumturn/jobs/JobAcceptance.kt
+++ b/jobs/src/main/kotlin/org/gypsumturn/jobs/JobAcceptance.kt
@@ -26,7 +26,8 @@
  * @property cancelled jobs that ended because of this call
  * @property requested jobs that may be running and that their owner will stop
  * @property alreadyFinal jobs that had already ended
- * @property unknown ids without a job
+ * @property unknown ids without a job; nothing is stored for them, so that a submission that is still under way may
+ * create the job, and the call has to be repeated
  */
 public data class CancelledJobs(
     public val cancelled: Int,
