Keep the progress of a job within its row

Cause: the limits on accepted jobs reckoned with done tasks as sets of bits, but a step was stored as a list up to 2,000 tasks. Failed attempts took 20 bytes each, and occurrences under way were bounded by memory alone.

Change: each step is stored as a list or as a set of bits, whichever is shorter. More than 200 attempts of a job are packed by step. ProgressSize gives upper bounds from the encoding: a job is accepted if the row holds all of its done tasks and the attempts of one task, or gang, that is run to its end; occurrences are added while a fifth of the row is free; a task is started if the row holds one attempt more for each run under way. Where it does not, tasks with stored attempts go first, one at a time. Jobs of up to about 500 tasks are never held back.

Its expectation changed: 750 occurrences of 400 tasks were to be under way, whose progress does not fit; it now expects as many as fit and checks the size of the row with half of the tasks done.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/model/JobLimits.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/model/JobLimits.kt
@@ -3,6 +3,8 @@
 
 package org.gypsumturn.batch.model
 
+import org.gypsumturn.batch.state.ProgressSize
+
 /** Limits for a store whose rows hold values of at most [maxRowBytes] bytes. */
 public class JobLimits(private val maxRowBytes: Int) {
     /** Most tasks of one occurrence, and most occurrences. */
@@ -10,9 +12,9 @@
 
     /**
      * Returns which limit [job], whose row has [rowBytes] bytes, exceeds, in words for the caller; null if it exceeds
-     * none.
+     * none. A job fails with [maxAttempts] failures of a task.
      */
-    public fun exceededBy(job: BatchJob, rowBytes: Int): String? = when {
+    public fun exceededBy(job: BatchJob, rowBytes: Int, maxAttempts: Int): String? = when {
         job.steps.size > MAX_STEPS -> "the job has ${job.steps.size} steps; the limit is $MAX_STEPS"
 
         job.tasksPerOccurrence > maxTasks ->
@@ -22,7 +24,9 @@
 
         rowBytes > maxRowBytes -> "the job takes $rowBytes bytes in the store; the limit is $maxRowBytes"
 
-        else -> null
+        else -> ProgressSize(job).requiredBytes(maxAttempts).takeIf { it > maxRowBytes }?.let { bytes ->
+            "the progress of the job may take $bytes bytes in the store; the limit is $maxRowBytes"
+        }
     }
 
     private companion object {
@@ -32,7 +36,7 @@
         /** Encoded as a set of bits, this many tasks that are done take one byte of the row of the progress. */
         const val TASKS_PER_ROW_BYTE = 6
 
-        /** Several occurrences may be under way at once, and the row has more than the tasks that are done. */
+        /** The row has more than the tasks that are done: steps, and attempts that have failed. */
         const val PARTS_OF_PROGRESS_ROW = 4
     }
 }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -43,7 +43,7 @@
     stepOrder: StepOrder? = null,
 ) {
     private val usage = WorkspaceUsage()
-    private val jobRegistry = JobRegistry(epoch, usage, ::markPoolStale)
+    private val jobRegistry = JobRegistry(epoch, usage, settings.maxProgressBytes, ::markPoolStale)
     private val registry = ExecutorRegistry(settings, epoch, log)
     private val controlLease = ControlLeaseView(epoch, log)
     private val recovery = TakeoverRecovery()
@@ -62,7 +62,17 @@
         OverloadOrder.COST -> orderByCost { id -> ledger[id]?.weight }
     }
     private val starter =
-        TaskStarter(epoch, adviceCache, registry, crashAttribution, ::markChanged, log, order, ledger)
+        TaskStarter(
+            epoch,
+            adviceCache,
+            registry,
+            crashAttribution,
+            ::markChanged,
+            log,
+            order,
+            ledger,
+            settings.maxProgressBytes,
+        )
     private val placer = WaitingTaskPlacer(jobRegistry, queues, rosters, recovery, starter)
     private val runMover = RunMover(this, registry, faultDetector, log)
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobRegistry.kt
@@ -32,6 +32,7 @@
 internal class JobRegistry(
     private val epoch: Epoch,
     private val usage: WorkspaceUsage = WorkspaceUsage(),
+    private val maxProgressBytes: Int = SchedulerSettings.DEFAULT_MAX_PROGRESS_BYTES,
     private val onWaitingTasks: (JobState) -> Unit,
 ) {
     private val jobsById = HashMap<JobId, JobState>()
@@ -141,8 +142,11 @@
      * Whether a further occurrence of [job] may be placed and stored with those in memory. Long-running ones do not
      * end, so that others can't wait for them.
      */
-    private fun hasPlaceFor(job: JobState): Boolean =
-        job.longRunning || job.occurrences.size < SchedulerSettings.MAX_OCCURRENCES_IN_MEMORY
+    private fun hasPlaceFor(job: JobState): Boolean = job.longRunning || job.occurrences.isEmpty() ||
+        (
+            job.occurrences.size < SchedulerSettings.MAX_OCCURRENCES_IN_MEMORY &&
+                job.progressSize.mayBeUnderWay(job.occurrences.size + 1, maxProgressBytes.toLong())
+            )
 
     private fun addDeferredOccurrences() {
         deferredJobs.filter(::hasMemoryFor).forEach { job ->
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
@@ -17,6 +17,7 @@
  * @property outageSettleMillis time within which executors write their entries again after an outage of the store
  * @property stopMillis longest time that stopping a run takes
  * @property overloadOrder what waits while a pool has too little capacity
+ * @property maxProgressBytes largest value of the row in which the progress of a job is stored
  */
 public data class SchedulerSettings(
     public val leaseMillis: Long,
@@ -25,11 +26,15 @@
     public val outageSettleMillis: Long = 2_000,
     public val stopMillis: Long = 900,
     public val overloadOrder: OverloadOrder = OverloadOrder.PLAN,
+    public val maxProgressBytes: Int = DEFAULT_MAX_PROGRESS_BYTES,
 ) {
     /** Time for which the state of an ended job is kept. */
     public val endedJobKeptMillis: Long get() = statusSeconds * MILLIS_PER_SECOND + EXPIRY_SLACK_MILLIS
 
     public companion object {
+        /** Largest value of a row by the default of the setting `max_row_bytes`. */
+        public const val DEFAULT_MAX_PROGRESS_BYTES: Int = 65_536
+
         /** The epoch of the first holder, before which nothing was started. */
         public const val FIRST_EPOCH: Long = 1
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -38,6 +38,7 @@
     private val log: DecisionLog,
     private val stepOrder: StepOrder,
     private val ledger: WorkspaceLedger,
+    private val maxProgressBytes: Int,
 ) {
     /** Length of the lease that start orders give from now on. */
     var leaseMillis = 0L
@@ -63,9 +64,9 @@
             val reservedSize = open.step.reservedSize
             if (open.queue.advice != null) {
                 // The step may be allowed on few executors only, so a lack of capacity there says nothing about others.
-                placeStep(nowMillis, open.step, adviceCache.allowedExecutors(nowMillis, open, candidates), ArrayList())
+                placeStep(nowMillis, open, adviceCache.allowedExecutors(nowMillis, open, candidates), ArrayList())
             } else if (unplaceableSizes.none { it.fitsInto(reservedSize) }) {
-                placeStep(nowMillis, open.step, candidates, unplaceableSizes)
+                placeStep(nowMillis, open, candidates, unplaceableSizes)
             }
         }
     }
@@ -111,12 +112,15 @@
 
     private fun placeStep(
         nowMillis: Long,
-        step: StepState,
+        open: WaitingStep,
         candidates: List<ExecutorState>,
         unplaceableSizes: MutableList<ResourceAmounts>,
     ) {
+        val step = open.step
         if (step.job.phase.ended) return
-        val waiting = step.tasks.filter { it.needsRun(nowMillis) }
+        val room = step.job.progressSize.roomForRuns(step.job, open.queue.maxAttempts, maxProgressBytes.toLong())
+        val all = step.tasks.filter { it.needsRun(nowMillis) }
+        val waiting = if (room < all.size) tasksInRoom(step, all, room) else all
         waiting.firstOrNull { it.runs.isEmpty() && crashAttribution.isExhausted(it) }?.let { exhausted ->
             crashAttribution.giveUp(nowMillis, exhausted)
             return
@@ -139,6 +143,24 @@
         }
     }
 
+    /**
+     * The tasks among [waiting] that may be started while only [room] further attempts of the job are certain to find
+     * room in its progress. Those with stored attempts come first, since these go when the task is done. Without any
+     * room the task with the most attempts, or the gang, is run to its end alone, beside long-running tasks at most.
+     */
+    private fun tasksInRoom(step: StepState, waiting: List<Task>, room: Long): List<Task> {
+        val isAlone = step.job.occurrences.values.all { occurrence ->
+            occurrence.steps.all { it.runCount == 0 || it.step.longRunning }
+        }
+        val first = waiting.sortedByDescending { it.failedAttempts.size + it.crashes.total }
+        return when {
+            step.step.gang -> if (isAlone || waiting.size <= room) waiting else emptyList()
+            room > 0 -> first.take(room.toInt())
+            isAlone -> first.take(1)
+            else -> emptyList()
+        }
+    }
+
     /**
      * Chooses an executor on which no run of [task] is left. Executors on which it has failed are used only if no other
      * has capacity, and never for a copy.
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/JobStates.kt
@@ -346,6 +346,12 @@
 
     public val longRunning: Boolean = job.steps.any { it.longRunning }
 
+    /** Number of tasks of one occurrence. */
+    public val tasksPerOccurrence: Long = job.tasksPerOccurrence
+
+    /** Upper bounds on the size of its stored progress. */
+    public val progressSize: ProgressSize = ProgressSize(job)
+
     /** Returns all runs of all tasks. */
     public fun runs(): List<Run> = occurrences.values.flatMap { it.steps }.flatMap { it.tasks }.flatMap { it.runs }
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
@@ -10,8 +10,13 @@
 import java.util.Base64
 import java.util.BitSet
 
-/** Longer lists of numbers are stored as a set of bits. */
-private const val MAX_LISTED_NUMBERS = 2_000
+/** Most attempts that are stored as plain lists; more are packed. Earlier versions read only the plain lists. */
+private const val MAX_LISTED_ATTEMPTS = 200
+
+/** Bits in a byte, and the characters in which base64 writes a group of bytes. */
+private const val BITS_PER_BYTE = 8
+private const val BASE64_GROUP_BYTES = 3
+private const val BASE64_GROUP_CHARACTERS = 4
 
 private val json = Json {
     ignoreUnknownKeys = true
@@ -28,8 +33,11 @@
  * @property crashCleared numbers of the attempts whose executor crashed for another cause
  * @property unresolved numbers of the attempts that may have crashed their executor
  * @property completed numbers of the complete occurrences
- * @property doneBits the done tasks of steps of which many are done, by `occurrence.step`, as a set of bits in base64
- * @property completedBits the complete occurrences if these are many, likewise
+ * @property doneBits the done tasks of the other steps, by `occurrence.step`, as a set of bits in base64. Each step is
+ * stored in the shorter of the two forms
+ * @property completedBits the complete occurrences if that is shorter, likewise
+ * @property packed the attempts of all lists if these are many: the name of the list, `occurrence.step` and the
+ * attempts as [packAttempts] writes them
  */
 @Serializable
 public data class ProgressRecord(
@@ -42,6 +50,7 @@
     public val unresolved: Map<String, List<Long>> = emptyMap(),
     public val doneBits: Map<String, String> = emptyMap(),
     public val completedBits: String = "",
+    public val packed: Map<String, Map<String, String>> = emptyMap(),
 ) {
     /** Encodes the record as the value of its row. */
     public fun encode(): ByteArray = json.encodeToString(serializer(), this).encodeToByteArray()
@@ -66,22 +75,51 @@
             if (numbers.isNotEmpty()) done["${occurrence.number}.${step.index}"] = numbers
         }
     }
-    val (long, short) = done.entries.partition { it.value.size > MAX_LISTED_NUMBERS }
+    val (asBits, listed) = done.entries.partition { isShorterAsBits(it.value) }
     val completed = job.completedOccurrences.toList()
-    val hasManyCompleted = completed.size > MAX_LISTED_NUMBERS
+    val completedAsBits = isShorterAsBits(completed)
+    val lists = ATTEMPT_LISTS.mapValues { (_, list) -> attemptsByTask(job, list.of) }
+    val isPacked = lists.values.sumOf { list -> list.values.sumOf { it.size } } > MAX_LISTED_ATTEMPTS
+    fun plain(name: String) = if (isPacked) emptyMap() else lists.getValue(name).mapKeys { placeOf(it.key) }
     return ProgressRecord(
         job.phase,
-        short.associate { it.key to it.value },
-        attemptsByTask(job) { it.failedAttempts },
-        if (hasManyCompleted) emptyList() else completed,
-        attemptsByTask(job) { it.crashes.atStart },
-        attemptsByTask(job) { it.crashes.cleared },
-        attemptsByTask(job) { it.crashes.unresolved },
-        long.associate { it.key to encodeBits(it.value) },
-        if (hasManyCompleted) encodeBits(completed) else "",
+        listed.associate { it.key to it.value },
+        plain("failed"),
+        if (completedAsBits) emptyList() else completed,
+        plain("crashedAtStart"),
+        plain("crashCleared"),
+        plain("unresolved"),
+        asBits.associate { it.key to encodeBits(it.value) },
+        if (completedAsBits) encodeBits(completed) else "",
+        if (isPacked) lists.mapValues { packByStep(it.value) }.filterValues { it.isNotEmpty() } else emptyMap(),
     )
 }
 
+/** A list of attempts that is stored for each task: [of] returns it and [add] adds to it. */
+private class AttemptList(val of: (Task) -> Set<Long>, val add: (Task, List<Long>) -> Unit)
+
+/** The lists by the names under which they are stored. */
+private val ATTEMPT_LISTS = mapOf(
+    "failed" to AttemptList({ it.failedAttempts }) { task, attempts -> task.failedAttempts += attempts },
+    "crashedAtStart" to AttemptList({ it.crashes.atStart }) { task, attempts -> task.crashes.atStart += attempts },
+    "crashCleared" to AttemptList({ it.crashes.cleared }) { task, attempts -> task.crashes.cleared += attempts },
+    "unresolved" to AttemptList({ it.crashes.unresolved }) { task, attempts -> task.crashes.unresolved += attempts },
+)
+
+private fun placeOf(task: Task) = "${task.step.occurrence}.${task.step.index}.${task.index}"
+
+private fun packByStep(attempts: Map<Task, List<Long>>): Map<String, String> =
+    attempts.entries.groupBy { "${it.key.step.occurrence}.${it.key.step.index}" }
+        .mapValues { (_, tasks) -> packAttempts(tasks.associate { it.key.index to it.value }) }
+
+/** Whether [numbers], which are not negative, take fewer characters as a set of bits than as a list. */
+private fun isShorterAsBits(numbers: List<Int>): Boolean {
+    val highest = numbers.maxOrNull() ?: return false
+    val bytes = highest / BITS_PER_BYTE + 1
+    val bitCharacters = (bytes + BASE64_GROUP_BYTES - 1) / BASE64_GROUP_BYTES * BASE64_GROUP_CHARACTERS
+    return bitCharacters < numbers.sumOf { it.toString().length + 1 }
+}
+
 private fun encodeBits(numbers: List<Int>): String {
     val bits = BitSet()
     numbers.forEach(bits::set)
@@ -92,13 +130,13 @@
     BitSet.valueOf(Base64.getDecoder().decode(text)).stream().toArray().toList()
 
 /**
- * The attempts that [attemptsOf] selects, by `occurrence.step.index` of their task. Tasks without any are left out, and
- * tasks that are done, since they are not started again.
+ * The attempts that [attemptsOf] selects, by task. Tasks without any are left out, and tasks that are done, since they
+ * are not started again.
  */
-private fun attemptsByTask(job: JobState, attemptsOf: (Task) -> Set<Long>): Map<String, List<Long>> =
+private fun attemptsByTask(job: JobState, attemptsOf: (Task) -> Set<Long>): Map<Task, List<Long>> =
     job.occurrences.values.flatMap { it.steps }.flatMap { it.tasks }
         .filter { !it.done && attemptsOf(it).isNotEmpty() }
-        .associate { "${it.step.occurrence}.${it.step.index}.${it.index}" to attemptsOf(it).toList() }
+        .associateWith { attemptsOf(it).toList() }
 
 /** Applies the stored [record] to [job], and adds the occurrences that the record names. */
 public fun applyProgress(job: JobState, record: ProgressRecord, nowMillis: Long) {
@@ -113,24 +151,30 @@
             task?.markDone()
         }
     }
-    applyAttempts(job, record.failed, nowMillis) { task, attempts -> task.failedAttempts += attempts }
-    applyAttempts(job, record.crashedAtStart, nowMillis) { task, attempts -> task.crashes.atStart += attempts }
-    applyAttempts(job, record.crashCleared, nowMillis) { task, attempts -> task.crashes.cleared += attempts }
-    applyAttempts(job, record.unresolved, nowMillis) { task, attempts -> task.crashes.unresolved += attempts }
+    val plain = mapOf(
+        "failed" to record.failed,
+        "crashedAtStart" to record.crashedAtStart,
+        "crashCleared" to record.crashCleared,
+        "unresolved" to record.unresolved,
+    )
+    ATTEMPT_LISTS.forEach { (name, list) ->
+        plain.getValue(name).forEach { (place, attempts) ->
+            val (occurrence, step, index) = place.split('.').map { it.toInt() }
+            applyAttempts(job, TaskName(job.job.id, occurrence, step, index), attempts, nowMillis, list)
+        }
+        record.packed[name].orEmpty().forEach { (place, text) ->
+            val (occurrence, step) = place.split('.').map { it.toInt() }
+            unpackAttempts(text).forEach { (index, attempts) ->
+                applyAttempts(job, TaskName(job.job.id, occurrence, step, index), attempts, nowMillis, list)
+            }
+        }
+    }
 }
 
-private fun applyAttempts(
-    job: JobState,
-    attemptsByTask: Map<String, List<Long>>,
-    nowMillis: Long,
-    apply: (Task, List<Long>) -> Unit,
-) {
-    attemptsByTask.forEach { (place, attempts) ->
-        val (occurrence, step, index) = place.split('.').map { it.toInt() }
-        val task = job.findOrAddTask(TaskName(job.job.id, occurrence, step, index), nowMillis) ?: return@forEach
-        apply(task, attempts)
-        task.highestAttempt = maxOf(task.highestAttempt, attempts.max())
-    }
+private fun applyAttempts(job: JobState, name: TaskName, attempts: List<Long>, nowMillis: Long, list: AttemptList) {
+    val task = job.findOrAddTask(name, nowMillis) ?: return
+    list.add(task, attempts)
+    task.highestAttempt = maxOf(task.highestAttempt, attempts.max())
 }
 
 /**
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LargeJobsTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LargeJobsTest.kt
@@ -31,16 +31,16 @@
     // Guards against: a job whose tasks take more memory than the holder has is accepted.
     @Test
     fun `jobs beyond a limit are rejected with the reason`() {
-        limits.exceededBy(job(1, step(count = 1_000_000)), 100) shouldBe
+        limits.exceededBy(job(1, step(count = 1_000_000)), 100, 3) shouldBe
             "the steps of the job have 1000000 tasks; the limit is 98304"
-        limits.exceededBy(job(1, step(count = Int.MAX_VALUE), step(count = Int.MAX_VALUE)), 100) shouldBe
+        limits.exceededBy(job(1, step(count = Int.MAX_VALUE), step(count = Int.MAX_VALUE)), 100, 3) shouldBe
             "the steps of the job have 4294967294 tasks; the limit is 98304"
-        limits.exceededBy(job(1, *Array(1_001) { step() }), 100) shouldBe "the job has 1001 steps; the limit is 1000"
-        limits.exceededBy(job(1, step()).copy(repeats = Int.MAX_VALUE), 100) shouldBe
+        limits.exceededBy(job(1, *Array(1_001) { step() }), 100, 3) shouldBe "the job has 1001 steps; the limit is 1000"
+        limits.exceededBy(job(1, step()).copy(repeats = Int.MAX_VALUE), 100, 3) shouldBe
             "the job has 2147483647 occurrences; the limit is 98304"
-        limits.exceededBy(job(1, step()), 65_537) shouldBe
+        limits.exceededBy(job(1, step()), 65_537, 3) shouldBe
             "the job takes 65537 bytes in the store; the limit is 65536"
-        limits.exceededBy(job(1, step(count = 98_304)), 65_536) shouldBe null
+        limits.exceededBy(job(1, step(count = 98_304)), 65_536, 3) shouldBe null
     }
 
     // Guards against: a job that an older version has stored ends each holder in turn, and no job is run any more.
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/RepeatedJobsTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/RepeatedJobsTest.kt
@@ -144,7 +144,7 @@
             earlier.completedOccurrences += (0 until 90_000) + (90_000 until 98_304).filter { random.nextInt(3) == 0 }
             val registry = JobRegistry(Epoch(2)) { }
             val bytes = progressRecordOf(earlier).encode()
-            bytes.size shouldBeLessThanOrEqual 65_536
+            bytes.size shouldBeLessThanOrEqual ROW_BYTES
             val state = registry.takeUp(job, ProgressRecord.decode(bytes))
             var last = 0
             repeat(4_000) {
@@ -154,8 +154,12 @@
             }
             val open = (0 until job.occurrences) - earlier.completedOccurrences
             val fitting = (SchedulerSettings.MAX_TASKS_IN_MEMORY / job.tasksPerOccurrence).toInt()
+            val storable = (1..fitting).takeWhile { state.progressSize.mayBeUnderWay(it, ROW_BYTES.toLong()) }.last()
             state.occurrences.keys.toList() shouldBe
-                open.take(minOf(fitting, SchedulerSettings.MAX_OCCURRENCES_IN_MEMORY))
+                open.take(minOf(fitting, SchedulerSettings.MAX_OCCURRENCES_IN_MEMORY, storable))
+            state.occurrences.values.flatMap { it.steps }.flatMap { it.tasks }
+                .filter { random.nextBoolean() }.forEach { it.markDone() }
+            progressRecordOf(state).encode().size shouldBeLessThanOrEqual ROW_BYTES
         }
     }
 
@@ -183,4 +187,8 @@
         }
         jobs.map { it.completedOccurrences.size } shouldBe listOf(3, 3, 3)
     }
+
+    private companion object {
+        const val ROW_BYTES = SchedulerSettings.DEFAULT_MAX_PROGRESS_BYTES
+    }
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
@@ -83,7 +83,7 @@
 
     override fun submit(queue: Queue, job: BatchJob, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
         val row = JobRows.encode(job)
-        limits.exceededBy(job, row.size)?.let { exceeded ->
+        limits.exceededBy(job, row.size, queue.maxAttempts)?.let { exceeded ->
             logEvent("submit", "job" to job.id, "outcome" to "Invalid", "why" to exceeded)
             reply(CallerAnswer.Invalid(exceeded))
             return
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -186,6 +186,7 @@
         reloadableSettings.current[NodeSettings.statusSeconds],
         stopMillis = reloadableSettings.current[NodeSettings.stopMillis],
         overloadOrder = OverloadOrder.valueOf(reloadableSettings.current[NodeSettings.overloadOrder].uppercase()),
+        maxProgressBytes = settings[NodeSettings.maxRowBytes].toInt(),
     )
 
     /**
