Write progress that the store refuses apart from all other

Cause: ProgressWriter put a refused group back as it was and sent it again with all other changes.

Change: progress larger than a row is not sent, and its job ends as failed. The rows of a group that is refused as invalid are written one by one, with pauses once a row was refused alone. A job whose row was refused three times, while the store accepted others, ends as failed, and its record is small. A refused roster is repeated alone. New lines "progress refused" and "progress too large".

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -401,6 +401,17 @@
         jobRegistry.returnChanges(changes, storedRevisionOf)
     }
 
+    /**
+     * Ends the job of [change] as failed, since the store can't hold its progress of [bytes] bytes. What is stored of
+     * an ended job is small.
+     */
+    public fun failUnstorableJob(nowMillis: Long, change: ProgressChange, bytes: Int, reason: String) {
+        val job = change.job
+        if (job.phase.ended) return
+        log("progress too large", arrayOf("job" to job.job.id, "bytes" to bytes, "why" to reason))
+        endJob(nowMillis, job, JobPhase.FAILED)
+    }
+
     /** Whether progress of jobs or rosters of pools are to be stored. */
     public val hasChanges: Boolean get() = jobRegistry.hasChanges || rosters.hasChanges
 
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -62,7 +62,7 @@
     private val scheduler = BatchScheduler(settings, epoch, decisionLog)
     private val orderSender = ExecutorOrderSender(scheduler, ports.executors, ports.advisor, epoch, post)
     private val fence = ProgressFence(ports.store, epoch, post, postDelayed)
-    private val progressWriter = ProgressWriter(scheduler, fence, ports.store, post)
+    private val progressWriter = ProgressWriter(scheduler, fence, ports.store, settings.maxProgressBytes, post)
     private val jobIntake = JobIntake(scheduler, ports.store, settings, decisionLog, post)
     private val takeoverReader = TakeoverReader(ports.store, post, postDelayed, ::onJobsRead)
     private val machines =
--- a/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
@@ -1,5 +1,6 @@
 // Stores the progress of jobs and the rosters of pools in groups, one transaction at a time. Each transaction is
-// conditional on the fence row, so that it fails after another process has taken the lease over.
+// conditional on the fence row, so that it fails after another process has taken the lease over. A row that the store
+// refuses is written apart from all others, and a job whose progress can't be stored ends as failed.
 
 package org.gypsumturn.node
 
@@ -14,42 +15,71 @@
 import org.gypsumturn.batch.schedule.RosterChange
 import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.batch.state.PoolRoster
+import org.gypsumturn.model.Failure
+import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
+import org.gypsumturn.model.failureOrNull
 
-/** Writes the progress and the rosters that [scheduler] has changed. */
+/** Writes the progress and the rosters that [scheduler] has changed. A row holds [maxRowBytes] bytes at most. */
 public class ProgressWriter(
     private val scheduler: BatchScheduler,
     private val fence: ProgressFence,
     private val store: RowStore,
+    private val maxRowBytes: Int,
     private val post: Post,
 ) {
     private var writing = false
+    private val refused = RefusedRows()
     private val outage = OutageLog("progress not stored", "progress stored again")
     private var nextWriteMillis = 0L
 
     /** Writes the next group of changes if there are any, no write is open and the pause since the last one is over. */
     public fun writeIfDue(nowMillis: Long) {
         if (writing || !scheduler.hasChanges || nowMillis < nextWriteMillis) return
-        val group = takeGroup()
+        val group = takeGroup(nowMillis)
         if (group.writes.isEmpty()) return
         writing = true
         val transaction = RowTransaction(group.conditions + fence.condition(), group.writes)
         store.transact(transaction, WRITE_TIMEOUT_MILLIS) { verdict -> post { onAnswer(group, verdict) } }
     }
 
-    /** Takes changes up to the limits of a transaction. Rosters come first, since starts wait for them. */
-    private fun takeGroup(): Group {
+    /**
+     * Takes changes up to the limits of a transaction. Rosters come first, since starts wait for them. A row that was
+     * refused makes a group of its own.
+     */
+    private fun takeGroup(nowMillis: Long): Group {
         val rosters = scheduler.takeRosterChanges(MAX_GROUP_ROWS)
         val changes = scheduler.takeChanges(MAX_GROUP_ROWS - rosters.size).map { it to it.record.encode() }
+        val (large, storable) = changes.partition { (_, value) -> value.size > maxRowBytes }
+        large.forEach { (change, value) -> failJob(nowMillis, change, value.size, "larger than a row") }
+        val takesRow = rowFilter(nowMillis, rosters.map(::addressOf) + storable.map { addressOf(it.first) })
         var bytes = 0
-        val (taken, left) = changes.partition { (_, value) ->
-            (bytes == 0 || bytes + value.size <= MAX_GROUP_BYTES).also { if (it) bytes += value.size }
+        val (taken, left) = storable.partition { (change, value) ->
+            val fits = takesRow(addressOf(change)) && (bytes == 0 || bytes + value.size <= MAX_GROUP_BYTES)
+            fits.also { if (it) bytes += value.size }
         }
+        val (takenRosters, leftRosters) = rosters.partition { takesRow(addressOf(it)) }
+        scheduler.returnRosterChanges(leftRosters) { null }
         scheduler.returnChanges(left.map { it.first }) { null }
-        return Group(taken, rosters)
+        return Group(taken, takenRosters)
+    }
+
+    /** Tells which of [candidates] are written next: all that were never refused, or else one that was. */
+    private fun rowFilter(nowMillis: Long, candidates: List<RowAddress>): (RowAddress) -> Boolean {
+        if (candidates.any { !refused.isRefused(it) }) return { !refused.isRefused(it) }
+        val next = candidates.firstOrNull { !refused.isPaused(nowMillis, it) }
+        return { it == next }
+    }
+
+    private fun addressOf(change: RosterChange) = PoolRoster.address(change.pool)
+
+    private fun addressOf(change: ProgressChange) = JobRows.progress(change.job.job.id)
+
+    private fun failJob(nowMillis: Long, change: ProgressChange, bytes: Int, reason: String) {
+        scheduler.failUnstorableJob(nowMillis, change, bytes, reason)
     }
 
     /** Changes that are written in one transaction. */
@@ -59,6 +89,7 @@
             progress.map { RowCondition(JobRows.progress(it.job.job.id), it.revision) }
         val writes = rosters.map { RowWrite(PoolRoster.address(it.pool), it.roster.encode()) } +
             encodedProgress.map { (change, value) -> RowWrite(JobRows.progress(change.job.job.id), value) }
+        val addresses = writes.map { it.address }
     }
 
     private fun onAnswer(group: Group, verdict: Verdict<TransactionOutcome>) {
@@ -67,6 +98,7 @@
         nextWriteMillis = nowMillis + GROUP_PAUSE_MILLIS
         when (val outcome = (verdict as? Verdict.Ran)?.value) {
             is TransactionOutcome.Committed -> {
+                refused.onCommitted(nowMillis, group.addresses)
                 group.rosters.forEach { scheduler.onRosterStored(it, outcome.revision) }
                 group.progress.forEach { scheduler.onProgressStored(it, outcome.revision) }
                 outage.recordResult(verdict, "jobs" to group.progress.size)
@@ -75,14 +107,29 @@
             is TransactionOutcome.Conflict -> onConflict(group, outcome)
 
             null -> {
-                outage.recordResult(verdict, "jobs" to group.progress.size)
-                nextWriteMillis = nowMillis + RETRY_MILLIS
                 scheduler.returnRosterChanges(group.rosters) { null }
                 scheduler.returnChanges(group.progress) { null }
+                val failure = verdict.failureOrNull()
+                if (failure?.kind == FailureKind.INVALID) {
+                    onRefused(nowMillis, group, failure)
+                } else {
+                    outage.recordResult(verdict, "jobs" to group.progress.size)
+                    nextWriteMillis = nowMillis + RETRY_MILLIS
+                }
             }
         }
     }
 
+    /** The store refused the transaction and did nothing. Its rows are written one by one to find out which is why. */
+    private fun onRefused(nowMillis: Long, group: Group, failure: Failure) {
+        refused.onRefused(nowMillis, group.addresses)
+        logEvent("progress refused", "rows" to group.addresses.size, "why" to failure.message)
+        val change = group.progress.singleOrNull()?.takeIf { group.addresses.size == 1 } ?: return
+        if (refused.isHopeless(addressOf(change))) {
+            failJob(nowMillis, change, group.writes.single().value?.size ?: 0, failure.message)
+        }
+    }
+
     /**
      * A condition did not hold. If the fence row has changed, another process has taken the lease over. Otherwise an
      * earlier write of this process took effect although its answer was lost, and the changes are written again with
