Measure the encoding of progress, and find the tasks with attempts once

bin/bench progress compares the stored progress with the encoding before. Now the tasks with attempts are found in one pass.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/state/ProgressRecord.kt
@@ -78,7 +78,10 @@
     val (asBits, listed) = done.entries.partition { isShorterAsBits(it.value) }
     val completed = job.completedOccurrences.toList()
     val completedAsBits = isShorterAsBits(completed)
-    val lists = ATTEMPT_LISTS.mapValues { (_, list) -> attemptsByTask(job, list.of) }
+    val tasks = tasksWithAttempts(job)
+    val lists = ATTEMPT_LISTS.mapValues { (_, list) ->
+        tasks.filter { list.of(it).isNotEmpty() }.associateWith { list.of(it).toList() }
+    }
     val isPacked = lists.values.sumOf { list -> list.values.sumOf { it.size } } > MAX_LISTED_ATTEMPTS
     fun plain(name: String) = if (isPacked) emptyMap() else lists.getValue(name).mapKeys { placeOf(it.key) }
     return ProgressRecord(
@@ -117,7 +120,8 @@
     val highest = numbers.maxOrNull() ?: return false
     val bytes = highest / BITS_PER_BYTE + 1
     val bitCharacters = (bytes + BASE64_GROUP_BYTES - 1) / BASE64_GROUP_BYTES * BASE64_GROUP_CHARACTERS
-    return bitCharacters < numbers.sumOf { it.toString().length + 1 }
+    // Each number of a list takes a digit and a comma at least.
+    return bitCharacters < 2 * numbers.size || bitCharacters < numbers.sumOf { it.toString().length + 1 }
 }
 
 private fun encodeBits(numbers: List<Int>): String {
@@ -129,14 +133,10 @@
 private fun decodeBits(text: String): List<Int> =
     BitSet.valueOf(Base64.getDecoder().decode(text)).stream().toArray().toList()
 
-/**
- * The attempts that [attemptsOf] selects, by task. Tasks without any are left out, and tasks that are done, since they
- * are not started again.
- */
-private fun attemptsByTask(job: JobState, attemptsOf: (Task) -> Set<Long>): Map<Task, List<Long>> =
-    job.occurrences.values.flatMap { it.steps }.flatMap { it.tasks }
-        .filter { !it.done && attemptsOf(it).isNotEmpty() }
-        .associateWith { attemptsOf(it).toList() }
+/** The tasks of [job] with attempts that are to be stored. Tasks that are done are not started again. */
+private fun tasksWithAttempts(job: JobState): List<Task> = job.occurrences.values.flatMap { it.steps }.flatMap { step ->
+    step.tasks.filter { !it.done && (it.failedAttempts.isNotEmpty() || it.crashes.total > 0) }
+}
 
 /** Applies the stored [record] to [job], and adds the occurrences that the record names. */
 public fun applyProgress(job: JobState, record: ProgressRecord, nowMillis: Long) {
--- a/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
+++ b/bench/src/main/kotlin/org/gypsumturn/bench/Main.kt
@@ -10,6 +10,7 @@
 import org.gypsumturn.bench.fleet.runFleetExperiment
 import org.gypsumturn.bench.jobs.runJobsExperiment
 import org.gypsumturn.bench.load.runLoad
+import org.gypsumturn.bench.progress.runProgressExperiment
 import org.gypsumturn.bench.requests.runRequestsExperiment
 import org.gypsumturn.bench.slopes.runSlopesExperiment
 import org.gypsumturn.bench.views.runViewsExperiment
@@ -27,6 +28,7 @@
         "fleet" to ::runFleetExperiment,
         "views" to ::runViewsExperiment,
         "slopes" to ::runSlopesExperiment,
+        "progress" to ::runProgressExperiment,
     )
 
 private const val LOAD = "load"
