Let refused rows and other progress take turns

The two take turns now, and the pauses between tries of a row that was refused alone double.

Shown: the new test of ProgressWriterTest fails with the earlier order (expected QUEUED, was null).

--- a/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
@@ -33,6 +33,9 @@
 ) {
     private var writing = false
     private val refused = RefusedRows()
+
+    /** Whether the last group was a row that was refused before. */
+    private var triesRefused = false
     private val outage = OutageLog("progress not stored", "progress stored again")
     private var nextWriteMillis = 0L
 
@@ -54,7 +57,9 @@
         val rosters = scheduler.takeRosterChanges(MAX_GROUP_ROWS)
         val changes = scheduler.takeChanges(MAX_GROUP_ROWS - rosters.size).map { it to it.record.encode() }
         val (large, storable) = changes.partition { (_, value) -> value.size > maxRowBytes }
-        large.forEach { (change, value) -> failJob(nowMillis, change, value.size, "larger than a row") }
+        large.forEach { (change, value) ->
+            scheduler.failUnstorableJob(nowMillis, change, value.size, "larger than a row")
+        }
         val takesRow = rowFilter(nowMillis, rosters.map(::addressOf) + storable.map { addressOf(it.first) })
         var bytes = 0
         val (taken, left) = storable.partition { (change, value) ->
@@ -67,21 +72,21 @@
         return Group(taken, takenRosters)
     }
 
-    /** Tells which of [candidates] are written next: all that were never refused, or else one that was. */
+    /**
+     * Tells which of [candidates] are written next: one that was refused, or all that were not. The two take turns, so
+     * that neither waits for the other.
+     */
     private fun rowFilter(nowMillis: Long, candidates: List<RowAddress>): (RowAddress) -> Boolean {
-        if (candidates.any { !refused.isRefused(it) }) return { !refused.isRefused(it) }
-        val next = candidates.firstOrNull { !refused.isPaused(nowMillis, it) }
-        return { it == next }
+        val next = candidates.firstOrNull { refused.isRefused(it) && !refused.isPaused(nowMillis, it) }
+        val hasOthers = candidates.any { !refused.isRefused(it) }
+        triesRefused = next != null && (!triesRefused || !hasOthers)
+        return if (triesRefused) { address -> address == next } else { address -> !refused.isRefused(address) }
     }
 
     private fun addressOf(change: RosterChange) = PoolRoster.address(change.pool)
 
     private fun addressOf(change: ProgressChange) = JobRows.progress(change.job.job.id)
 
-    private fun failJob(nowMillis: Long, change: ProgressChange, bytes: Int, reason: String) {
-        scheduler.failUnstorableJob(nowMillis, change, bytes, reason)
-    }
-
     /** Changes that are written in one transaction. */
     private class Group(encodedProgress: List<Pair<ProgressChange, ByteArray>>, val rosters: List<RosterChange>) {
         val progress = encodedProgress.map { it.first }
@@ -126,7 +131,8 @@
         logEvent("progress refused", "rows" to group.addresses.size, "why" to failure.message)
         val change = group.progress.singleOrNull()?.takeIf { group.addresses.size == 1 } ?: return
         if (refused.isHopeless(addressOf(change))) {
-            failJob(nowMillis, change, group.writes.single().value?.size ?: 0, failure.message)
+            val bytes = group.writes.single().value?.size ?: 0
+            scheduler.failUnstorableJob(nowMillis, change, bytes, failure.message)
         }
     }
 
--- a/node/src/main/kotlin/org/gypsumturn/node/RefusedRows.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/RefusedRows.kt
@@ -33,8 +33,8 @@
         addresses.forEach { address ->
             val refusal = refusals.getOrPut(address) { Refusal(nowMillis) }
             if (addresses.size > 1) return@forEach
+            refusal.retryAtMillis = nowMillis + (RETRY_MILLIS shl minOf(refusal.count, MAX_DOUBLINGS))
             refusal.count++
-            refusal.retryAtMillis = nowMillis + RETRY_MILLIS
         }
     }
 
@@ -48,7 +48,8 @@
     private companion object {
         const val MIN_REFUSALS = 3
 
-        /** Pause before a row is written again that was refused when it was written alone. */
+        /** Pause before a row is written again that was refused alone. It doubles so often with each refusal. */
         const val RETRY_MILLIS = 300L
+        const val MAX_DOUBLINGS = 5
     }
 }
--- a/node/src/test/kotlin/org/gypsumturn/node/ProgressWriterTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/ProgressWriterTest.kt
@@ -14,6 +14,7 @@
 import org.gypsumturn.batch.port.TransactionOutcome
 import org.gypsumturn.batch.port.VerdictCallback
 import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.batch.schedule.ProgressChange
 import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.batch.state.ProgressRecord
@@ -98,6 +99,22 @@
         events.count { it == "progress too large" } shouldBe 1
     }
 
+    // Guards against: rows of a refused group wait for as long as other progress is to be stored.
+    @Test
+    fun `the other rows of a refused group are stored soon although progress of other jobs changes all the time`() {
+        val refused = addJob(1)
+        val group = (2..20).map { addJob(it) }
+        val busy = (21..60).map { addJob(it) }
+        store.refuses = refusesProgressOf(refused)
+        (listOf(refused) + group).forEach(::markChanged)
+        repeat(400) {
+            busy.forEach(::markChanged)
+            writer.writeIfDue(NodeClock.steadyMillis() + CLOCK_LEAD_MILLIS)
+        }
+        group.forEach { storedPhase(it) shouldBe JobPhase.QUEUED }
+        storedPhase(refused) shouldBe JobPhase.FAILED
+    }
+
     // Guards against: jobs are given up because the store refuses everything for a while.
     @Test
     fun `no job ends as failed while the store refuses all rows`() {
@@ -128,19 +145,14 @@
         scheduler.returnChanges(listOf(changeOf(job))) { null }
     }
 
-    private fun changeOf(job: BatchJob): org.gypsumturn.batch.schedule.ProgressChange {
+    private fun changeOf(job: BatchJob): ProgressChange {
         val state = scheduler.job(job.id)!!
         state.latestChangeNumber++
-        return org.gypsumturn.batch.schedule.ProgressChange(
-            state,
-            state.latestChangeNumber,
-            state.revision,
-            ProgressRecord(state.phase),
-        )
+        return ProgressChange(state, state.latestChangeNumber, state.revision, ProgressRecord(state.phase))
     }
 
     private companion object {
         /** The writer reads its clock at each answer, so that the time that it is given must be ahead of that. */
-        const val CLOCK_LEAD_MILLIS = 5_000L
+        const val CLOCK_LEAD_MILLIS = 60_000L
     }
 }
