Give settings whose placeholder was not filled in their defaults

Cause: the text of a placeholder was checked as if it were a value. A value that holds a placeholder now counts as absent, so that a setting with a default gets it and a required one is reported as missing. What was not filled in is printed at the start and logged at a reload.

SettingsTest and ReloadableSettingsTest pass.

--- a/node/src/main/kotlin/org/gypsumturn/node/ReloadableSettings.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ReloadableSettings.kt
@@ -36,7 +36,7 @@
         val before = current
         val changed = schema.settings.filter { settings[it] != before[it] }.map { "${it.section}.${it.key}" }
         current = settings
-        logEvent("settings reloaded", "asked" to requested, "changed" to changed)
+        logEvent("settings reloaded", "asked" to requested, "changed" to changed, "not_filled" to settings.notFilled)
     }
 
     private fun readFile(): String? = file?.takeIf { it.canRead() }?.readText()
--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
@@ -86,7 +86,9 @@
 }
 
 private fun loadOrExit(schema: SettingsSchema, file: File?): Settings = when (val result = schema.load(file)) {
-    is SettingsResult.Loaded -> result.settings
+    is SettingsResult.Loaded -> result.settings.also { settings ->
+        settings.notFilled.forEach { System.err.println("placeholder not filled in, the default is in force: $it") }
+    }
 
     is SettingsResult.Rejected -> {
         result.problems.forEach { System.err.println(it) }
--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/settings/Settings.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/settings/Settings.kt
@@ -1,4 +1,6 @@
 // Loads settings from an INI file. All problems of a file are reported together, before the program starts anything.
+// Files are often filled in from a template. Where the platform has no value for a setting, or does not know a form of
+// placeholder, the line counts as absent, so that a template may name more than each platform provides.
 
 package org.gypsumturn.runtime.settings
 
@@ -11,6 +13,9 @@
 /** Some editors put this mark at the start of a UTF-8 file. */
 private const val BYTE_ORDER_MARK = "\uFEFF"
 
+/** Begins a placeholder of a template. A value that contains it was not filled in. */
+private const val PLACEHOLDER = "{{"
+
 /** Kind of problem with a setting or with the whole file. */
 public enum class SettingsProblemKind { UNREADABLE_FILE, UNKNOWN, DUPLICATE, MISSING, BAD_VALUE }
 
@@ -42,8 +47,16 @@
     }
 }
 
-/** The values of a program's settings, all of them checked. */
-public class Settings internal constructor(private val values: Map<Setting<*>, Any>) {
+/**
+ * The values of a program's settings, all of them checked.
+ *
+ * @property notFilled settings that have their defaults since the file holds a placeholder in place of a value, each as
+ * section, key and the text of the file
+ */
+public class Settings internal constructor(
+    private val values: Map<Setting<*>, Any>,
+    public val notFilled: List<String> = emptyList(),
+) {
     /** The value of [setting], which must belong to the schema with which these settings were loaded. */
     @Suppress("UNCHECKED_CAST")
     public operator fun <T : Any> get(setting: Setting<T>): T = values.getValue(setting) as T
@@ -97,8 +110,12 @@
     private fun check(fileName: String, ini: Ini): SettingsResult {
         val problems = unknownSettings(fileName, ini).toMutableList()
         val values = HashMap<Setting<*>, Any>()
+        val notFilled = ArrayList<String>()
         for (setting in settings) {
-            val texts = ini.getAll(setting.section).orEmpty().flatMap { it.getAll(setting.key).orEmpty() }
+            val (unfilled, texts) = ini.getAll(setting.section).orEmpty()
+                .flatMap { it.getAll(setting.key).orEmpty() }
+                .partition { it != null && PLACEHOLDER in it }
+            unfilled.forEach { notFilled += "[${setting.section}] ${setting.key}: $it" }
             val value = if (texts.isEmpty()) setting.default else texts.first()?.let { setting.parse(it.trim()) }
             when {
                 texts.size > 1 ->
@@ -113,7 +130,7 @@
             }
         }
         if (problems.isNotEmpty()) return SettingsResult.Rejected(problems)
-        return SettingsResult.Loaded(Settings(values))
+        return SettingsResult.Loaded(Settings(values, notFilled))
     }
 
     private fun unknownSettings(fileName: String, ini: Ini): List<SettingsProblem> = ini.values.flatMap { section ->
--- a/runtime/src/test/kotlin/org/gypsumturn/runtime/settings/SettingsTest.kt
+++ b/runtime/src/test/kotlin/org/gypsumturn/runtime/settings/SettingsTest.kt
@@ -38,6 +38,21 @@
         problem.toString() shouldContain "a whole number from 100 to 60000, in milliseconds"
     }
 
+    // Guards against: a process that does not start since its platform can't fill in one form of placeholder.
+    @Test
+    fun `a setting whose placeholder was not filled in gets its default and is named`() {
+        val line = "lease_millis = {{#quota}}500{{/quota}}{{^quota}}{{lease|json}}{{/quota}}"
+        val loaded = load("[entry]\naddress = 127.0.0.1:8080\n[view]\n$line\n")
+            .shouldBeInstanceOf<SettingsResult.Loaded>()
+        loaded.settings[lease] shouldBe 3_000
+        loaded.settings.notFilled.single() shouldContain "[view] lease_millis: {{#quota}}500"
+    }
+
+    @Test
+    fun `a required setting whose placeholder was not filled in is missing`() {
+        problems("[entry]\naddress = {{listen}}\n").single().kind shouldBe SettingsProblemKind.MISSING
+    }
+
     @Test
     fun `all problems of a file are reported together`() {
         val found = problems("[entry]\nadress = 127.0.0.1:8080\n[view]\nlease_millis = 1\nlease_millis = 2\n")
