Handle the requests of a connection in their order, until each answer is written

Callers that send their next request before the answer to the first got the answers in the order in which they became ready, so a POST could be given the 404 of the request behind it. During a shutdown the first answer closed the connection and the requests behind it, which had been read, got none. An answer that the socket did not take at once no longer counted as in flight, so that close() cut it.

Cause: Netty hands on all requests that it has decoded, also after automatic reading was switched off, and a request counted as answered before its answer was written.

A connection now keeps its requests in a queue and passes one at a time to the handler, the next once the answer has been written. HttpServerTest guards the three; all three tests failed before (handled /1, /2 and /3 at once; no answer to the second request; 0 in flight with 20 MB of an answer unwritten).

--- a/transport/src/main/kotlin/org/gypsumturn/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/gypsumturn/transport/HttpServer.kt
@@ -1,7 +1,7 @@
-// HTTP server for callers, for the readiness check of the load balancer and for other nodes. The next request of a
-// connection is read only after the previous one has been answered, so answers leave in the order of their requests. To
-// shut down, the owner first drains the server, so that answers carry `Connection: close`, and later closes it, which
-// also closes the idle connections.
+// HTTP server for callers, for the readiness check of the load balancer and for other nodes. A connection's requests
+// are handled one after another, each once the answer to the previous one has been written, so answers leave in the
+// order of their requests. To shut down, the owner first drains the server, so that answers carry `Connection: close`,
+// and later closes it, which also closes the idle connections.
 
 package org.gypsumturn.transport
 
@@ -9,7 +9,6 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -44,7 +43,7 @@
     private var listenChannel: Channel? = null
     private var draining = false
 
-    /** Number of requests that were read and not answered yet. */
+    /** Number of requests that were read and whose answers have not been written. */
     @Volatile
     public var requestsInFlight: Int = 0
         private set
@@ -79,12 +78,20 @@
     public fun close() {
         loop.execute {
             listenChannel?.close()
-            connections.filter { !it.busy }.forEach { it.channel.close() }
+            connections.filter { !it.isBusy }.forEach { it.channel.close() }
         }
     }
 
+    /** A request that was read. [keepAlive] tells whether its caller wants to go on using the connection. */
+    private class OpenRequest(val request: ServedRequest, val keepAlive: Boolean) {
+        var isAnswered = false
+    }
+
     private inner class Connection(val channel: Channel) : SimpleChannelInboundHandler<FullHttpRequest>() {
-        var busy = false
+        /** The requests that were read and whose answers have not been written. The first one is being handled. */
+        private val openRequests = ArrayDeque<OpenRequest>()
+
+        val isBusy: Boolean get() = openRequests.isNotEmpty()
 
         override fun channelActive(context: ChannelHandlerContext) {
             connections += this
@@ -92,6 +99,8 @@
 
         override fun channelInactive(context: ChannelHandlerContext) {
             connections -= this
+            requestsInFlight -= openRequests.size
+            openRequests.clear()
         }
 
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
@@ -99,8 +108,6 @@
                 channel.close()
                 return
             }
-            busy = true
-            requestsInFlight++
             channel.config().isAutoRead = false
             val headers = message.headers().copy()
             val request =
@@ -110,33 +117,41 @@
                     headers.get(HttpHeaderNames.HOST).orEmpty(),
                     ByteBufUtil.getBytes(message.content()),
                 ) { headers.getAll(it) }
-            val keepAlive = HttpUtil.isKeepAlive(message)
-            var answered = false
-            handler(request) { answer ->
-                loop.execute {
-                    if (!answered) {
-                        answered = true
-                        writeAnswer(answer, keepAlive && !draining)
-                    }
-                }
-            }
+            requestsInFlight++
+            openRequests.addLast(OpenRequest(request, HttpUtil.isKeepAlive(message)))
+            if (openRequests.size == 1) handleFirst()
         }
 
-        private fun writeAnswer(answer: ServedAnswer, keepAlive: Boolean) {
-            busy = false
-            requestsInFlight--
+        private fun handleFirst() {
+            val first = openRequests.first()
+            handler(first.request) { answer -> loop.execute { reply(first, answer) } }
+        }
+
+        private fun reply(request: OpenRequest, answer: ServedAnswer) {
+            if (request.isAnswered || openRequests.firstOrNull() !== request) return
+            request.isAnswered = true
+            val closesAfterwards = !request.keepAlive || (draining && openRequests.size == 1)
             val status = HttpResponseStatus.valueOf(answer.status)
             val message =
                 DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(answer.body))
             message.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
             HttpUtil.setContentLength(message, answer.body.size.toLong())
             answer.headers.forEach { (name, value) -> message.headers().set(name, value) }
-            if (!keepAlive) message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-            val writeFuture = channel.writeAndFlush(message)
-            if (keepAlive) {
-                channel.config().isAutoRead = true
-            } else {
-                writeFuture.addListener(ChannelFutureListener.CLOSE)
+            if (closesAfterwards) message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            channel.writeAndFlush(message).addListener { onWritten(it.isSuccess, closesAfterwards) }
+        }
+
+        private fun onWritten(isSuccess: Boolean, closesAfterwards: Boolean) {
+            if (!isSuccess) {
+                channel.close()
+                return
+            }
+            openRequests.removeFirst()
+            requestsInFlight--
+            when {
+                closesAfterwards -> channel.close()
+                openRequests.isNotEmpty() -> handleFirst()
+                else -> channel.config().isAutoRead = true
             }
         }
 
--- /dev/null
+++ b/transport/src/test/kotlin/org/gypsumturn/transport/HttpServerTest.kt
@@ -0,0 +1,156 @@
+// Tests the HTTP server over real connections on the loopback interface: many requests of a connection at once, and
+// answers that are under way when the server is closed.
+
+package org.gypsumturn.transport
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import java.io.InputStream
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+class HttpServerTest : AnnotationSpec() {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop: EventLoop = group.next()
+    private val open = ConcurrentHashMap<String, (ServedAnswer) -> Unit>()
+
+    @BeforeEach
+    fun reset() = open.clear()
+
+    @AfterAll
+    fun stopEventLoop() {
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS)
+    }
+
+    /** Starts a server that keeps all requests open until [answer] is called with their paths. */
+    private fun startServer(): Pair<HttpServer, Endpoint> {
+        val endpoint = Endpoint("127.0.0.1", ServerSocket(0).use { it.localPort })
+        val server = HttpServer(loop, endpoint, 1_000_000) { request, reply -> open[request.path] = reply }
+        server.start()
+        return server to endpoint
+    }
+
+    private fun answer(path: String, body: ByteArray = path.encodeToByteArray()) {
+        open.getValue(path)(ServedAnswer(200, body))
+    }
+
+    private fun await(isTrue: () -> Boolean) {
+        val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10)
+        while (!isTrue() && System.nanoTime() < endNanos) Thread.sleep(5)
+        isTrue() shouldBe true
+    }
+
+    private fun runOnLoop(action: () -> Unit) {
+        loop.submit(action).get(10, TimeUnit.SECONDS)
+    }
+
+    private fun request(path: String, body: String = "") =
+        "POST $path HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n$body"
+
+    private class RawCaller(endpoint: Endpoint, receiveBufferBytes: Int? = null) : AutoCloseable {
+        private val socket = Socket().apply {
+            receiveBufferBytes?.let { receiveBufferSize = it }
+            connect(InetSocketAddress(endpoint.host, endpoint.port))
+            soTimeout = 10_000
+        }
+        private val input: InputStream = socket.getInputStream().buffered()
+
+        fun send(text: String) = socket.getOutputStream().write(text.encodeToByteArray())
+
+        /** Reads one answer and returns its body, or null if the connection ends before it is complete. */
+        fun readBody(): ByteArray? {
+            var length = 0
+            while (true) {
+                val line = readLine() ?: return null
+                if (line.isEmpty()) break
+                if (line.startsWith("content-length:")) length = line.substringAfter(':').trim().toInt()
+            }
+            return input.readNBytes(length).takeIf { it.size == length }
+        }
+
+        fun readText(): String? = readBody()?.decodeToString()
+
+        private fun readLine(): String? {
+            val line = StringBuilder()
+            while (true) {
+                val next = input.read()
+                if (next < 0) return null
+                if (next == '\n'.code) return line.toString().trim().lowercase()
+                line.append(next.toChar())
+            }
+        }
+
+        override fun close() = socket.close()
+    }
+
+    // Guards against: a caller that sends its next request early takes the answer to that one for the answer to the
+    // first.
+    @Test
+    fun `requests that arrive together are answered in their order`() {
+        val (_, endpoint) = startServer()
+        RawCaller(endpoint).use { caller ->
+            caller.send(request("/1", "a") + request("/2") + request("/3", "c"))
+            await { open.containsKey("/1") }
+            Thread.sleep(50)
+            open.keys shouldBe setOf("/1")
+            answer("/1")
+            caller.readText() shouldBe "/1"
+            await { open.containsKey("/2") }
+            answer("/2")
+            await { open.containsKey("/3") }
+            answer("/3")
+            caller.readText() shouldBe "/2"
+            caller.readText() shouldBe "/3"
+        }
+    }
+
+    // Guards against: a request that was read behind another one loses its connection to `Connection: close`.
+    @Test
+    fun `a drained server answers all requests that arrived together`() {
+        val (server, endpoint) = startServer()
+        RawCaller(endpoint).use { caller ->
+            caller.send(request("/1") + request("/2"))
+            await { open.containsKey("/1") }
+            server.drain()
+            server.close()
+            runOnLoop { }
+            answer("/1")
+            caller.readText() shouldBe "/1"
+            await { open.containsKey("/2") }
+            answer("/2")
+            caller.readText() shouldBe "/2"
+            caller.readText() shouldBe null
+        }
+        await { server.requestsInFlight == 0 }
+    }
+
+    // Guards against: the owner of the server takes a request for answered, and ends the process, while most of the
+    // answer is still in this process.
+    @Test
+    fun `a request is in flight until its answer has been written`() {
+        val (server, endpoint) = startServer()
+        RawCaller(endpoint, receiveBufferBytes = 4_096).use { caller ->
+            caller.send(request("/large"))
+            await { open.containsKey("/large") }
+            answer("/large", ByteArray(LARGE_BYTES))
+            runOnLoop { }
+            Thread.sleep(100)
+            server.requestsInFlight shouldBe 1
+            server.close()
+            runOnLoop { }
+            caller.readBody()?.size shouldBe LARGE_BYTES
+            await { server.requestsInFlight == 0 }
+        }
+    }
+    private companion object {
+        /** More than the socket buffers of both sides hold. */
+        const val LARGE_BYTES = 20_000_000
+    }
+}
