End a node only when no connection of a caller is open

A node that was told to terminate checked every 50 ms whether requests were in flight, closed the idle connections on another thread and ended at once. A request that was read between the check and the end of the process got no answer, and neither did one whose head had arrived and whose body had not. Callers that kept connecting kept the check from ever holding.

The node now stops accepting and closes the idle connections once the balancer has taken it out, counted from the signal and no longer from the release of the lease. A connection whose request has arrived in part stays open. The process ends when the server has taken note of the close and no connection is open, so that nothing can be read any more.

HttpServerTest: the request in parts failed with close() as before (the rest of the request met a closed connection).

--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -145,20 +145,27 @@
     public fun shutDown() {
         if (isShuttingDown) return
         isShuttingDown = true
+        val startMillis = NodeClock.steadyMillis()
+        val graceMillis = (reloadableSettings.current[NodeSettings.graceSeconds] * MILLIS_PER_SECOND).toLong()
+        val answeringEndMillis = startMillis + graceMillis * ANSWERING_TENTHS / TENTHS
         logEvent("stop", "node" to nodeName, "under_way" to callerServer.requestsInFlight)
         callerServer.drain()
         val leaseReleased = CountDownLatch(1)
         post { leaseElector.release(leaseReleased::countDown) }
-        val graceMillis = (reloadableSettings.current[NodeSettings.graceSeconds] * MILLIS_PER_SECOND).toLong()
-        val endMillis = NodeClock.steadyMillis() + graceMillis * ANSWERING_TENTHS / TENTHS
-        leaseReleased.await(graceMillis / 2, TimeUnit.MILLISECONDS)
-        val balancerUpdatedMillis = NodeClock.steadyMillis() + BALANCER_LAG_MILLIS
-        while (NodeClock.steadyMillis() < endMillis) {
-            if (callerServer.requestsInFlight == 0 && NodeClock.steadyMillis() >= balancerUpdatedMillis) break
-            Thread.sleep(DRAIN_CHECK_INTERVAL_MILLIS)
-        }
-        logEvent("stopped", "node" to nodeName, "under_way" to callerServer.requestsInFlight)
+        sleepUntil(minOf(startMillis + BALANCER_LAG_MILLIS, answeringEndMillis)) { false }
         callerServer.close()
+        sleepUntil(answeringEndMillis) { callerServer.isFinished }
+        leaseReleased.await(startMillis + graceMillis / 2 - NodeClock.steadyMillis(), TimeUnit.MILLISECONDS)
+        logEvent("stopped", "node" to nodeName, "under_way" to callerServer.requestsInFlight)
+    }
+
+    /** Returns at [endMillis] on the monotonic clock, or earlier if [isDone]. */
+    private fun sleepUntil(endMillis: Long, isDone: () -> Boolean) {
+        while (!isDone()) {
+            val leftMillis = endMillis - NodeClock.steadyMillis()
+            if (leftMillis <= 0) return
+            Thread.sleep(minOf(leftMillis, DRAIN_CHECK_INTERVAL_MILLIS))
+        }
     }
 
     private fun handlePeer(request: ServedRequest, reply: (ServedAnswer) -> Unit) {
--- a/transport/src/main/kotlin/org/gypsumturn/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/gypsumturn/transport/HttpServer.kt
@@ -1,7 +1,7 @@
 // HTTP server for callers, for the readiness check of the load balancer and for other nodes. A connection's requests
 // are handled one after another, each once the answer to the previous one has been written, so answers leave in the
-// order of their requests. To shut down, the owner first drains the server, so that answers carry `Connection: close`,
-// and later closes it, which also closes the idle connections.
+// order of their requests. To shut down, the owner drains the server, so that answers carry `Connection: close`, closes
+// it, which also closes the idle connections, and waits until no connection is open.
 
 package org.gypsumturn.transport
 
@@ -10,6 +10,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -20,10 +21,12 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
 import org.slf4j.LoggerFactory
 
 /** Answers a request by calling `reply` once, from any thread. Further calls of `reply` are ignored. */
@@ -43,11 +46,22 @@
     private var listenChannel: Channel? = null
     private var draining = false
 
+    @Volatile
+    private var closing = false
+
     /** Number of requests that were read and whose answers have not been written. */
     @Volatile
     public var requestsInFlight: Int = 0
         private set
 
+    /** Number of connections that are open. */
+    @Volatile
+    public var openConnections: Int = 0
+        private set
+
+    /** Whether [close] has taken effect and no connection is open, so that no request is read any more. */
+    public val isFinished: Boolean get() = closing && openConnections == 0
+
     /** Binds [endpoint] and starts to listen. Throws if the address cannot be bound, for example if it is in use. */
     public fun start() {
         val bootstrap =
@@ -60,9 +74,11 @@
                 .childHandler(
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(channel: Channel) {
+                            val connection = Connection(channel)
                             channel.pipeline().addLast(HttpServerCodec())
+                            channel.pipeline().addLast(connection.boundaryListener)
                             channel.pipeline().addLast(HttpObjectAggregator(maxBodyBytes))
-                            channel.pipeline().addLast(Connection(channel))
+                            channel.pipeline().addLast(connection)
                         }
                     },
                 )
@@ -74,11 +90,16 @@
         loop.execute { draining = true }
     }
 
-    /** Stops listening and closes the connections without an unanswered request. The others stay open. */
+    /**
+     * Stops listening and closes the connections without an unanswered request. The others stay open until they are
+     * answered, also those whose request has been received in part.
+     */
     public fun close() {
         loop.execute {
+            draining = true
+            closing = true
             listenChannel?.close()
-            connections.filter { !it.isBusy }.forEach { it.channel.close() }
+            connections.toList().forEach { it.closeIfIdle() }
         }
     }
 
@@ -91,18 +112,35 @@
         /** The requests that were read and whose answers have not been written. The first one is being handled. */
         private val openRequests = ArrayDeque<OpenRequest>()
 
-        val isBusy: Boolean get() = openRequests.isNotEmpty()
+        /** Whether the head of a request has been received and its body is incomplete. */
+        private var isReceiving = false
+
+        /** Notices where requests begin and end, before their parts are put together. */
+        val boundaryListener = object : ChannelInboundHandlerAdapter() {
+            override fun channelRead(context: ChannelHandlerContext, message: Any) {
+                if (message is HttpRequest) isReceiving = true
+                if (message is LastHttpContent) isReceiving = false
+                context.fireChannelRead(message)
+            }
+        }
 
         override fun channelActive(context: ChannelHandlerContext) {
             connections += this
+            openConnections = connections.size
+            closeIfIdle()
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
             connections -= this
+            openConnections = connections.size
             requestsInFlight -= openRequests.size
             openRequests.clear()
         }
 
+        fun closeIfIdle() {
+            if (closing && openRequests.isEmpty() && !isReceiving) channel.close()
+        }
+
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
             if (!message.decoderResult().isSuccess) {
                 channel.close()
@@ -151,6 +189,7 @@
             when {
                 closesAfterwards -> channel.close()
                 openRequests.isNotEmpty() -> handleFirst()
+                closing && !isReceiving -> channel.close()
                 else -> channel.config().isAutoRead = true
             }
         }
--- a/transport/src/test/kotlin/org/gypsumturn/transport/HttpServerTest.kt
+++ b/transport/src/test/kotlin/org/gypsumturn/transport/HttpServerTest.kt
@@ -149,6 +149,45 @@
             await { server.requestsInFlight == 0 }
         }
     }
+
+    // Guards against: the rest of a request meets a closed connection, though its head had been read in time.
+    @Test
+    fun `a request that has arrived in part is answered after the server was closed`() {
+        val (server, endpoint) = startServer()
+        RawCaller(endpoint).use { idle ->
+            RawCaller(endpoint).use { caller ->
+                caller.send(request("/1", "body").dropLast(2))
+                await { server.openConnections == 2 }
+                Thread.sleep(100)
+                server.close()
+                idle.readText() shouldBe null
+                caller.send("dy")
+                await { open.containsKey("/1") }
+                answer("/1")
+                caller.readText() shouldBe "/1"
+                caller.readText() shouldBe null
+            }
+        }
+        await { server.isFinished }
+        runCatching { RawCaller(endpoint) }.isFailure shouldBe true
+    }
+
+    // Guards against: the owner ends the process because no request is in flight, while one is just being read.
+    @Test
+    fun `no request is read once a closed server has no connections`() {
+        val (server, endpoint) = startServer()
+        val callers = List(50) { RawCaller(endpoint) }
+        await { server.openConnections == callers.size }
+        server.close()
+        callers.forEachIndexed { number, caller -> runCatching { caller.send(request("/$number")) } }
+        await { server.openConnections == server.requestsInFlight }
+        open.keys.forEach { answer(it) }
+        await { server.isFinished }
+        val answered = callers.indices.filter { runCatching { callers[it].readText() }.getOrNull() == "/$it" }
+        answered.map { "/$it" }.toSet() shouldBe open.keys
+        callers.forEach { it.close() }
+    }
+
     private companion object {
         /** More than the socket buffers of both sides hold. */
         const val LARGE_BYTES = 20_000_000
