Answer the open requests before the grace period of a node is over

A node that was told to terminate ended after 0.8 of its grace period, whatever was open then. Callers whose writes the slow or silent store had not answered lost their connection, and so did all callers in flight where the drain lasted that long because callers kept connecting.

At that time each open request is now answered with 504: its outcome is not known, and callers send it again to another node. The process ends once these answers are written.

--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -140,7 +140,8 @@
 
     /**
      * Shuts the node down. The readiness check fails from now on, the lease is given up, and open requests are
-     * answered. Requests are served until the balancer has taken the node out. Returns before the grace period is over.
+     * answered. Requests are served until the balancer has taken the node out. Those that are open near the end of the
+     * grace period get an answer that leaves their outcome open. Returns before the grace period is over.
      */
     public fun shutDown() {
         if (isShuttingDown) return
@@ -155,6 +156,8 @@
         sleepUntil(minOf(startMillis + BALANCER_LAG_MILLIS, answeringEndMillis)) { false }
         callerServer.close()
         sleepUntil(answeringEndMillis) { callerServer.isFinished }
+        callerServer.answerOpenRequests(ingress.unknownOutcome)
+        sleepUntil(startMillis + graceMillis * WRITING_TENTHS / TENTHS) { callerServer.isFinished }
         leaseReleased.await(startMillis + graceMillis / 2 - NodeClock.steadyMillis(), TimeUnit.MILLISECONDS)
         logEvent("stopped", "node" to nodeName, "under_way" to callerServer.requestsInFlight)
     }
@@ -255,8 +258,11 @@
         /** The balancer checks readiness once a second, and takes a node out after two failed checks. */
         const val BALANCER_LAG_MILLIS = 2_500L
 
-        /** Part of the grace period in which callers are answered, in tenths. */
+        /** Part of the grace period in which requests are handled, in tenths. */
         const val ANSWERING_TENTHS = 8
+
+        /** Part of the grace period after which the process ends though answers have not been written, in tenths. */
+        const val WRITING_TENTHS = 9
         const val TENTHS = 10
     }
 }
--- a/transport/src/main/kotlin/org/gypsumturn/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/gypsumturn/transport/HttpServer.kt
@@ -1,7 +1,7 @@
 // HTTP server for callers, for the readiness check of the load balancer and for other nodes. A connection's requests
 // are handled one after another, each once the answer to the previous one has been written, so answers leave in the
 // order of their requests. To shut down, the owner drains the server, so that answers carry `Connection: close`, closes
-// it, which also closes the idle connections, and waits until no connection is open.
+// it, which also closes the idle connections, waits until no connection is open, and lastly answers what is still open.
 
 package org.gypsumturn.transport
 
@@ -103,6 +103,15 @@
         }
     }
 
+    /**
+     * Answers all open requests with [answer], whatever the handler replies later, and closes their connections. Closes
+     * also the connections whose request has not been received completely. Called after [close], when there is no time
+     * left.
+     */
+    public fun answerOpenRequests(answer: ServedAnswer) {
+        loop.execute { connections.toList().forEach { it.answerOpenRequests(answer) } }
+    }
+
     /** A request that was read. [keepAlive] tells whether its caller wants to go on using the connection. */
     private class OpenRequest(val request: ServedRequest, val keepAlive: Boolean) {
         var isAnswered = false
@@ -115,6 +124,9 @@
         /** Whether the head of a request has been received and its body is incomplete. */
         private var isReceiving = false
 
+        /** The answer to all requests, once there is no time left to handle them. */
+        private var finalAnswer: ServedAnswer? = null
+
         /** Notices where requests begin and end, before their parts are put together. */
         val boundaryListener = object : ChannelInboundHandlerAdapter() {
             override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -141,6 +153,13 @@
             if (closing && openRequests.isEmpty() && !isReceiving) channel.close()
         }
 
+        /** Answers the open requests in their order, or closes the connection if it has none. */
+        fun answerOpenRequests(answer: ServedAnswer) {
+            finalAnswer = answer
+            val first = openRequests.firstOrNull()
+            if (first == null) channel.close() else reply(first, answer)
+        }
+
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
             if (!message.decoderResult().isSuccess) {
                 channel.close()
@@ -162,7 +181,12 @@
 
         private fun handleFirst() {
             val first = openRequests.first()
-            handler(first.request) { answer -> loop.execute { reply(first, answer) } }
+            val known = finalAnswer
+            if (known == null) {
+                handler(first.request) { answer -> loop.execute { reply(first, answer) } }
+            } else {
+                reply(first, known)
+            }
         }
 
         private fun reply(request: OpenRequest, answer: ServedAnswer) {
--- a/transport/src/test/kotlin/org/gypsumturn/transport/HttpServerTest.kt
+++ b/transport/src/test/kotlin/org/gypsumturn/transport/HttpServerTest.kt
@@ -188,6 +188,27 @@
         callers.forEach { it.close() }
     }
 
+    // Guards against: the process ends while requests are open, because the store does not answer.
+    @Test
+    fun `open requests get the final answer when there is no time left`() {
+        val (server, endpoint) = startServer()
+        RawCaller(endpoint).use { caller ->
+            RawCaller(endpoint).use { partial ->
+                caller.send(request("/1") + request("/2"))
+                partial.send(request("/3", "body").dropLast(2))
+                await { open.containsKey("/1") && server.openConnections == 2 }
+                server.close()
+                server.answerOpenRequests(ServedAnswer(504, "late".encodeToByteArray()))
+                caller.readText() shouldBe "late"
+                answer("/1")
+                caller.readText() shouldBe "late"
+                caller.readText() shouldBe null
+                partial.readText() shouldBe null
+                open.keys shouldBe setOf("/1")
+            }
+        }
+        await { server.isFinished }
+    }
     private companion object {
         /** More than the socket buffers of both sides hold. */
         const val LARGE_BYTES = 20_000_000
