Report the requests that get no complete answer

Nothing told whether a node had cut answers: not how many requests were open when it ended, nor that a connection was closed because a handler had thrown.

The server reports each request that was read and whose connection ends without a complete answer, with the cause and how long it was open. A node counts them by cause, and its last line, 'stopped', has the number that the end of the process cuts and the longest time that one was open. A handler that throws is logged; its requests no longer stay in flight, which made each shutdown wait. HttpServerTest checks the three causes.

--- a/node/src/main/kotlin/org/gypsumturn/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeMetrics.kt
@@ -16,6 +16,7 @@
 import org.gypsumturn.transport.HttpStatus
 import org.gypsumturn.transport.ServedAnswer
 import org.gypsumturn.transport.ServedRequest
+import org.gypsumturn.transport.UnansweredRequest
 import java.io.ByteArrayOutputStream
 
 private const val MILLIS_PER_SECOND = 1_000.0
@@ -37,6 +38,13 @@
             .classicOnly()
             .register(registry)
 
+    private val unansweredRequests =
+        Counter.builder()
+            .name("gypsumturn_node_unanswered_requests_total")
+            .help("Requests of callers whose connection ended without a complete answer, by cause.")
+            .labelNames("cause")
+            .register(registry)
+
     private val events =
         Counter.builder()
             .name("gypsumturn_node_events_total")
@@ -104,6 +112,11 @@
         answerSeconds.labelValues(call).observe(tookMillis / MILLIS_PER_SECOND)
     }
 
+    /** Counts a [request] of a caller that was read and gets no complete answer. */
+    public fun recordUnanswered(request: UnansweredRequest) {
+        unansweredRequests.labelValues(request.cause.name.lowercase()).inc()
+    }
+
     /**
      * Replaces the state of the workspaces, of which at most [MAX_WORKSPACES] are shown. An empty list removes all, as
      * when another process has become the lease holder.
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -109,7 +109,9 @@
     private val ingress =
         CallerIngress(jobRequestHandler) { !isShuttingDown && configurationSubscriber.current != null }
     private val callerServer =
-        HttpServer(loop, settings[NodeSettings.callerAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handle)
+        HttpServer(loop, settings[NodeSettings.callerAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handle).also {
+            it.onUnanswered = metrics::recordUnanswered
+        }
     private val readinessServer =
         HttpServer(loop, settings[NodeSettings.readyAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handleReady)
     private val metricsServer =
@@ -159,7 +161,15 @@
         callerServer.answerOpenRequests(ingress.unknownOutcome)
         sleepUntil(startMillis + graceMillis * WRITING_TENTHS / TENTHS) { callerServer.isFinished }
         leaseReleased.await(startMillis + graceMillis / 2 - NodeClock.steadyMillis(), TimeUnit.MILLISECONDS)
-        logEvent("stopped", "node" to nodeName, "under_way" to callerServer.requestsInFlight)
+        val abandoned = callerServer.abandonOpenRequests(ABANDON_TIMEOUT_MILLIS)
+        logEvent(
+            "stopped",
+            "node" to nodeName,
+            "under_way" to callerServer.requestsInFlight,
+            "cut" to abandoned?.size,
+            "longest_open_ms" to abandoned?.maxOfOrNull { it.openMillis },
+            "took_ms" to NodeClock.steadyMillis() - startMillis,
+        )
     }
 
     /** Returns at [endMillis] on the monotonic clock, or earlier if [isDone]. */
@@ -255,6 +265,9 @@
         /** Time between two checks whether all requests have been answered. */
         const val DRAIN_CHECK_INTERVAL_MILLIS = 50L
 
+        /** Longest wait for the list of the requests that are cut as the process ends. */
+        const val ABANDON_TIMEOUT_MILLIS = 100L
+
         /** The balancer checks readiness once a second, and takes a node out after two failed checks. */
         const val BALANCER_LAG_MILLIS = 2_500L
 
--- a/transport/src/main/kotlin/org/gypsumturn/transport/HttpServer.kt
+++ b/transport/src/main/kotlin/org/gypsumturn/transport/HttpServer.kt
@@ -28,10 +28,29 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit.MILLISECONDS
+import java.util.concurrent.TimeUnit.NANOSECONDS
 
 /** Answers a request by calling `reply` once, from any thread. Further calls of `reply` are ignored. */
 public typealias RequestHandler = (request: ServedRequest, reply: (ServedAnswer) -> Unit) -> Unit
 
+/** Why the connection of a request ends without a complete answer. */
+public enum class UnansweredCause {
+    /** The caller closed the connection, or the connection broke. */
+    CLOSED_BY_CALLER,
+
+    /** The handler failed, or another error occurred in this process. */
+    FAILED,
+
+    /** This process is about to end. */
+    SHUTDOWN,
+}
+
+/** A request that was read [openMillis] ago and whose connection ends without a complete answer. */
+public class UnansweredRequest(public val cause: UnansweredCause, public val openMillis: Long)
+
 /**
  * Listens on [endpoint] and passes each request to [handler], on [loop]. A request with a body of more than
  * [maxBodyBytes] is not passed on. All state belongs to [loop].
@@ -49,6 +68,10 @@
     @Volatile
     private var closing = false
 
+    /** Is told, on the event loop, each request that was read and whose connection ends without a complete answer. */
+    @Volatile
+    public var onUnanswered: (UnansweredRequest) -> Unit = {}
+
     /** Number of requests that were read and whose answers have not been written. */
     @Volatile
     public var requestsInFlight: Int = 0
@@ -112,9 +135,31 @@
         loop.execute { connections.toList().forEach { it.answerOpenRequests(answer) } }
     }
 
+    /**
+     * Passes the requests that are open now to [onUnanswered] and returns them, as the process is about to end. Must
+     * not be called on the event loop. Returns null if the loop is busy for [timeoutMillis].
+     */
+    public fun abandonOpenRequests(timeoutMillis: Long): List<UnansweredRequest>? {
+        val abandoned = CompletableFuture<List<UnansweredRequest>?>().completeOnTimeout(
+            null,
+            timeoutMillis,
+            MILLISECONDS,
+        )
+        loop.execute {
+            abandoned.complete(
+                connections.flatMap { it.unansweredRequests(UnansweredCause.SHUTDOWN) }.onEach(onUnanswered),
+            )
+        }
+        return abandoned.get()
+    }
+
     /** A request that was read. [keepAlive] tells whether its caller wants to go on using the connection. */
     private class OpenRequest(val request: ServedRequest, val keepAlive: Boolean) {
+        private val readNanos = System.nanoTime()
         var isAnswered = false
+
+        fun unanswered(cause: UnansweredCause) =
+            UnansweredRequest(cause, NANOSECONDS.toMillis(System.nanoTime() - readNanos))
     }
 
     private inner class Connection(val channel: Channel) : SimpleChannelInboundHandler<FullHttpRequest>() {
@@ -127,6 +172,9 @@
         /** The answer to all requests, once there is no time left to handle them. */
         private var finalAnswer: ServedAnswer? = null
 
+        /** Whether this side closes the connection because of an error. */
+        private var hasFailed = false
+
         /** Notices where requests begin and end, before their parts are put together. */
         val boundaryListener = object : ChannelInboundHandlerAdapter() {
             override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -145,6 +193,8 @@
         override fun channelInactive(context: ChannelHandlerContext) {
             connections -= this
             openConnections = connections.size
+            val cause = if (hasFailed) UnansweredCause.FAILED else UnansweredCause.CLOSED_BY_CALLER
+            unansweredRequests(cause).forEach(onUnanswered)
             requestsInFlight -= openRequests.size
             openRequests.clear()
         }
@@ -160,6 +210,8 @@
             if (first == null) channel.close() else reply(first, answer)
         }
 
+        fun unansweredRequests(cause: UnansweredCause) = openRequests.map { it.unanswered(cause) }
+
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
             if (!message.decoderResult().isSuccess) {
                 channel.close()
@@ -182,10 +234,16 @@
         private fun handleFirst() {
             val first = openRequests.first()
             val known = finalAnswer
-            if (known == null) {
-                handler(first.request) { answer -> loop.execute { reply(first, answer) } }
-            } else {
+            if (known != null) {
                 reply(first, known)
+                return
+            }
+            try {
+                handler(first.request) { answer -> loop.execute { reply(first, answer) } }
+            } catch (e: Exception) {
+                log.error("the handler of {} {} failed", first.request.method, first.request.path, e)
+                hasFailed = true
+                channel.close()
             }
         }
 
@@ -221,6 +279,7 @@
         @Deprecated("overrides a deprecated function of Netty")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             log.debug("connection from {} failed and is closed: {}", channel.remoteAddress(), cause.message)
+            if (cause !is IOException) hasFailed = true
             channel.close()
         }
     }
--- a/transport/src/test/kotlin/org/gypsumturn/transport/HttpServerTest.kt
+++ b/transport/src/test/kotlin/org/gypsumturn/transport/HttpServerTest.kt
@@ -4,7 +4,6 @@
 package org.gypsumturn.transport
 
 import io.kotest.core.spec.style.AnnotationSpec
-import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -14,6 +13,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 
 class HttpServerTest : AnnotationSpec() {
@@ -32,7 +32,10 @@
     /** Starts a server that keeps all requests open until [answer] is called with their paths. */
     private fun startServer(): Pair<HttpServer, Endpoint> {
         val endpoint = Endpoint("127.0.0.1", ServerSocket(0).use { it.localPort })
-        val server = HttpServer(loop, endpoint, 1_000_000) { request, reply -> open[request.path] = reply }
+        val server = HttpServer(loop, endpoint, 1_000_000) { request, reply ->
+            check(request.path != "/fails")
+            open[request.path] = reply
+        }
         server.start()
         return server to endpoint
     }
@@ -209,6 +212,36 @@
         }
         await { server.isFinished }
     }
+
+    // Guards against: nothing tells that the answers to requests were cut, or whose fault that was.
+    @Test
+    fun `requests without a complete answer are reported with their cause`() {
+        val (server, endpoint) = startServer()
+        val reported = LinkedBlockingQueue<UnansweredRequest>()
+        server.onUnanswered = reported::add
+        RawCaller(endpoint).use { caller ->
+            caller.send(request("/1"))
+            await { open.containsKey("/1") }
+        }
+        // The end of the connection is noticed when the answer is written.
+        answer("/1", ByteArray(LARGE_BYTES))
+        reported.poll(10, TimeUnit.SECONDS)?.cause shouldBe UnansweredCause.CLOSED_BY_CALLER
+        RawCaller(endpoint).use { caller ->
+            caller.send(request("/fails"))
+            caller.readText() shouldBe null
+        }
+        reported.poll(10, TimeUnit.SECONDS)?.cause shouldBe UnansweredCause.FAILED
+        RawCaller(endpoint).use { caller ->
+            caller.send(request("/2"))
+            await { open.containsKey("/2") }
+            Thread.sleep(50)
+            val abandoned = server.abandonOpenRequests(10_000).orEmpty()
+            abandoned.map { it.cause } shouldBe listOf(UnansweredCause.SHUTDOWN)
+            (abandoned.single().openMillis >= 50) shouldBe true
+        }
+        reported.poll(10, TimeUnit.SECONDS)?.cause shouldBe UnansweredCause.SHUTDOWN
+        server.requestsInFlight shouldBe 1
+    }
     private companion object {
         /** More than the socket buffers of both sides hold. */
         const val LARGE_BYTES = 20_000_000
