--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -109,7 +109,9 @@
     private val ingress =
         CallerIngress(jobRequestHandler) { !isShuttingDown && configurationSubscriber.current != null }
     private val callerServer =
-        HttpServer(loop, settings[NodeSettings.callerAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handle)
+        HttpServer(loop, settings[NodeSettings.callerAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handle).also {
+            it.onUnanswered = metrics::recordUnanswered
+        }
     private val readinessServer =
         HttpServer(loop, settings[NodeSettings.readyAddress].toEndpoint(), MAX_BODY_BYTES, ingress::handleReady)
     private val metricsServer =
@@ -140,25 +142,43 @@
 
     /**
      * Shuts the node down. The readiness check fails from now on, the lease is given up, and open requests are
-     * answered. Requests are served until the balancer has taken the node out. Returns before the grace period is over.
+     * answered. Requests are served until the balancer has taken the node out. Those that are open near the end of the
+     * grace period get an answer that leaves their outcome open. Returns before the grace period is over.
      */
     public fun shutDown() {
         if (isShuttingDown) return
         isShuttingDown = true
+        val startMillis = NodeClock.steadyMillis()
+        val graceMillis = (reloadableSettings.current[NodeSettings.graceSeconds] * MILLIS_PER_SECOND).toLong()
+        val answeringEndMillis = startMillis + graceMillis * ANSWERING_TENTHS / TENTHS
         logEvent("stop", "node" to nodeName, "under_way" to callerServer.requestsInFlight)
         callerServer.drain()
         val leaseReleased = CountDownLatch(1)
         post { leaseElector.release(leaseReleased::countDown) }
-        val graceMillis = (reloadableSettings.current[NodeSettings.graceSeconds] * MILLIS_PER_SECOND).toLong()
-        val endMillis = NodeClock.steadyMillis() + graceMillis * ANSWERING_TENTHS / TENTHS
-        leaseReleased.await(graceMillis / 2, TimeUnit.MILLISECONDS)
-        val balancerUpdatedMillis = NodeClock.steadyMillis() + BALANCER_LAG_MILLIS
-        while (NodeClock.steadyMillis() < endMillis) {
-            if (callerServer.requestsInFlight == 0 && NodeClock.steadyMillis() >= balancerUpdatedMillis) break
-            Thread.sleep(DRAIN_CHECK_INTERVAL_MILLIS)
-        }
-        logEvent("stopped", "node" to nodeName, "under_way" to callerServer.requestsInFlight)
+        sleepUntil(minOf(startMillis + BALANCER_LAG_MILLIS, answeringEndMillis)) { false }
         callerServer.close()
+        sleepUntil(answeringEndMillis) { callerServer.isFinished }
+        callerServer.answerOpenRequests(ingress.unknownOutcome)
+        sleepUntil(startMillis + graceMillis * WRITING_TENTHS / TENTHS) { callerServer.isFinished }
+        leaseReleased.await(startMillis + graceMillis / 2 - NodeClock.steadyMillis(), TimeUnit.MILLISECONDS)
+        val abandoned = callerServer.abandonOpenRequests(ABANDON_TIMEOUT_MILLIS)
+        logEvent(
+            "stopped",
+            "node" to nodeName,
+            "under_way" to callerServer.requestsInFlight,
+            "cut" to abandoned?.size,
+            "longest_open_ms" to abandoned?.maxOfOrNull { it.openMillis },
+            "took_ms" to NodeClock.steadyMillis() - startMillis,
+        )
+    }
+
+    /** Returns at [endMillis] on the monotonic clock, or earlier if [isDone]. */
+    private fun sleepUntil(endMillis: Long, isDone: () -> Boolean) {
+        while (!isDone()) {
+            val leftMillis = endMillis - NodeClock.steadyMillis()
+            if (leftMillis <= 0) return
+            Thread.sleep(minOf(leftMillis, DRAIN_CHECK_INTERVAL_MILLIS))
+        }
     }
 
     private fun handlePeer(request: ServedRequest, reply: (ServedAnswer) -> Unit) {
@@ -245,11 +265,17 @@
         /** Time between two checks whether all requests have been answered. */
         const val DRAIN_CHECK_INTERVAL_MILLIS = 50L
 
+        /** Longest wait for the list of the requests that are cut as the process ends. */
+        const val ABANDON_TIMEOUT_MILLIS = 100L
+
         /** The balancer checks readiness once a second, and takes a node out after two failed checks. */
         const val BALANCER_LAG_MILLIS = 2_500L
 
-        /** Part of the grace period in which callers are answered, in tenths. */
+        /** Part of the grace period in which requests are handled, in tenths. */
         const val ANSWERING_TENTHS = 8
+
+        /** Part of the grace period after which the process ends though answers have not been written, in tenths. */
+        const val WRITING_TENTHS = 9
         const val TENTHS = 10
     }
 }
