Let a new holder know the machines of its predecessor's executors

Callers saw: a machine went down together with the holder, and the long-running tasks on it had no run for 9 s, though the list of machines showed the machine as down at once.

Cause: a machine that is down is listed without an executor. A holder takes an executor for ended only if it has seen it on the machine itself, which a new holder has not, so it waited until all run leases could have lapsed.

The rosters store the machine of each executor. A new holder uses them as if it had seen the executors there itself, under the conditions that hold within a term.

The module's tests pass (2 min 34 s).

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
@@ -102,6 +102,7 @@
      * that do not answer and that it shows to have ended leave the scheduler.
      */
     public fun applyMachineList(nowMillis: Long, requestMillis: Long, machines: List<MachineRecord>) {
+        registry.addEarlierExecutors(scheduler.takeEarlierMachines())
         registry.applyList(nowMillis, requestMillis, machines).forEach { order ->
             log("machine back", arrayOf("machine" to order.machine, "order" to order))
             uncordon(nowMillis, order)
@@ -115,6 +116,7 @@
                 scheduler.onExecutorGone(nowMillis, id, planned, evidence)
             }
         registry.retainExecutors(scheduler.executors.keys)
+        scheduler.recordMachines(registry.shownMachines)
         val listed = registry.allMachines.filter { it.state == MachineState.UP }.mapNotNullTo(HashSet()) { it.executor }
         budget.recordListed(nowMillis, listed)
     }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineRegistry.kt
@@ -152,6 +152,7 @@
             if (machine.state != MachineState.UP || machine.executor != null) endedExecutors += executor
         }
         machineByExecutor += upNow
+        shownMachines = upNow
     }
 
     /** Adds executors that an earlier lease holder has seen on the given machines. */
@@ -159,6 +160,10 @@
         machineByExecutor += machineByEarlierExecutor
     }
 
+    /** The machines that the last list shows as up, by the executors on them. */
+    var shownMachines: Map<InstanceId, MachineId> = emptyMap()
+        private set
+
     /** Forgets the machines of executors that are not [known] any more. */
     fun retainExecutors(known: Set<InstanceId>) {
         machineByExecutor.keys.retainAll(known)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -8,6 +8,7 @@
 import org.gypsumturn.batch.model.ExecutorRecord
 import org.gypsumturn.batch.model.FleetConfiguration
 import org.gypsumturn.batch.model.JobPhase
+import org.gypsumturn.batch.model.MachineId
 import org.gypsumturn.batch.model.OrderAnswer
 import org.gypsumturn.batch.model.QueueId
 import org.gypsumturn.batch.model.RunId
@@ -174,6 +175,12 @@
         absences.onTakeover(nowMillis, activeJobs)
     }
 
+    /** Returns the machines of executors that earlier holders have stored, and nothing after the first call. */
+    internal fun takeEarlierMachines(): Map<InstanceId, MachineId> = rosters.takeEarlierMachines()
+
+    /** Lets the machines on which executors were [shown] be stored, so that a later holder knows them. */
+    internal fun recordMachines(shown: Map<InstanceId, MachineId>) = rosters.recordMachines(shown)
+
     /** Removes and returns at most [limit] rosters that are to be stored. */
     public fun takeRosterChanges(limit: Int): List<RosterChange> = rosters.takeChanges(limit)
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/PoolRosters.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/PoolRosters.kt
@@ -2,6 +2,7 @@
 
 package org.gypsumturn.batch.schedule
 
+import org.gypsumturn.batch.model.MachineId
 import org.gypsumturn.batch.model.QueueId
 import org.gypsumturn.batch.state.PoolRoster
 import org.gypsumturn.batch.state.QueueRecord
@@ -31,7 +32,12 @@
     private val requestedQueues = HashMap<PoolId, MutableSet<QueueId>>()
     private val changedPools = LinkedHashSet<PoolId>()
 
-    /** Time at which rosters were last marked as changed for the records of their queues. */
+    /** The machines on which known executors were shown. */
+    private val machineByExecutor = HashMap<InstanceId, MachineId>()
+    private val earlierMachines = HashMap<InstanceId, MachineId>()
+    private val poolsWithNewMachines = HashSet<PoolId>()
+
+    /** Time at which rosters were last marked as changed for the records of their queues or for machines. */
     private var recordsMarkedMillis = Long.MIN_VALUE / 2
 
     /** Pools with a write that has not been confirmed, so that it is not known which roster is stored. */
@@ -49,22 +55,39 @@
         rosters.forEach { (pool, row) ->
             admittedQueues[pool] = row.roster.queues
             markRecorded(pool, row.roster)
+            row.roster.machines.forEach { (id, machine) -> earlierMachines[InstanceId(id)] = MachineId(machine) }
         }
+        machineByExecutor += earlierMachines
         changedPools += rosters.keys
     }
 
+    /** Returns the machines of the executors in the rosters of earlier holders, and nothing after the first call. */
+    fun takeEarlierMachines(): Map<InstanceId, MachineId> = earlierMachines.toMap().also { earlierMachines.clear() }
+
+    /** Records the machines on which the list of machines shows executors. */
+    fun recordMachines(shown: Map<InstanceId, MachineId>) {
+        machineByExecutor.keys.retainAll(registry.executors.keys)
+        shown.forEach { (id, machine) ->
+            val executor = registry.executors[id] ?: return@forEach
+            if (machineByExecutor.put(id, machine) != machine) poolsWithNewMachines += executor.record.pool
+        }
+    }
+
     /**
-     * Marks the rosters as changed that lack the present record of a queue with unfinished jobs. Marks none within a
-     * second of the last ones, so that frequent configurations do not cause as many writes.
+     * Marks the rosters as changed that lack the present record of a queue with unfinished jobs, or the machine of an
+     * executor. Marks none within a second of the last ones, so that frequent configurations and lists do not cause as
+     * many writes.
      */
     fun markOutdatedRecords(nowMillis: Long) {
         if (nowMillis - recordsMarkedMillis < RECORDS_INTERVAL_MILLIS) return
         val outdated = queues.records.filter { (id, record) ->
             stored[PoolId(record.pool)]?.roster?.queueRecords?.get(id.value) != record && isActive(id)
         }
-        if (outdated.isEmpty()) return
+        if (outdated.isEmpty() && poolsWithNewMachines.isEmpty()) return
         recordsMarkedMillis = nowMillis
         outdated.values.mapTo(changedPools) { PoolId(it.pool) }
+        changedPools += poolsWithNewMachines
+        poolsWithNewMachines.clear()
     }
 
     /** Whether tasks of [queue] may be started in [pool]. If not, the queue is stored with the next change. */
@@ -97,7 +120,12 @@
             .associate { it.record.id.value to it.record.address }
         val requested = requestedQueues[pool].orEmpty().map { it.value }
         val named = current.queues.filterTo(LinkedHashSet()) { isActive(QueueId(it)) } + requested
-        return PoolRoster(addresses, named, wantedRecords(pool, current))
+        return PoolRoster(addresses, named, wantedRecords(pool, current), wantedMachines(addresses.keys))
+    }
+
+    private fun wantedMachines(executors: Set<String>): Map<String, String> {
+        if (executors.size > MAX_MACHINES) return emptyMap()
+        return executors.mapNotNull { id -> machineByExecutor[InstanceId(id)]?.let { id to it.value } }.toMap()
     }
 
     /**
@@ -142,5 +170,8 @@
 
         /** Records in a roster at most, so that its row has room for the executors. */
         const val MAX_RECORDS = 100
+
+        /** Executors in a roster with their machines at most, so that a larger roster still fits into its row. */
+        const val MAX_MACHINES = 500
     }
 }
