Tell how current the holder's knowledge of jobs is

Callers saw tasks of a cancelled job start after the cancellation was acknowledged. Nothing told whether the lease holder did not know of the cancellation yet, or knew and did not act.

The session now records up to which time it knows the stored jobs. An empty answer to a long poll proves the end of its wait, one with changes only its sending, and a read of all rows the start of the read. The scheduler gets this as JobKnowledge with each pass; it decides nothing by it yet.

- `task started` has the field `jobs_age_ms`.
- New line `cancellation applied` with the partition and revision of the row, and the age of the knowledge before it.
One line for each cancelled job at most.
- New gauge `gypsumturn_node_job_feed_age_seconds`, shown by the lease holder only.

The count of waiting jobs uses the same time in place of that of the last answer, so that its bound of 2 s is not longer than it says. The clock of a session is a port, so that tests can run it in virtual time.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -90,6 +90,10 @@
     /** Whether an executor refused a call because it has accepted a higher epoch from another holder. */
     public val fencedOff: Boolean get() = registry.fencedOff
 
+    /** What was known of the stored jobs in the last scheduling pass; null before the first. */
+    public var jobKnowledge: JobKnowledge? = null
+        private set
+
     /** Returns the job with [id], or null if it is not known. */
     public fun job(id: JobId): JobState? = jobRegistry[id]
 
@@ -440,9 +444,19 @@
      * elsewhere before it has fenced every executor, or before all run leases that were given in time have lapsed. No
      * run lease reaches beyond that time. When too little of it is left for a useful lease, executors are only polled.
      * Run leases that lapse after the control lease end no run, since a later holder may have extended them.
+     *
+     * [knowledge] tells how current the jobs and cancellations are that this scheduler was told of. By default the
+     * caller vouches for them.
      */
-    public fun runSchedulingPass(nowMillis: Long, wallMillis: Long, overdueMillis: Long): List<ExecutorOrder> {
+    public fun runSchedulingPass(
+        nowMillis: Long,
+        wallMillis: Long,
+        overdueMillis: Long,
+        knowledge: JobKnowledge = JobKnowledge.current(nowMillis),
+    ): List<ExecutorOrder> {
         controlLease.update(nowMillis, overdueMillis)
+        jobKnowledge = knowledge
+        starter.jobsAgeMillis = knowledge.ageMillis(nowMillis)
         val soleHolderMillis = controlLease.soleHolderMillis(nowMillis)
         recovery.takeRecoveredPools(soleHolderMillis) { mayReportEnds(soleHolderMillis, it) }.forEach { pool ->
             log("recovery over", arrayOf("epoch" to epoch, "pool" to pool, "active" to activeJobs.size))
--- /dev/null
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobKnowledge.kt
@@ -0,0 +1,40 @@
+// How current the holder's knowledge of jobs and cancellations is, and whether it is current enough to start tasks. A
+// holder whose feed of jobs is silent does not see cancellations that other nodes acknowledge meanwhile, even while its
+// lease is valid.
+
+package org.gypsumturn.batch.schedule
+
+/**
+ * What one process knows of the stored jobs, and when it last reached the store. All times are on its steady clock.
+ *
+ * @property asOfMillis everything that was stored until this time is known
+ * @property storeAnsweredMillis when the store last answered a call of any kind
+ * @property failedCallSentMillis when the newest call to the store that has failed was sent; null if none has
+ */
+public data class JobKnowledge(
+    public val asOfMillis: Long,
+    public val storeAnsweredMillis: Long,
+    public val failedCallSentMillis: Long? = null,
+) {
+    /** Age of the knowledge at [nowMillis]. */
+    public fun ageMillis(nowMillis: Long): Long = nowMillis - asOfMillis
+
+    /**
+     * Whether the process may start tasks at [nowMillis], if its knowledge must not lack cancellations that were
+     * acknowledged more than [maxAgeMillis] ago.
+     *
+     * Older knowledge is sufficient during an outage of the store, in which no cancellation can be acknowledged: the
+     * knowledge is as recent as the last answer of the store, and the store has not answered since. A failed call shows
+     * the latter only if it was sent recently, since a process that was suspended has missed the answers of that time.
+     */
+    public fun allowsStarts(nowMillis: Long, maxAgeMillis: Long): Boolean {
+        if (ageMillis(nowMillis) <= maxAgeMillis) return true
+        val failedCallAgeMillis = nowMillis - (failedCallSentMillis ?: return false)
+        return storeAnsweredMillis - asOfMillis <= maxAgeMillis && failedCallAgeMillis <= maxAgeMillis
+    }
+
+    public companion object {
+        /** Complete knowledge at [nowMillis]. */
+        public fun current(nowMillis: Long): JobKnowledge = JobKnowledge(nowMillis, nowMillis)
+    }
+}
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskStarter.kt
@@ -43,6 +43,9 @@
     /** Length of the lease that start orders give from now on. */
     var leaseMillis = 0L
 
+    /** Age of the knowledge of jobs with which starts are decided. */
+    var jobsAgeMillis = 0L
+
     /** Runs of suspected tasks whose starts are sent once the suspicion is stored. */
     private val heldStarts = ArrayList<Run>()
 
@@ -234,6 +237,7 @@
                 "executor" to executor.record.id,
                 "free_cpu" to executor.free.cpuMillis,
                 "waited_ms" to nowMillis - waitingSinceMillis(task),
+                "jobs_age_ms" to jobsAgeMillis,
             ),
         )
     }
--- a/node/src/main/kotlin/org/gypsumturn/node/ExecutorOrderSender.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ExecutorOrderSender.kt
@@ -21,6 +21,7 @@
     private val advisor: PlacementAdvisor?,
     private val epoch: Epoch,
     private val post: Post,
+    private val nowMillis: () -> Long,
 ) {
     /** Set when the term is over. Answers that arrive later are ignored. */
     public var closed: Boolean = false
@@ -41,7 +42,7 @@
      */
     public fun askAdvisor(question: AdviceQuestion) {
         val onVerdict = { verdict: Verdict<Advice> ->
-            postUnlessClosed { scheduler.onAdviceAnswered(NodeClock.steadyMillis(), question, verdict) }
+            postUnlessClosed { scheduler.onAdviceAnswered(nowMillis(), question, verdict) }
         }
         if (advisor == null) {
             onVerdict(Verdict.NotRun(Failure(FailureKind.INVALID, "no placement advisor is configured")))
@@ -52,20 +53,20 @@
 
     private fun startRun(order: ExecutorOrder.Start) {
         executors.startRun(order.target, order.order, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
-            postUnlessClosed { scheduler.onStartAnswered(NodeClock.steadyMillis(), order, verdict) }
+            postUnlessClosed { scheduler.onStartAnswered(nowMillis(), order, verdict) }
         }
     }
 
     private fun stopRun(order: ExecutorOrder.Stop) {
         executors.stopRun(order.target, order.run, epoch, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
-            postUnlessClosed { scheduler.onStopAnswered(NodeClock.steadyMillis(), order, verdict) }
+            postUnlessClosed { scheduler.onStopAnswered(nowMillis(), order, verdict) }
         }
     }
 
     private fun poll(order: ExecutorOrder.Poll) {
         val timeoutMillis = (order.order.waitMillis ?: 0) + SchedulerSettings.POLL_TIMEOUT_MILLIS
         executors.poll(order.target, order.order, timeoutMillis) { verdict ->
-            postUnlessClosed { scheduler.onPollAnswered(NodeClock.steadyMillis(), order, verdict) }
+            postUnlessClosed { scheduler.onPollAnswered(nowMillis(), order, verdict) }
         }
     }
 
--- a/node/src/main/kotlin/org/gypsumturn/node/FeedAge.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/FeedAge.kt
@@ -3,15 +3,17 @@
 
 package org.gypsumturn.node
 
-/** Tracks when a feed last answered, against the bound [maxAgeMillis]. */
+/** Tracks up to which time the content of a feed is known, against the bound [maxAgeMillis]. */
 internal class FeedAge(private val maxAgeMillis: Long) {
-    private var lastAnswerMillis: Long? = null
+    /** Time up to which everything that was published is known; null before the first answer. */
+    var asOfMillis: Long? = null
+        private set
 
-    /** Records an answer of the feed, with or without changes, at [nowMillis]. */
-    fun recordAnswer(nowMillis: Long) {
-        lastAnswerMillis = nowMillis
+    /** Records that everything that was published until [asOfMillis] is known. */
+    fun recordKnown(asOfMillis: Long) {
+        this.asOfMillis = maxOf(this.asOfMillis ?: asOfMillis, asOfMillis)
     }
 
-    /** Whether the feed has answered within the bound before [nowMillis]. */
-    fun isWithinBound(nowMillis: Long): Boolean = lastAnswerMillis?.let { nowMillis - it <= maxAgeMillis } ?: false
+    /** Whether the content is known up to a time within the bound before [nowMillis]. */
+    fun isWithinBound(nowMillis: Long): Boolean = asOfMillis?.let { nowMillis - it <= maxAgeMillis } ?: false
 }
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -21,6 +21,7 @@
 import org.gypsumturn.batch.port.StoredRow
 import org.gypsumturn.batch.schedule.BatchScheduler
 import org.gypsumturn.batch.schedule.DecisionLog
+import org.gypsumturn.batch.schedule.JobKnowledge
 import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.batch.schedule.StoredRoster
 import org.gypsumturn.batch.state.JobRows
@@ -32,13 +33,21 @@
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 
-/** The services that a session calls. [machines] and [advisor] are null if none is configured. */
+/**
+ * The services that a session calls. [machines] and [advisor] are null if none is configured.
+ *
+ * @property reportJobsAsOf receives the time on the steady clock up to which the stored jobs are known, whenever it
+ * changes, and null at the end of the term
+ * @property nowMillis reads the steady clock
+ */
 public class SessionPorts(
     public val store: RowStore,
     public val updates: FleetUpdateFeed,
     public val executors: ExecutorCalls,
     public val machines: MachineControl?,
     public val advisor: PlacementAdvisor?,
+    public val reportJobsAsOf: (Long?) -> Unit = { },
+    public val nowMillis: () -> Long = NodeClock::steadyMillis,
 )
 
 /**
@@ -60,9 +69,11 @@
 ) {
     private val epoch = lease.epoch
     private val scheduler = BatchScheduler(settings, epoch, decisionLog)
-    private val orderSender = ExecutorOrderSender(scheduler, ports.executors, ports.advisor, epoch, post)
+    private val orderSender =
+        ExecutorOrderSender(scheduler, ports.executors, ports.advisor, epoch, post, ports.nowMillis)
     private val fence = ProgressFence(ports.store, epoch, post, postDelayed)
-    private val progressWriter = ProgressWriter(scheduler, fence, ports.store, settings.maxProgressBytes, post)
+    private val progressWriter =
+        ProgressWriter(scheduler, fence, ports.store, settings.maxProgressBytes, ports.nowMillis, post)
     private val jobIntake = JobIntake(scheduler, ports.store, settings, decisionLog, post)
     private val takeoverReader = TakeoverReader(ports.store, post, postDelayed, ::onJobsRead)
     private val machines =
@@ -91,12 +102,18 @@
     private val storeOutage = OutageLog("store lost", "store regained", "by" to "holder")
     private var workspacesReportedMillis = 0L
 
+    /** Time at which reading all stored rows began. */
+    private var readStartMillis = 0L
+
     /** Whether the store or an executor has shown that another process has taken the lease over. */
     public val fencedOff: Boolean get() = fence.superseded || scheduler.fencedOff
 
     /** Starts reading the stored state. Orders are given once all of it has been read. */
     public fun start() {
-        fence.writeEpoch { takeoverReader.start() }
+        fence.writeEpoch {
+            readStartMillis = ports.nowMillis()
+            takeoverReader.start()
+        }
         readExecutors()
     }
 
@@ -104,6 +121,7 @@
     public fun close() {
         closed = true
         reportWorkspaces(emptyList())
+        ports.reportJobsAsOf(null)
         orderSender.closed = true
         machines?.close()
         jobIntake.closed = true
@@ -145,7 +163,8 @@
     public fun runDueWork(now: ClockReadings) {
         if (!ready || closed || fencedOff) return
         val overdueMillis = lease.overdueMillis(now)
-        scheduler.runSchedulingPass(now.steadyMillis, now.wallMillis, overdueMillis).forEach(orderSender::send)
+        scheduler.runSchedulingPass(now.steadyMillis, now.wallMillis, overdueMillis, jobKnowledge(now.steadyMillis))
+            .forEach(orderSender::send)
         scheduler.takeQuestions().forEach(orderSender::askAdvisor)
         if (now.steadyMillis - workspacesReportedMillis >= WORKSPACE_REPORT_MILLIS) {
             workspacesReportedMillis = now.steadyMillis
@@ -158,8 +177,15 @@
         }
     }
 
+    private fun jobKnowledge(nowMillis: Long) = JobKnowledge(jobFeedAge.asOfMillis ?: readStartMillis, nowMillis)
+
+    private fun recordJobsKnown(asOfMillis: Long) {
+        jobFeedAge.recordKnown(asOfMillis)
+        ports.reportJobsAsOf(jobFeedAge.asOfMillis)
+    }
+
     private fun onJobsRead(stored: StoredJobs) {
-        val nowMillis = NodeClock.steadyMillis()
+        val nowMillis = ports.nowMillis()
         jobIntake.applyRows(nowMillis, stored.jobRows, stored.progressRows, neverStarted = false)
         logEvent(
             "jobs read",
@@ -171,7 +197,7 @@
         )
         machines?.applyStoredWaves(stored.waveRows)
         applyRosterRows(stored.rosterRows)
-        jobFeedAge.recordAnswer(nowMillis)
+        recordJobsKnown(readStartMillis)
         jobsLoaded = true
         awaitJobChanges(stored.jobsRevision)
         becomeReadyIfLoaded()
@@ -189,28 +215,30 @@
     }
 
     private fun awaitJobChanges(after: Revision) {
+        val sentMillis = ports.nowMillis()
         ports.store.awaitChanges(
             JobRows.TABLE,
             after,
             POLL_WAIT_MILLIS,
             POLL_WAIT_MILLIS + POLL_TIMEOUT_MILLIS,
         ) { verdict ->
-            post { if (!closed) onJobsChanged(after, verdict) }
+            post { if (!closed) onJobsChanged(after, sentMillis, verdict) }
         }
     }
 
-    private fun onJobsChanged(after: Revision, verdict: Verdict<RowChanges>) {
+    private fun onJobsChanged(after: Revision, sentMillis: Long, verdict: Verdict<RowChanges>) {
         recordStoreResult(verdict)
         when (val changes = (verdict as? Verdict.Ran)?.value) {
             is RowChanges.Known -> {
-                val nowMillis = NodeClock.steadyMillis()
-                jobFeedAge.recordAnswer(nowMillis)
+                val nowMillis = ports.nowMillis()
                 jobIntake.applyRows(nowMillis, changes.rows, neverStarted = true)
+                recordJobsKnown(knownUntilMillis(nowMillis, sentMillis, changes))
                 awaitJobChanges(changes.revision)
             }
 
             RowChanges.Discarded -> {
                 logEvent("history discarded", "table" to JobRows.TABLE)
+                readStartMillis = ports.nowMillis()
                 TakeoverReader(ports.store, post, postDelayed, ::onJobsReadAgain).start()
             }
 
@@ -218,10 +246,19 @@
         }
     }
 
+    /**
+     * Time up to which [changes] are complete, as the answer to a long poll that was sent at [sentMillis]. An answer
+     * with changes is only known to be later than the sending; one without is given at the end of the wait.
+     */
+    private fun knownUntilMillis(nowMillis: Long, sentMillis: Long, changes: RowChanges.Known): Long {
+        val waited = changes.rows.isEmpty() && nowMillis - sentMillis >= POLL_WAIT_MILLIS
+        return if (waited) sentMillis + POLL_WAIT_MILLIS else sentMillis
+    }
+
     private fun onJobsReadAgain(stored: StoredJobs) {
-        val nowMillis = NodeClock.steadyMillis()
-        jobFeedAge.recordAnswer(nowMillis)
+        val nowMillis = ports.nowMillis()
         jobIntake.applyRows(nowMillis, stored.jobRows, neverStarted = true)
+        recordJobsKnown(readStartMillis)
         awaitJobChanges(stored.jobsRevision)
     }
 
@@ -240,7 +277,7 @@
         }
         val updates = page.updates.orEmpty()
         val listed = updates.mapNotNullTo(HashSet<InstanceId>()) { (it as? FleetUpdate.ExecutorListed)?.executor?.id }
-        val nowMillis = NodeClock.steadyMillis()
+        val nowMillis = ports.nowMillis()
         scheduler.executors.keys.filter { it !in listed }.forEach { scheduler.onExecutorUnlisted(nowMillis, it) }
         updates.forEach(::applyExecutorUpdate)
         scheduler.onExecutorsRead(nowMillis)
@@ -273,14 +310,14 @@
 
             else -> {
                 page.updates.orEmpty().forEach(::applyExecutorUpdate)
-                scheduler.onExecutorsRead(NodeClock.steadyMillis())
+                scheduler.onExecutorsRead(ports.nowMillis())
                 postDelayed(POLL_GAP_MILLIS) { if (!closed) awaitExecutorUpdates(page.revision) }
             }
         }
     }
 
     private fun applyExecutorUpdate(update: FleetUpdate) {
-        val nowMillis = NodeClock.steadyMillis()
+        val nowMillis = ports.nowMillis()
         when (update) {
             is FleetUpdate.ExecutorListed -> scheduler.onExecutorListed(nowMillis, update.executor)
             is FleetUpdate.ExecutorUnlisted -> scheduler.onExecutorUnlisted(nowMillis, update.id)
@@ -290,14 +327,14 @@
     }
 
     private fun recordStoreResult(verdict: Verdict<*>) {
-        if (storeOutage.recordResult(verdict)) scheduler.onStoreRegained(NodeClock.steadyMillis())
+        if (storeOutage.recordResult(verdict)) scheduler.onStoreRegained(ports.nowMillis())
     }
 
     private fun becomeReadyIfLoaded() {
         if (ready || !jobsLoaded || !executorsLoaded) return
         ready = true
         val waitMillis = settings.maxLeaseMillis + settings.maxLeaseMillis / SLOW_CLOCK_DIVISOR + LEASE_SLACK_MILLIS
-        val nowMillis = NodeClock.steadyMillis()
+        val nowMillis = ports.nowMillis()
         scheduler.startRecovery(nowMillis, storedRosters, nowMillis + waitMillis)
         waves.values.forEach { machines?.addWave(it, firstHolder = false) }
         logEvent("session ready", "epoch" to epoch, "executors" to scheduler.executors.size)
--- a/node/src/main/kotlin/org/gypsumturn/node/JobIntake.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobIntake.kt
@@ -92,7 +92,7 @@
         scheduler.addJob(nowMillis, job, record, progress?.revision ?: Revision.ABSENT, neverStarted)
         unmatched.takeMatching(job).forEach { cancellation ->
             val heldMillis = nowMillis - cancellation.readMillis
-            cancel(nowMillis, job.id, cancellation.address, cancellation.content, heldMillis)
+            cancel(nowMillis, job.id, cancellation.address, cancellation.revision, cancellation.content, heldMillis)
         }
     }
 
@@ -106,13 +106,20 @@
         val job = scheduler.job(id)
         if (job != null && content.appliesTo(job.job)) {
             unmatched.onRemoved(row.address, row.revision)
-            cancel(nowMillis, id, row.address, content, heldMillis = 0)
+            cancel(nowMillis, id, row.address, row.revision, content, heldMillis = 0)
         } else {
             unmatched.add(nowMillis, id, row.address, row.revision, content)
         }
     }
 
-    private fun cancel(nowMillis: Long, id: JobId, address: RowAddress, content: StoredCancellation, heldMillis: Long) {
+    private fun cancel(
+        nowMillis: Long,
+        id: JobId,
+        address: RowAddress,
+        revision: Revision,
+        content: StoredCancellation,
+        heldMillis: Long,
+    ) {
         rowsOf(id) += address
         if (content.caller != null) {
             decisionLog(
@@ -120,6 +127,18 @@
                 arrayOf("job" to id, "workspace" to content.caller?.workspace, "held_ms" to heldMillis),
             )
         }
+        if (scheduler.job(id)?.phase?.ended == false) {
+            decisionLog(
+                "cancellation applied",
+                arrayOf(
+                    "job" to id,
+                    "partition" to address.partition,
+                    "revision" to revision,
+                    "held_ms" to heldMillis,
+                    "jobs_age_ms" to scheduler.jobKnowledge?.ageMillis(nowMillis),
+                ),
+            )
+        }
         scheduler.cancelJob(nowMillis, id)
     }
 
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeMetrics.kt
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -21,7 +22,10 @@
 private const val MILLIS_PER_SECOND = 1_000.0
 
 /** The metrics of one node. They may be updated from any thread. */
-public class NodeMetrics(private val registry: PrometheusRegistry = PrometheusRegistry()) {
+public class NodeMetrics(
+    private val registry: PrometheusRegistry = PrometheusRegistry(),
+    private val nowMillis: () -> Long = NodeClock::steadyMillis,
+) {
     private val answers =
         Counter.builder()
             .name("gypsumturn_node_answers_total")
@@ -88,6 +92,9 @@
             .labelNames("workspace")
             .register(registry)
 
+    @Volatile
+    private var jobsAsOfMillis: Long? = null
+
     private val writer = PrometheusTextFormatWriter.builder().build()
 
     init {
@@ -96,6 +103,13 @@
             .help("Log lines that were dropped because the log fell behind.")
             .callback { it.call(droppedLogLines.get().toDouble()) }
             .register(registry)
+        GaugeWithCallback.builder()
+            .name("gypsumturn_node_job_feed_age_seconds")
+            .help("Age of the lease holder's knowledge of stored jobs and cancellations.")
+            .callback { gauge ->
+                jobsAsOfMillis?.let { gauge.call((nowMillis() - it) / MILLIS_PER_SECOND) }
+            }
+            .register(registry)
     }
 
     /** Counts [answer] to the request [call] and records that it took [tookMillis]. */
@@ -120,6 +134,11 @@
         }
     }
 
+    /** Records that stored jobs are known up to [asOfMillis]; null while this process is not the lease holder. */
+    public fun recordJobsAsOf(asOfMillis: Long?) {
+        jobsAsOfMillis = asOfMillis
+    }
+
     private fun recordAmounts(workspace: String, kind: String, amounts: ResourceAmounts) {
         workspaceAmounts.labelValues(workspace, "cpu", kind).set(amounts.cpuMillis.toDouble())
         workspaceAmounts.labelValues(workspace, "memory", kind).set(amounts.memoryMb.toDouble())
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -170,7 +170,14 @@
             PlatformMachineControl(peerClient, it, NodeId(nodeName))
         }
         val advisor = Endpoint.parse(settings[NodeSettings.advisorAddress])?.let { PlatformAdvisor(peerClient, it) }
-        return SessionPorts(store, fleetUpdates, PlatformExecutorCalls(executorClient), machines, advisor)
+        return SessionPorts(
+            store,
+            fleetUpdates,
+            PlatformExecutorCalls(executorClient),
+            machines,
+            advisor,
+            metrics::recordJobsAsOf,
+        )
     }
 
     private fun machineTimes() = MachineTimes(
--- a/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ProgressWriter.kt
@@ -29,6 +29,7 @@
     private val fence: ProgressFence,
     private val store: RowStore,
     private val maxRowBytes: Int,
+    private val nowMillis: () -> Long = NodeClock::steadyMillis,
     private val post: Post,
 ) {
     private var writing = false
@@ -99,7 +100,7 @@
 
     private fun onAnswer(group: Group, verdict: Verdict<TransactionOutcome>) {
         writing = false
-        val nowMillis = NodeClock.steadyMillis()
+        val nowMillis = nowMillis()
         nextWriteMillis = nowMillis + GROUP_PAUSE_MILLIS
         when (val outcome = (verdict as? Verdict.Ran)?.value) {
             is TransactionOutcome.Committed -> {
--- a/node/src/test/kotlin/org/gypsumturn/node/FeedAgeTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/FeedAgeTest.kt
@@ -10,10 +10,10 @@
     fun `a holder whose job feed is silent counts waiting jobs for two seconds and not longer`() {
         val age = FeedAge(2_000)
         age.isWithinBound(0) shouldBe false
-        age.recordAnswer(1_000)
+        age.recordKnown(1_000)
         age.isWithinBound(3_000) shouldBe true
         age.isWithinBound(3_001) shouldBe false
-        age.recordAnswer(3_500)
+        age.recordKnown(3_500)
         age.isWithinBound(5_500) shouldBe true
     }
 }
--- a/node/src/test/kotlin/org/gypsumturn/node/JobIntakeTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/JobIntakeTest.kt
@@ -14,6 +14,7 @@
 import org.gypsumturn.batch.port.RowWrite
 import org.gypsumturn.batch.port.StoredRow
 import org.gypsumturn.batch.schedule.BatchScheduler
+import org.gypsumturn.batch.schedule.JobKnowledge
 import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.batch.state.CancellationCaller
 import org.gypsumturn.batch.state.JobRows
@@ -28,6 +29,7 @@
     private val partition = JobRows.partitions.first()
     private val settings = SchedulerSettings(5_000, 6_000, 120)
     private val events = ArrayList<String>()
+    private val fieldsByEvent = HashMap<String, Map<String, Any?>>()
     private lateinit var store: MemoryRowStore
     private lateinit var scheduler: BatchScheduler
     private lateinit var intake: JobIntake
@@ -41,7 +43,12 @@
 
     private fun startTerm(epoch: Long) {
         scheduler = BatchScheduler(settings, Epoch(epoch), { _, _ -> })
-        intake = JobIntake(scheduler, store, settings, { event, _ -> events += event }) { it() }
+        intake = JobIntake(scheduler, store, settings, ::recordEvent) { it() }
+    }
+
+    private fun recordEvent(event: String, fields: Array<out Pair<String, Any?>>) {
+        events += event
+        fieldsByEvent[event] = fields.toMap()
     }
 
     private fun job(number: Int, workspace: WorkspaceId?, prefix: String = "/q/") =
@@ -83,6 +90,23 @@
         events.count { it == "cancellation matched" } shouldBe 4
     }
 
+    // Guards against: nothing tells which stored cancellation a holder applied, and how current its jobs were then.
+    @Test
+    fun `the line of a cancellation names its row and the age of the jobs that were known before it`() {
+        readJob(0, job(1, own))
+        scheduler.runSchedulingPass(1_000, 1_000, -1, JobKnowledge(400, 1_000))
+        val row = storeCancellation(1, own)
+        repeat(2) { intake.applyRows(1_200, listOf(row), neverStarted = true) }
+        events.count { it == "cancellation applied" } shouldBe 1
+        fieldsByEvent.getValue("cancellation applied") shouldBe mapOf(
+            "job" to idOf(1),
+            "partition" to partition,
+            "revision" to row.revision,
+            "held_ms" to 0L,
+            "jobs_age_ms" to 800L,
+        )
+    }
+
     // Guards against: callers of a public queue cancel jobs that other queues do not let them see.
     @Test
     fun `a cancellation on a public queue does not apply to a job that a workspace submits to another queue`() {
--- a/node/src/test/kotlin/org/gypsumturn/node/NodeMetricsTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/NodeMetricsTest.kt
@@ -43,4 +43,21 @@
         metrics.recordWorkspaces(emptyList())
         values("held_back") shouldBe emptyList()
     }
+
+    // Guards against: a holder whose feed of jobs is silent can't be told from one that is up to date, or the age of an
+    // earlier term stays shown.
+    @Test
+    fun `the age of the job feed is shown in seconds while the process holds the lease`() {
+        val registry = PrometheusRegistry()
+        var nowMillis = 10_000L
+        val metrics = NodeMetrics(registry) { nowMillis }
+        fun ages() = registry.scrape().filterIsInstance<GaugeSnapshot>()
+            .filter { it.metadata.prometheusName == "gypsumturn_node_job_feed_age_seconds" }.flatMap { it.dataPoints }
+        ages() shouldBe emptyList()
+        metrics.recordJobsAsOf(9_500)
+        nowMillis = 12_000
+        ages().single().value shouldBeExactly 2.5
+        metrics.recordJobsAsOf(null)
+        ages() shouldBe emptyList()
+    }
 }
