Search the model for starts of cancelled jobs

Callers saw tasks of a cancelled job start after the cancellation was acknowledged. The model knew no cancellations, so that no search could find a holder that acts on jobs that it read too long ago.

The model now stores cancellations, and each holder follows them by a feed of its own. The feed may stand still while the lease is renewed, or lose its history, after which two partitions are read at different moments, as they are by a new holder. A holder may also be suspended before it sends a start, with or without its steady clock, and stops may be refused.

New rules: no start is sent by a holder in touch later than 3 s after the acknowledgement, and no run of a cancelled job goes on for longer than 3.9 s without faults. Starts by holders whose lease has lapsed, or that were suspended within the last 3 s, have names of their own, since the rule exempts these.

The search must find two holders that are put in: one that takes its jobs for current while its lease is valid, as the product does, and one that takes the last partition that it read for the time of all of them.

--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelEvent.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelEvent.kt
@@ -83,6 +83,23 @@
 
     /** Time passes with all deliveries but those of orders for machines. */
     QUIET,
+
+    /** A cancellation of a job is stored in partition N and acknowledged. */
+    CANCEL,
+
+    /** The feed of jobs of a holder stands still while its other calls are answered, or goes on. */
+    HALT,
+    RESUME,
+
+    /** The feed of a holder has lost its history, so that all partitions are read again. Partition N is read. */
+    DISCARD,
+    READ,
+
+    /**
+     * A holder is suspended before it sends the next start that it decides: its process alone, or with N = 1 its
+     * machine, whose steady clock stands still.
+     */
+    SUSPEND,
 }
 
 /** One event. */
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelHolder.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelHolder.kt
@@ -11,6 +11,7 @@
 import org.gypsumturn.batch.port.PollAnswer
 import org.gypsumturn.batch.schedule.BatchScheduler
 import org.gypsumturn.batch.schedule.ExecutorOrder
+import org.gypsumturn.batch.schedule.JobKnowledge
 import org.gypsumturn.batch.schedule.ProgressChange
 import org.gypsumturn.batch.schedule.RosterChange
 import org.gypsumturn.batch.schedule.SchedulerSettings
@@ -26,7 +27,13 @@
 import org.gypsumturn.model.Verdict
 
 /** The holder of the term that [epoch] numbers. [log] receives its decisions. */
-internal class ModelHolder(val epoch: Long, nowMillis: Long, platform: ModelPlatform?, log: (String) -> Unit) {
+internal class ModelHolder(
+    val epoch: Long,
+    nowMillis: Long,
+    platform: ModelPlatform?,
+    val feed: ModelJobFeed,
+    log: (String) -> Unit,
+) {
     private val scheduler = BatchScheduler(TEST_SETTINGS, Epoch(epoch), { event, fields ->
         log("    $epoch: $event ${fields.joinToString { "${it.first}=${it.second}" }}")
     })
@@ -47,27 +54,74 @@
 
     val acts: Boolean get() = !paused && !closed
 
+    /** Whether it has read the stored state, so that it gives orders. */
+    var ready = false
+
+    /** Whether it is to be suspended before it sends the next start, and whether its steady clock stands still then. */
+    var suspendsBeforeStart = false
+    var suspendsMachine = false
+
+    /** Orders that it has decided and not sent before it was suspended, and the time since when it is. */
+    val unsentOrders = ArrayList<ExecutorOrder>()
+    private var suspendedMillis: Long? = null
+
+    /** The time at which it last went on after a pause. */
+    var wokeMillis: Long? = null
+        private set
+
+    /** Time for which its steady clock has stood still. */
+    private var steadyLagMillis = 0L
+
+    /** When the store last answered, and when the rows known last were read, with the lag of its clock at that time. */
+    private var storeAnsweredMillis = 0L
+    private var knownMillis = 0L
+    private var steadyLagWhenKnownMillis = 0L
+
+    private fun steady(nowMillis: Long) = nowMillis - steadyLagMillis
+
+    fun isLeaseValid(nowMillis: Long): Boolean = nowMillis - renewedMillis < VALID_MILLIS
+
+    /** Suspends it with [orders], which it has decided. */
+    fun suspend(nowMillis: Long, orders: List<ExecutorOrder>) {
+        unsentOrders += orders
+        if (suspendsMachine) suspendedMillis = nowMillis
+        suspendsBeforeStart = false
+        paused = true
+        cut = true
+    }
+
+    fun wake(nowMillis: Long) {
+        suspendedMillis?.let { steadyLagMillis += nowMillis - it }
+        suspendedMillis = null
+        wokeMillis = nowMillis
+        paused = false
+    }
+
     /** Entries of executors as it knows them. */
     val entries = LinkedHashMap<InstanceId, ExecutorRecord>()
 
     fun configure(configuration: FleetConfiguration) = scheduler.configure(configuration)
 
     fun addJob(nowMillis: Long, job: BatchJob, progress: ProgressRecord?, revision: Revision, neverStarted: Boolean) =
-        scheduler.addJob(nowMillis, job, progress, revision, neverStarted)
+        scheduler.addJob(steady(nowMillis), job, progress, revision, neverStarted)
+
+    fun cancelJob(nowMillis: Long, job: JobId) = scheduler.cancelJob(steady(nowMillis), job)
 
     fun startRecovery(nowMillis: Long, rosters: Map<PoolId, StoredRoster>) =
-        scheduler.startRecovery(nowMillis, rosters, nowMillis + RECOVERY_MILLIS)
+        scheduler.startRecovery(steady(nowMillis), rosters, steady(nowMillis) + RECOVERY_MILLIS)
 
     /** Reads the entries of all executors from the store. */
     fun readEntries(nowMillis: Long, stored: Map<InstanceId, ExecutorRecord>) {
-        (entries.keys - stored.keys).forEach { scheduler.onExecutorUnlisted(nowMillis, it) }
-        stored.filter { entries[it.key] != it.value }.forEach { scheduler.onExecutorListed(nowMillis, it.value) }
+        (entries.keys - stored.keys).forEach { scheduler.onExecutorUnlisted(steady(nowMillis), it) }
+        stored.filter {
+            entries[it.key] != it.value
+        }.forEach { scheduler.onExecutorListed(steady(nowMillis), it.value) }
         entries.clear()
         entries += stored
-        scheduler.onExecutorsRead(nowMillis)
+        scheduler.onExecutorsRead(steady(nowMillis))
     }
 
-    fun onStoreRegained(nowMillis: Long) = scheduler.onStoreRegained(nowMillis)
+    fun onStoreRegained(nowMillis: Long) = scheduler.onStoreRegained(steady(nowMillis))
 
     /** Sends an order that ends everything on the machine of executor [id], which gets no new runs from now on. */
     fun onMachineOrderSent(id: InstanceId) {
@@ -86,16 +140,34 @@
     }
 
     private fun onExecutorGone(nowMillis: Long, id: InstanceId, planned: Boolean, source: IncarnationEndSource) =
-        scheduler.onExecutorGone(nowMillis, id, planned, RunEndEvidence.IncarnationEnded(source, nowMillis))
+        scheduler.onExecutorGone(
+            steady(nowMillis),
+            id,
+            planned,
+            RunEndEvidence.IncarnationEnded(source, steady(nowMillis)),
+        )
 
     fun isSilent(id: InstanceId): Boolean = scheduler.executors[id]?.unreachableSinceMillis != null
 
-    fun runPass(nowMillis: Long): List<ExecutorOrder> =
-        scheduler.runSchedulingPass(nowMillis, nowMillis, nowMillis - renewedMillis - VALID_MILLIS)
+    /** Makes the decisions that are due, by jobs that it believes to know up to [jobsAsOfMillis]. */
+    fun runPass(nowMillis: Long, jobsAsOfMillis: Long): List<ExecutorOrder> {
+        if (!cut) storeAnsweredMillis = nowMillis
+        if (knownMillis != feed.knownMillis) {
+            knownMillis = feed.knownMillis
+            steadyLagWhenKnownMillis = steadyLagMillis
+        }
+        val knowledge = JobKnowledge(
+            asOfMillis = jobsAsOfMillis - steadyLagWhenKnownMillis,
+            storeAnsweredMillis = steady(storeAnsweredMillis),
+            failedCallSentMillis = steady(nowMillis).takeIf { cut },
+        )
+        val overdueMillis = nowMillis - renewedMillis - VALID_MILLIS
+        return scheduler.runSchedulingPass(steady(nowMillis), nowMillis, overdueMillis, knowledge)
+    }
 
     /** Gives the orders for machines that are due, as long as its control lease is valid. */
     fun runMachineOrders(nowMillis: Long, configuration: FleetConfiguration, mayStore: Boolean) {
-        if (nowMillis - renewedMillis < VALID_MILLIS) dispatcher?.runDueWork(nowMillis, configuration, mayStore)
+        if (isLeaseValid(nowMillis)) dispatcher?.runDueWork(nowMillis, configuration, mayStore)
     }
 
     fun takeProgressChanges(): List<ProgressChange> = scheduler.takeChanges(CHANGES)
@@ -107,13 +179,13 @@
     fun onRosterStored(change: RosterChange, revision: Revision) = scheduler.onRosterStored(change, revision)
 
     fun onPollAnswered(nowMillis: Long, order: ExecutorOrder.Poll, verdict: Verdict<PollAnswer>) =
-        scheduler.onPollAnswered(nowMillis, order, verdict)
+        scheduler.onPollAnswered(steady(nowMillis), order, verdict)
 
     fun onStartAnswered(nowMillis: Long, order: ExecutorOrder.Start, verdict: Verdict<OrderAnswer>) =
-        scheduler.onStartAnswered(nowMillis, order, verdict)
+        scheduler.onStartAnswered(steady(nowMillis), order, verdict)
 
     fun onStopAnswered(nowMillis: Long, order: ExecutorOrder.Stop, verdict: Verdict<OrderAnswer>) =
-        scheduler.onStopAnswered(nowMillis, order, verdict)
+        scheduler.onStopAnswered(steady(nowMillis), order, verdict)
 
     fun phaseOf(job: JobId): JobPhase = scheduler.job(job)?.visiblePhase ?: JobPhase.QUEUED
 
@@ -123,6 +195,12 @@
         if (closed) return
         dispatcher?.describe(nowMillis, to)
         to.append(if (cut || paused) nowMillis - renewedMillis else 0)
+        to.append(ready).append(suspendsBeforeStart).append(suspendsMachine).append(unsentOrders.size)
+        feed.describe(nowMillis, to)
+        describeScheduler(steady(suspendedMillis ?: nowMillis), to)
+    }
+
+    private fun describeScheduler(nowMillis: Long, to: StringBuilder) {
         scheduler.jobs.forEach { job ->
             to.append(job.phase).append(job.visiblePhase).append(job.completedOccurrences)
             job.occurrences.values.flatMap { it.steps }.flatMap { it.tasks }.forEach { task ->
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelNetwork.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelNetwork.kt
@@ -63,26 +63,34 @@
     fun send(holder: ModelHolder, orders: List<ExecutorOrder>) {
         orders.filter { it !is ExecutorOrder.Forget }.forEach { order ->
             calls += ModelCall(holder, order, model.nowMillis)
+            if (order is ExecutorOrder.Start) {
+                model.rules.cancellations.onStartSent(model.nowMillis, order.run.id, holder)
+            }
             log("    sent: ${calls.last().name}")
         }
     }
 
     fun apply(event: ModelEvent): Boolean {
         val call = calls.filter { it.name == event.target }.getOrNull(event.number.toInt()) ?: return false
-        when (event.action) {
-            Action.DELIVER -> if (!mayDeliver(call)) return false else deliver(call)
-
-            Action.ARRIVE -> if (!mayArrive(call) || !arrive(call)) return false
+        return when (event.action) {
+            Action.DELIVER -> mayDeliver(call) && done { deliver(call) }
+            Action.ARRIVE -> mayArrive(call) && arrive(call)
+            Action.ANSWER -> mayAnswer(call) && done { passOn(call) }
+            Action.REFUSE -> mayRefuse(call) && done { refuse(call) }
+            else -> lose(call)
+        }
+    }
 
-            Action.ANSWER -> if (!mayAnswer(call)) return false else passOn(call)
+    private inline fun done(action: () -> Unit): Boolean {
+        action()
+        return true
+    }
 
-            else -> {
-                if (call.given) calls -= call
-                if (call.stage == CallStage.LOST) return false
-                call.stage = CallStage.LOST
-                call.answer = ModelCall.NO_ANSWER
-            }
-        }
+    private fun lose(call: ModelCall): Boolean {
+        if (call.given) calls -= call
+        if (call.stage == CallStage.LOST) return false
+        call.stage = CallStage.LOST
+        call.answer = ModelCall.NO_ANSWER
         return true
     }
 
@@ -100,6 +108,15 @@
     fun mayAnswer(call: ModelCall) =
         call.stage == CallStage.ANSWERED && !call.given && call.holder.acts && !isSilent(call)
 
+    /** Whether the executor may refuse [call], which is a stop. */
+    fun mayRefuse(call: ModelCall) =
+        call.stage == CallStage.SENT && !call.given && call.order is ExecutorOrder.Stop && !isSilent(call)
+
+    private fun refuse(call: ModelCall) {
+        call.answer = Verdict.Ran(OrderAnswer.Refused(RefusalReason.UNHEALTHY, null))
+        call.stage = CallStage.ANSWERED
+    }
+
     /** Carries out the order of a poll whose answer waits. Returns false if it is answered at once. */
     private fun arrive(call: ModelCall): Boolean {
         val executor = executorAt(call) ?: return false
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelSearch.kt
@@ -3,6 +3,7 @@
 
 package org.gypsumturn.batch.check
 
+import org.gypsumturn.batch.schedule.ExecutorOrder
 import java.security.MessageDigest
 import java.util.HexFormat
 import kotlin.random.Random
@@ -90,29 +91,49 @@
         return SearchResult(seen.size, depth, null)
     }
 
-    /** Plays [walks] random walks of at most [length] events, each with some kinds of events only. */
-    fun walkRandomly(seed: Long, walks: Int, length: Int): SearchResult {
+    /**
+     * Plays [walks] random walks of at most [length] events, each with some kinds of events only and without those of
+     * [without].
+     */
+    fun walkRandomly(seed: Long, walks: Int, length: Int, without: Set<Action> = emptySet()): SearchResult {
         repeat(walks) { number ->
-            val random = Random(seed + number)
-            val model = RunModel(scenario)
-            val left = FAULTS.filterTo(HashSet()) { random.nextInt(3) == 0 }
-            val finishing = random.nextInt(2) == 0
-            val events = ArrayList<ModelEvent>()
-            var breach: String? = null
-            while (breach == null && events.size < length) {
-                val possible = model.possibleEvents()
-                    .filter { it.first.action !in left && (finishing || it.first.action != Action.DONE) }
-                val event = choose(random, possible) ?: break
-                if (model.apply(event)) events += event
-                breach = firstBreach(model)
-            }
-            (breach ?: completionBreach(model))?.let {
-                return found(number + 1, events.size, Finding(scenario, it, events))
-            }
+            walk(seed + number, length, without)?.let { return found(number + 1, it.events.size, it) }
         }
         return SearchResult(walks, length, null)
     }
 
+    /** Plays [walks] random walks and returns how many of them break which rule first. */
+    fun countBreaches(seed: Long, walks: Int, length: Int, without: Set<Action> = emptySet()): Map<String, Int> =
+        (0 until walks).mapNotNull { walk(seed + it, length, without)?.breach?.substringBefore(':') }
+            .groupingBy { it }.eachCount()
+
+    /** The finding with the fewest events among those of [walks] random walks that break [rule] first. */
+    fun shortestFinding(
+        rule: String,
+        seed: Long,
+        walks: Int,
+        length: Int,
+        without: Set<Action> = emptySet(),
+    ): Finding? = (0 until walks).mapNotNull { walk(seed + it, length, without) }
+        .filter { it.breach.substringBefore(':') == rule }.map(::shrink).minByOrNull { it.events.size }
+
+    private fun walk(seed: Long, length: Int, without: Set<Action>): Finding? {
+        val random = Random(seed)
+        val model = RunModel(scenario)
+        val left = FAULTS.filterTo(HashSet()) { random.nextInt(3) == 0 } + without
+        val finishing = random.nextInt(2) == 0
+        val events = ArrayList<ModelEvent>()
+        var breach: String? = null
+        while (breach == null && events.size < length) {
+            val possible = model.possibleEvents()
+                .filter { it.first.action !in left && (finishing || it.first.action != Action.DONE) }
+            val event = choose(random, possible) ?: break
+            if (model.apply(event)) events += event
+            breach = firstBreach(model)
+        }
+        return (breach ?: completionBreach(model))?.let { Finding(scenario, it, events) }
+    }
+
     private fun choose(random: Random, possible: List<Pair<ModelEvent, Int>>): ModelEvent? {
         var ticket = random.nextInt(possible.sumOf { it.second }.takeIf { it > 0 } ?: return null)
         return possible.first { (_, weight) ->
@@ -157,7 +178,8 @@
 private val FAULTS = setOf(
     Action.LOSE, Action.FAIL, Action.CRASH, Action.MOVE, Action.SLOW, Action.LAPSE, Action.ABSENT,
     Action.PAUSE, Action.CUT, Action.RELEASE, Action.AWAY, Action.DROP,
-    Action.STALL, Action.SILENCE, Action.PART, Action.STALE, Action.REFUSE, Action.QUIET,
+    Action.STALL, Action.SILENCE, Action.PART, Action.STALE, Action.REFUSE, Action.QUIET, Action.HALT, Action.DISCARD,
+    Action.SUSPEND,
 )
 
 private val TIMES_MILLIS = listOf(1L, 40L, 300L, 700L, 1_500L, 3_000L)
@@ -176,6 +198,7 @@
     holders.filter { !it.closed }.forEach { addHolder(this@possibleEvents, it) }
     if (holders.size < MAX_TERMS && mayTakeOver()) add(ModelEvent(Action.TAKEOVER) to 5)
     add(ModelEvent(if (storeAway) Action.BACK else Action.AWAY) to 1)
+    if (scenario.cancellations.isNotEmpty()) addCancellations(this@possibleEvents)
     if (scenario.dropsQueue && !queueDropped) add(ModelEvent(Action.DROP) to 1)
 }
 
@@ -195,6 +218,28 @@
 
 private const val MAX_TERMS = 3
 
+private fun MutableList<Pair<ModelEvent, Int>>.addCancellations(model: RunModel) {
+    val kinds = model.scenario.cancellations
+    // Each wait takes longer than a cancellation may go unnoticed, or fills that time with a second one.
+    listOf(1_500L, 3_000L).forEach { add(ModelEvent(Action.CALM, number = it) to 3) }
+    if (!model.storeAway) {
+        model.scenario.jobs.map { it.id }.filterNot(model.jobRows::isCancelled).forEach { job ->
+            val partitions = if (Action.READ in kinds) ModelJobRows.PARTITIONS else 1
+            repeat(partitions) { add(ModelEvent(Action.CANCEL, job.value.last().toString(), it.toLong()) to 3) }
+        }
+    }
+    val holder = model.owner.takeIf { it.acts } ?: return
+    val term = holder.epoch.toString()
+    val feed = holder.feed
+    val halt = if (feed.halted) Action.RESUME else Action.HALT
+    if (Action.HALT in kinds) add(ModelEvent(halt, term) to 3)
+    if (Action.DISCARD in kinds && holder.ready && !feed.isReading) add(ModelEvent(Action.DISCARD, term) to 2)
+    if (!holder.cut) feed.openPartitions.forEach { add(ModelEvent(Action.READ, term, it.toLong()) to 3) }
+    if (Action.SUSPEND in kinds && !holder.suspendsBeforeStart) {
+        repeat(2) { add(ModelEvent(Action.SUSPEND, term, it.toLong()) to 2) }
+    }
+}
+
 private fun MutableList<Pair<ModelEvent, Int>>.addCalls(model: RunModel) {
     val counts = HashMap<String, Long>()
     model.calls.forEach { call ->
@@ -204,17 +249,24 @@
         if (isCarriedInTime(model, call)) return@forEach
         if (call.stage == CallStage.SENT || call.stage == CallStage.WAITING) {
             add(ModelEvent(Action.DELIVER, call.name, number) to if (late) 2 else 8)
-            if (call.stage == CallStage.SENT && !call.given && call.name.startsWith("poll")) {
-                add(ModelEvent(Action.ARRIVE, call.name, number) to 1)
-            }
+        }
+        if (call.isSentPoll) {
+            add(ModelEvent(Action.ARRIVE, call.name, number) to 1)
         }
         if (call.stage == CallStage.ANSWERED && call.holder.acts) {
             add(ModelEvent(Action.ANSWER, call.name, number) to 8)
         }
         if (call.stage != CallStage.LOST && !late) add(ModelEvent(Action.LOSE, call.name, number) to 1)
+        if (Action.REFUSE in model.scenario.cancellations && !late && call.isUnansweredStop) {
+            add(ModelEvent(Action.REFUSE, call.name, number) to 2)
+        }
     }
 }
 
+private val ModelCall.isSentPoll get() = stage == CallStage.SENT && !given && order is ExecutorOrder.Poll
+
+private val ModelCall.isUnansweredStop get() = stage == CallStage.SENT && order is ExecutorOrder.Stop
+
 private fun isCarriedInTime(model: RunModel, call: ModelCall): Boolean =
     (model.platform != null || model.scenario.tasksBegun) && !call.given && !call.holder.closed &&
         call.name.startsWith("poll")
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/RuleMonitor.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RuleMonitor.kt
@@ -24,6 +24,7 @@
     val jobs = LinkedHashMap<JobId, BatchJob>()
     val breaches = ArrayList<String>()
     val lasting = LastingTaskMonitor(this)
+    val cancellations = CancellationMonitor(breaches)
     private val running = LinkedHashMap<RunId, ModelExecutor>()
     private val ends = ArrayList<End>()
     private val crashes = HashMap<TaskName, Int>()
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
@@ -21,11 +21,16 @@
 import org.gypsumturn.model.PoolId
 import org.gypsumturn.model.Revision
 
+/** The time up to which a holder with this feed believes at a given time to know the jobs and cancellations. */
+internal typealias JobsAsOf = (feed: ModelJobFeed, nowMillis: Long) -> Long
+
 /**
  * What a model starts with: its machines, each with room for [tasksPerExecutor] tasks, and its jobs. With [waves], that
  * events begin, the holders also give orders for machines, and the tasks are at work when the events begin. With
  * [tasksBegun] the tasks run when the events begin, and polls pass while time does. With [checksAdmission] executors
- * refuse what does not fit, so that holders also place tasks by capacities that they read long ago.
+ * refuse what does not fit, so that holders also place tasks by capacities that they read long ago. With
+ * [cancellations] jobs are cancelled, and walks choose these events beside those of all scenarios. [jobsAsOfMillis] is
+ * the time up to which holders believe to know the jobs.
  */
 internal class Scenario(
     val name: String,
@@ -36,6 +41,8 @@
     val waves: List<UpkeepWave> = emptyList(),
     val tasksBegun: Boolean = false,
     val checksAdmission: Boolean = false,
+    val cancellations: Set<Action> = emptySet(),
+    val jobsAsOfMillis: JobsAsOf = { feed, _ -> feed.knownMillis },
     val jobs: List<BatchJob>,
 )
 
@@ -52,6 +59,7 @@
         private set
     var queueDropped = false
         private set
+    val jobRows = ModelJobRows()
     private val progress = HashMap<JobId, ProgressRecord>()
     private val rosters = HashMap<PoolId, StoredRoster>()
     private var revision = 1L
@@ -75,10 +83,12 @@
     init {
         machines.forEach { boot(it, "x${it.number}", "a${it.number}") }
         takeOver()
+        readAll(owner)
         settle()
         calm(SETTLING_MILLIS)
         scenario.jobs.forEach { job ->
             rules.jobs[job.id] = job
+            jobRows.add(ModelJobRow(0, job.id, isCancellation = false))
             owner.addJob(nowMillis, job, null, Revision.ABSENT, neverStarted = true)
         }
         if (platform != null || scenario.tasksBegun) {
@@ -100,9 +110,10 @@
 
         Action.CALM -> done { calm(event.number) }
 
-        Action.DELIVER, Action.ARRIVE, Action.ANSWER, Action.LOSE -> network.apply(event) || applyToPlatform(event)
+        Action.DELIVER, Action.ARRIVE, Action.ANSWER, Action.LOSE, Action.REFUSE ->
+            network.apply(event) || applyToPlatform(event)
 
-        Action.STALE, Action.REFUSE, Action.QUIET, Action.WAVE -> applyToPlatform(event)
+        Action.STALE, Action.QUIET, Action.WAVE -> applyToPlatform(event)
 
         Action.DONE -> endRun(event, RunEnd.DONE)
 
@@ -133,8 +144,65 @@
         Action.PAUSE, Action.WAKE, Action.CUT, Action.MEND, Action.RELEASE, Action.STALL, Action.FLUSH ->
             holders.find { it.epoch.toString() == event.target && !it.closed }?.let { changeHolder(it, event.action) }
                 ?: false
+
+        Action.CANCEL, Action.HALT, Action.RESUME, Action.DISCARD, Action.READ, Action.SUSPEND -> changeJobRows(event)
+    }
+
+    private fun changeJobRows(event: ModelEvent): Boolean {
+        if (event.action == Action.CANCEL) return cancel(event)
+        val holder = holders.find { it.epoch.toString() == event.target && it.acts } ?: return false
+        return changeFeed(holder, event)
+    }
+
+    private fun cancel(event: ModelEvent): Boolean {
+        val job = scenario.jobs.find { it.id.value.last().toString() == event.target }?.id ?: return false
+        return !storeAway && !jobRows.isCancelled(job) && done {
+            jobRows.add(ModelJobRow(event.number.toInt(), job, isCancellation = true))
+            rules.cancellations.onAcknowledged(nowMillis, job)
+        }
     }
 
+    private fun changeFeed(holder: ModelHolder, event: ModelEvent): Boolean {
+        val feed = holder.feed
+        return when (event.action) {
+            Action.HALT -> !feed.halted && done { feed.halted = true }
+
+            Action.RESUME -> feed.halted && done { feed.halted = false }
+
+            Action.DISCARD -> holder.ready && !feed.isReading && done { feed.beginReading() }
+
+            Action.READ -> {
+                val partition = event.number.toInt()
+                !holder.cut && partition in feed.openPartitions && done { read(holder, partition) }
+            }
+
+            else -> !holder.suspendsBeforeStart && done {
+                holder.suspendsBeforeStart = true
+                holder.suspendsMachine = event.number == 1L
+            }
+        }
+    }
+
+    /** Lets [holder] read [partition]. Once it has read all of them it applies what it read. */
+    private fun read(holder: ModelHolder, partition: Int) {
+        val rows = holder.feed.read(nowMillis, partition) ?: return
+        if (!holder.ready) {
+            rows.filter { !it.isCancellation }.forEach {
+                holder.addJob(nowMillis, jobOf(it.job), progress[it.job], Revision(revision), neverStarted = false)
+            }
+            holder.startRecovery(nowMillis, rosters.toMap())
+            holder.dispatcher?.continueWaves()
+            holder.ready = true
+        }
+        applyCancellations(holder, rows)
+    }
+
+    private fun applyCancellations(holder: ModelHolder, rows: List<ModelJobRow>) {
+        rows.filter { it.isCancellation }.forEach { holder.cancelJob(nowMillis, it.job) }
+    }
+
+    private fun readAll(holder: ModelHolder) = holder.feed.openPartitions.toList().forEach { read(holder, it) }
+
     private fun applyToPlatform(event: ModelEvent): Boolean {
         val platform = platform ?: return false
         return when (event.action) {
@@ -258,7 +326,10 @@
             holder.cut = true
         }
 
-        Action.WAKE -> holder.paused && done { holder.paused = false }
+        Action.WAKE -> holder.paused && done {
+            holder.wake(nowMillis)
+            sendUnsent(holder)
+        }
 
         Action.CUT -> !holder.cut && done { holder.cut = true }
 
@@ -280,12 +351,11 @@
     fun mayTakeOver() = !storeAway && (owner.closed || nowMillis - owner.renewedMillis >= ModelHolder.LAPSE_MILLIS)
 
     private fun takeOver() {
-        val holder = ModelHolder(holders.size + 1L, nowMillis, platform, log)
+        val holder = ModelHolder(holders.size + 1L, nowMillis, platform, ModelJobFeed(jobRows), log)
         holder.configure(configuration)
         holder.readEntries(nowMillis, entries)
-        rules.jobs.values.forEach { holder.addJob(nowMillis, it, progress[it.id], Revision(revision), false) }
-        holder.startRecovery(nowMillis, rosters.toMap())
-        holder.dispatcher?.continueWaves()
+        holder.feed.beginReading()
+        if (Action.READ !in scenario.cancellations) readAll(holder)
         holders += holder
     }
 
@@ -293,16 +363,32 @@
     private fun settle() {
         holders.filter { it.acts }.forEach { holder ->
             repeat(2) {
+                if (!holder.acts) return@repeat
                 if (!holder.cut) {
                     if (holder !== owner) return@repeat
                     holder.renewedMillis = nowMillis
                     holder.readEntries(nowMillis, entries)
+                    applyCancellations(holder, holder.feed.follow(nowMillis))
                 }
-                network.send(holder, holder.runPass(nowMillis))
+                if (!holder.ready) return@repeat
+                send(holder, holder.runPass(nowMillis, scenario.jobsAsOfMillis(holder.feed, nowMillis)))
                 if (!holder.cut && !holder.writesStall) store(holder)
             }
             val mayStore = holder === owner && !holder.cut && !holder.writesStall
-            holder.runMachineOrders(nowMillis, configuration, mayStore)
+            if (holder.acts && holder.ready) holder.runMachineOrders(nowMillis, configuration, mayStore)
+        }
+    }
+
+    private fun sendUnsent(holder: ModelHolder) {
+        network.send(holder, holder.unsentOrders.toList())
+        holder.unsentOrders.clear()
+    }
+
+    private fun send(holder: ModelHolder, orders: List<ExecutorOrder>) {
+        if (holder.suspendsBeforeStart && orders.any { it is ExecutorOrder.Start }) {
+            holder.suspend(nowMillis, orders)
+        } else {
+            network.send(holder, orders)
         }
     }
 
@@ -375,6 +461,7 @@
     fun completionBreach(): String? {
         if (platform != null) return restartBreach()
         heal()
+        runsOnBreach()?.let { return it }
         var roundsLeft = HEALING_ROUNDS
         while (roundsLeft-- > 0 && !rules.jobs.keys.all { owner.phaseOf(it).ended }) {
             calm(SLICE_MILLIS)
@@ -388,13 +475,32 @@
         }
     }
 
+    /** Lets time pass without faults. Returns how a run of a cancelled job goes on for too long, or null. */
+    private fun runsOnBreach(): String? {
+        val cancellations = rules.cancellations
+        if (cancellations.cancelledJobs.isEmpty()) return null
+        val calmSinceMillis = nowMillis
+        while (nowMillis < calmSinceMillis + RUNNING_ON_MILLIS) {
+            calm(SLICE_MILLIS)
+            val runs = machines.mapNotNull { it.executor }.flatMap { it.runs.values }
+            cancellations.runsOnBreach(nowMillis, calmSinceMillis, runs)?.let { return it }
+        }
+        return null
+    }
+
     private fun heal() {
         storeAway = false
         if (mayTakeOver() && (owner.closed || owner.paused)) takeOver()
         holders.forEach { if (it !== owner) it.closed = true }
-        owner.paused = false
+        if (owner.paused) {
+            owner.wake(nowMillis)
+            sendUnsent(owner)
+        }
+        owner.suspendsBeforeStart = false
         owner.writesStall = false
+        owner.feed.halted = false
         if (owner.cut) mend(owner)
+        readAll(owner)
         network.dropGhosts()
         platform?.dropGhosts()
         machines.forEach {
@@ -409,7 +515,8 @@
     }
 
     private fun finishRuns(executor: ModelExecutor) {
-        executor.runs.values.filter { !it.stopping }.forEach { executor.end(it.id, RunEnd.DONE) }
+        executor.runs.values.filter { !it.stopping && it.id.task.job !in rules.cancellations.cancelledJobs }
+            .forEach { executor.end(it.id, RunEnd.DONE) }
     }
 
     fun jobOf(id: JobId): BatchJob = rules.jobs.getValue(id)
@@ -422,6 +529,7 @@
             append(it.id.value).append(it.address).append(nowMillis - it.incarnation.startedAtMillis)
         }
         holders.forEach { it.describe(nowMillis, this) }
+        rules.cancellations.describe(nowMillis, this)
         calls.forEach { it.describe(nowMillis, this) }
         append(rules.describe())
         if (platform != null) {
@@ -440,6 +548,7 @@
         private const val STARTING_MILLIS = 3_000L
         private const val RESTARTING_MILLIS = 10_000L
         private const val SLICE_MILLIS = 100L
+        private const val RUNNING_ON_MILLIS = 5_000L
         private const val HEALING_ROUNDS = 300
     }
 }
