Send no call after its timeout

A node that was suspended could send an order after the time that its holder had given it. The holder counts an order as failed 600 ms after its decision, and another holder may have taken over meanwhile.

A call that waited for a connection was sent when an earlier answer freed one, even if its time was over: an event loop that was held up handles answers before timers. And the timeout began when the event loop got to the call, not when it was handed over.

The client now keeps the end of each call's time and looks at it before each sending. A call whose time is over ends as not run.

Not covered: a machine whose monotonic clock stands still while it is suspended.

--- a/transport/src/main/kotlin/org/gypsumturn/transport/HttpClient.kt
+++ b/transport/src/main/kotlin/org/gypsumturn/transport/HttpClient.kt
@@ -63,7 +63,8 @@
 
     /**
      * Sends [call] to [endpoint] on a connection of [lane]. Calls [onVerdict] once on the event loop, after
-     * [timeoutMillis] at the latest; the timeout includes the time that the call waits for a connection.
+     * [timeoutMillis] at the latest; the timeout begins with this function and includes the time that the call waits
+     * for the event loop and for a connection. No call is sent after its timeout, also if the process was suspended.
      *
      * The verdict is [Verdict.Ran] for every complete answer, whatever its status code, and [Verdict.NotRun] if no part
      * of the call was sent. It is [Verdict.MayHaveRun] if the call was sent and the connection failed, the answer was
@@ -76,10 +77,10 @@
         timeoutMillis: Long,
         onVerdict: (Verdict<HttpAnswer>) -> Unit,
     ) {
+        val pending = PendingCall(call, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis), onVerdict)
         loop.execute {
-            val pending = PendingCall(call, onVerdict)
-            pending.timer =
-                loop.schedule({ pending.expire() }, timeoutMillis, TimeUnit.MILLISECONDS)
+            if (pending.hasExpired()) return@execute
+            pending.timer = loop.schedule({ pending.expire() }, pending.remainingNanos, TimeUnit.NANOSECONDS)
             lanes.getOrPut(endpoint to lane) { Lane(endpoint, lane) }.submit(pending)
         }
     }
@@ -91,13 +92,26 @@
         }
     }
 
-    private inner class PendingCall(val call: HttpCall, private val onVerdict: (Verdict<HttpAnswer>) -> Unit) {
+    private inner class PendingCall(
+        val call: HttpCall,
+        private val deadlineNanos: Long,
+        private val onVerdict: (Verdict<HttpAnswer>) -> Unit,
+    ) {
         var timer: ScheduledFuture<*>? = null
         var connection: Connection? = null
         var sent = false
         private var finished = false
 
-        val isFinished: Boolean get() = finished
+        val remainingNanos: Long get() = deadlineNanos - System.nanoTime()
+
+        /**
+         * Whether the call must not be sent any more. Its timer alone does not tell: an event loop that was held up
+         * handles answers, which free connections, before timers.
+         */
+        fun hasExpired(): Boolean {
+            if (!finished && remainingNanos <= 0) expire()
+            return finished
+        }
 
         fun finish(verdict: Verdict<HttpAnswer>) {
             if (finished) return
@@ -209,7 +223,7 @@
         private fun takeNextWaitingCall(): PendingCall? {
             while (true) {
                 val call = waiting.removeFirstOrNull() ?: return null
-                if (!call.isFinished) return call
+                if (!call.hasExpired()) return call
             }
         }
 
