--- a/node/src/test/kotlin/org/gypsumturn/node/MemoryRowStore.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/MemoryRowStore.kt
@@ -21,7 +21,8 @@
  */
 internal enum class StoreFailureMode { NONE, REFUSES, ANSWER_LOST, SILENT }
 
-internal class MemoryRowStore : RowStore {
+/** [storeMillis] is the clock of the store, which by default advances with each revision. */
+internal class MemoryRowStore(private val storeMillis: (revision: Long) -> Long = { it }) : RowStore {
     val rows = LinkedHashMap<RowAddress, StoredRow>()
     var failureMode = StoreFailureMode.NONE
     var callCount = 0
@@ -55,7 +56,7 @@
                 rows[write.address] = StoredRow(write.address, next, write.value)
             }
         }
-        return TransactionOutcome.Committed(next, revision)
+        return TransactionOutcome.Committed(next, storeMillis(revision))
     }
 
     override fun read(
@@ -69,7 +70,7 @@
         answerOrFail(onVerdict) {
             val foundRows = rows.values.filter { it.address.table == table && it.address.partition == partition }
                 .filter { it.address.key >= from.orEmpty() }.sortedBy { it.address.key }
-            RowPage(foundRows.take(limit), foundRows.size > limit, Revision(revision), revision)
+            RowPage(foundRows.take(limit), foundRows.size > limit, Revision(revision), storeMillis(revision))
         }
     }
 
@@ -82,7 +83,7 @@
     ) {
         answerOrFail(onVerdict) {
             val foundRows = rows.values.filter { it.address.table == table && it.revision > after }
-            RowChanges.Known(foundRows, Revision(revision), revision)
+            RowChanges.Known(foundRows, Revision(revision), storeMillis(revision))
         }
     }
 
