Start no task on outdated knowledge of jobs

Callers saw tasks of a job start more than 3 s after its cancellation was acknowledged. The lease holder learns of cancellations by one long poll. Its lease may be valid for as long as that poll is silent, relayed through silent peers, or replaced by a read of all rows whose pages fail; a new holder reads the partitions at different moments. Nothing compared the age of the jobs with the time within which a cancellation has to hold.

A pass gets the time up to which the jobs are known. It starts and repeats nothing once a cancellation that was acknowledged `cancel_millis` ago, less the time that a start order may take, could be missing. Stops, polls and extensions of leases go on. Older knowledge suffices while the store answers nothing at all, as in an outage of the whole store: it is as recent as the last answer of the store, and a call that was sent recently has failed. The latter is missing after a suspension of the process, so that a holder that wakes up starts nothing until it has read, or failed to read, what is stored.

So that little waits, the feed polls more often (500 ms), sends another poll when one is 300 ms late, on another way to the store if there is one, and asks without a wait after a failure, a takeover and a read of all rows. A poll for a peer that fails no longer counts against the relaying node's own way to the store, since such polls are sent because one of them hangs.

In ControlLeaseElectorTest sessions use the clock of the elector, which is ahead of the process's: the jobs seemed old to them.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -46,6 +46,7 @@
     private val jobRegistry = JobRegistry(epoch, usage, settings.maxProgressBytes, ::markPoolStale)
     private val registry = ExecutorRegistry(settings, epoch, log)
     private val controlLease = ControlLeaseView(epoch, log)
+    private val startHold = StartHold(epoch, settings.maxJobsAgeMillis, log)
     private val recovery = TakeoverRecovery()
     private val queues = KnownQueues()
     private val rosters = PoolRosters(registry, queues) { jobRegistry.activeIn(it).isNotEmpty() }
@@ -446,7 +447,8 @@
      * Run leases that lapse after the control lease end no run, since a later holder may have extended them.
      *
      * [knowledge] tells how current the jobs and cancellations are that this scheduler was told of. By default the
-     * caller vouches for them.
+     * caller vouches for them. While it is too old no task is started, and no start is repeated. Stops, polls and
+     * extensions of leases go on.
      */
     public fun runSchedulingPass(
         nowMillis: Long,
@@ -456,6 +458,7 @@
     ): List<ExecutorOrder> {
         controlLease.update(nowMillis, overdueMillis)
         jobKnowledge = knowledge
+        startHold.update(nowMillis, knowledge)
         starter.jobsAgeMillis = knowledge.ageMillis(nowMillis)
         val soleHolderMillis = controlLease.soleHolderMillis(nowMillis)
         recovery.takeRecoveredPools(soleHolderMillis) { mayReportEnds(soleHolderMillis, it) }.forEach { pool ->
@@ -476,11 +479,11 @@
         starter.leaseMillis = leaseMillis
         if (valid) {
             endGivenUpJobs(nowMillis)
-            registry.takeDueRetries(nowMillis).forEach { repeatOrder(nowMillis, it) }
-            runMover.moveDueRuns(nowMillis)
+            registry.takeDueRetries(nowMillis, startHold.isActive).forEach { repeatOrder(nowMillis, it) }
+            if (!startHold.isActive) runMover.moveDueRuns(nowMillis)
         }
-        absences.observe(nowMillis)
-        if (mayStart) {
+        absences.observe(nowMillis, startHold.isActive)
+        if (mayStart && !startHold.isActive) {
             starter.releaseHeldStarts(nowMillis).forEach { onRunNotStarted(nowMillis, it) }
             ledger.refresh(nowMillis)
             placer.placeWaitingTasks(nowMillis, soleHolderMillis)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/ExecutorRegistry.kt
@@ -86,13 +86,14 @@
 
     /**
      * Returns the runs whose start or stop is to be repeated now and clears their retry times. Starts are not repeated
-     * while the executor is silent: its leases may lapse meanwhile, which ends the run.
+     * while the executor is silent, whose leases may lapse meanwhile, which ends the run; nor with [holdsStarts].
      */
-    fun takeDueRetries(nowMillis: Long): List<Run> {
+    fun takeDueRetries(nowMillis: Long, holdsStarts: Boolean): List<Run> {
         if (nowMillis < nextRetryMillis) return emptyList()
         val (due, later) = executors.values.flatMap { it.runs.values }.filter { it.awaitsRetry }.partition { run ->
-            val silent = run.phase == RunPhase.STARTING && run.executor.unreachableSinceMillis != null
-            val isDue = !silent && run.retryAtMillis!! <= nowMillis
+            val isHeld = run.phase == RunPhase.STARTING &&
+                (holdsStarts || run.executor.unreachableSinceMillis != null)
+            val isDue = !isHeld && run.retryAtMillis!! <= nowMillis
             isDue && (!run.isEvacuated || mayRepeatEvacuation(nowMillis, run))
         }
         due.forEach { it.retryAtMillis = null }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
@@ -17,6 +17,7 @@
  * @property outageSettleMillis time within which executors write their entries again after an outage of the store
  * @property stopMillis longest time that stopping a run takes
  * @property overloadOrder what waits while a pool has too little capacity
+ * @property cancelMillis time after the acknowledgement of a cancellation from which on no task of the job may start
  * @property maxProgressBytes largest value of the row in which the progress of a job is stored
  */
 public data class SchedulerSettings(
@@ -27,7 +28,14 @@
     public val stopMillis: Long = 900,
     public val overloadOrder: OverloadOrder = OverloadOrder.PLAN,
     public val maxProgressBytes: Int = DEFAULT_MAX_PROGRESS_BYTES,
+    public val cancelMillis: Long = DEFAULT_CANCEL_MILLIS,
 ) {
+    /**
+     * Age of the knowledge of jobs up to which tasks are started. A start order may take [ORDER_TIMEOUT_MILLIS] to
+     * reach its executor.
+     */
+    public val maxJobsAgeMillis: Long get() = cancelMillis - ORDER_TIMEOUT_MILLIS
+
     /** Time for which the state of an ended job is kept. */
     public val endedJobKeptMillis: Long get() = statusSeconds * MILLIS_PER_SECOND + EXPIRY_SLACK_MILLIS
 
@@ -35,6 +43,9 @@
         /** Largest value of a row by the default of the setting `max_row_bytes`. */
         public const val DEFAULT_MAX_PROGRESS_BYTES: Int = 65_536
 
+        /** The default of the setting `cancel_millis`. */
+        public const val DEFAULT_CANCEL_MILLIS: Long = 3_000
+
         /** The epoch of the first holder, before which nothing was started. */
         public const val FIRST_EPOCH: Long = 1
 
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskAbsences.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/TaskAbsences.kt
@@ -28,6 +28,9 @@
     /** The end of a run that is being stopped. */
     STOP("stop"),
 
+    /** Knowledge of jobs that is current enough to start tasks. */
+    JOB_FEED("job feed"),
+
     /** A pause after a start that was refused as invalid. */
     NOT_BEFORE("pause after a refusal"),
 
@@ -131,13 +134,22 @@
         )
     }
 
-    /** Attributes the time since the last observation to what each task waits for now. */
-    fun observe(nowMillis: Long) {
+    /**
+     * Attributes the time since the last observation to what each task waits for now. [startsAreHeldBack] tells that no
+     * task may be started.
+     */
+    fun observe(nowMillis: Long, startsAreHeldBack: Boolean) {
         if (absences.isEmpty() || nowMillis - observedMillis < OBSERVATION_INTERVAL_MILLIS) return
         observedMillis = nowMillis
         absences.keys.removeAll { it.done || it.step.job.phase.ended }
         val causesOfSteps = HashMap<StepState, AbsenceCause>()
-        absences.forEach { (task, absence) -> absence.attribute(nowMillis, causeOf(nowMillis, task, causesOfSteps)) }
+        absences.forEach { (task, absence) ->
+            val isHeldBack = startsAreHeldBack && task.runs.isEmpty()
+            absence.attribute(
+                nowMillis,
+                if (isHeldBack) AbsenceCause.JOB_FEED else causeOf(nowMillis, task, causesOfSteps),
+            )
+        }
     }
 
     private fun causeOf(nowMillis: Long, task: Task, causesOfSteps: HashMap<StepState, AbsenceCause>): AbsenceCause {
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -33,6 +33,7 @@
 import org.gypsumturn.batch.schedule.BatchScheduler
 import org.gypsumturn.batch.schedule.DecisionLog
 import org.gypsumturn.batch.schedule.ExecutorOrder
+import org.gypsumturn.batch.schedule.JobKnowledge
 import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.batch.schedule.StepOrder
 import org.gypsumturn.batch.schedule.StoredRoster
@@ -239,6 +240,9 @@
     /** Whether the holder can read the entries of the executors. */
     var executorsCanBeRead = true
 
+    /** What the holder knows of the stored jobs at a time. */
+    var jobKnowledge: (Long) -> JobKnowledge = JobKnowledge::current
+
     /** Time at which the control lease of the holder lapses. */
     var validUntilMillis = Long.MAX_VALUE / 2
     val executors = LinkedHashMap<InstanceId, VirtualExecutor>()
@@ -386,7 +390,8 @@
             }
             val holder = scheduler
             if (executorsCanBeRead) holder.onExecutorsRead(nowMillis)
-            holder.runSchedulingPass(nowMillis, nowMillis, nowMillis - validUntilMillis).forEach { deliver(holder, it) }
+            holder.runSchedulingPass(nowMillis, nowMillis, nowMillis - validUntilMillis, jobKnowledge(nowMillis))
+                .forEach { deliver(holder, it) }
             holder.takeQuestions().forEach { question ->
                 questionCount++
                 after(ADVISOR_ANSWER_MILLIS) {
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -16,7 +16,6 @@
 import org.gypsumturn.batch.port.FleetUpdatePage
 import org.gypsumturn.batch.port.MachineControl
 import org.gypsumturn.batch.port.PlacementAdvisor
-import org.gypsumturn.batch.port.RowChanges
 import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.StoredRow
 import org.gypsumturn.batch.schedule.BatchScheduler
@@ -36,6 +35,7 @@
 /**
  * The services that a session calls. [machines] and [advisor] are null if none is configured.
  *
+ * @property storeContact tells whether the store answers; if it is null the store counts as answering at any time
  * @property reportJobsAsOf receives the time on the steady clock up to which the stored jobs are known, whenever it
  * changes, and null at the end of the term
  * @property nowMillis reads the steady clock
@@ -46,6 +46,7 @@
     public val executors: ExecutorCalls,
     public val machines: MachineControl?,
     public val advisor: PlacementAdvisor?,
+    public val storeContact: StoreContact? = null,
     public val reportJobsAsOf: (Long?) -> Unit = { },
     public val nowMillis: () -> Long = NodeClock::steadyMillis,
 )
@@ -75,6 +76,19 @@
     private val progressWriter =
         ProgressWriter(scheduler, fence, ports.store, settings.maxProgressBytes, ports.nowMillis, post)
     private val jobIntake = JobIntake(scheduler, ports.store, settings, decisionLog, post)
+    private val jobFeedListener = object : JobFeedListener {
+        override fun onRowsChanged(rows: List<StoredRow>) =
+            jobIntake.applyRows(ports.nowMillis(), rows, neverStarted = true)
+
+        override fun onRowsReadAgain(stored: StoredJobs) =
+            jobIntake.applyRows(ports.nowMillis(), stored.jobRows, neverStarted = true)
+
+        override fun onKnown(asOfMillis: Long) = recordJobsKnown(asOfMillis)
+
+        override fun onPollResult(verdict: Verdict<*>) = recordStoreResult(verdict)
+    }
+    private val jobFeed =
+        JobFeed(ports.store, jobPollWaitMillis(), post, postDelayed, ports.nowMillis, jobFeedListener)
     private val takeoverReader = TakeoverReader(ports.store, post, postDelayed, ::onJobsRead)
     private val machines =
         ports.machines?.let {
@@ -125,6 +139,7 @@
         orderSender.closed = true
         machines?.close()
         jobIntake.closed = true
+        jobFeed.close()
         takeoverReader.cancelled = true
         fence.cancelled = true
     }
@@ -177,7 +192,14 @@
         }
     }
 
-    private fun jobKnowledge(nowMillis: Long) = JobKnowledge(jobFeedAge.asOfMillis ?: readStartMillis, nowMillis)
+    private fun jobKnowledge(nowMillis: Long) = JobKnowledge(
+        jobFeedAge.asOfMillis ?: readStartMillis,
+        ports.storeContact?.lastAnswerMillis ?: nowMillis,
+        ports.storeContact?.failedCallSentMillis,
+    )
+
+    /** Several polls fit into the time for which knowledge of jobs is current. */
+    private fun jobPollWaitMillis() = minOf(MAX_JOB_POLL_WAIT_MILLIS, settings.maxJobsAgeMillis / JOB_POLLS_WITHIN_AGE)
 
     private fun recordJobsKnown(asOfMillis: Long) {
         jobFeedAge.recordKnown(asOfMillis)
@@ -199,7 +221,7 @@
         applyRosterRows(stored.rosterRows)
         recordJobsKnown(readStartMillis)
         jobsLoaded = true
-        awaitJobChanges(stored.jobsRevision)
+        jobFeed.start(stored.jobsRevision)
         becomeReadyIfLoaded()
     }
 
@@ -214,54 +236,6 @@
         }
     }
 
-    private fun awaitJobChanges(after: Revision) {
-        val sentMillis = ports.nowMillis()
-        ports.store.awaitChanges(
-            JobRows.TABLE,
-            after,
-            POLL_WAIT_MILLIS,
-            POLL_WAIT_MILLIS + POLL_TIMEOUT_MILLIS,
-        ) { verdict ->
-            post { if (!closed) onJobsChanged(after, sentMillis, verdict) }
-        }
-    }
-
-    private fun onJobsChanged(after: Revision, sentMillis: Long, verdict: Verdict<RowChanges>) {
-        recordStoreResult(verdict)
-        when (val changes = (verdict as? Verdict.Ran)?.value) {
-            is RowChanges.Known -> {
-                val nowMillis = ports.nowMillis()
-                jobIntake.applyRows(nowMillis, changes.rows, neverStarted = true)
-                recordJobsKnown(knownUntilMillis(nowMillis, sentMillis, changes))
-                awaitJobChanges(changes.revision)
-            }
-
-            RowChanges.Discarded -> {
-                logEvent("history discarded", "table" to JobRows.TABLE)
-                readStartMillis = ports.nowMillis()
-                TakeoverReader(ports.store, post, postDelayed, ::onJobsReadAgain).start()
-            }
-
-            null -> postDelayed(RETRY_MILLIS) { if (!closed) awaitJobChanges(after) }
-        }
-    }
-
-    /**
-     * Time up to which [changes] are complete, as the answer to a long poll that was sent at [sentMillis]. An answer
-     * with changes is only known to be later than the sending; one without is given at the end of the wait.
-     */
-    private fun knownUntilMillis(nowMillis: Long, sentMillis: Long, changes: RowChanges.Known): Long {
-        val waited = changes.rows.isEmpty() && nowMillis - sentMillis >= POLL_WAIT_MILLIS
-        return if (waited) sentMillis + POLL_WAIT_MILLIS else sentMillis
-    }
-
-    private fun onJobsReadAgain(stored: StoredJobs) {
-        val nowMillis = ports.nowMillis()
-        jobIntake.applyRows(nowMillis, stored.jobRows, neverStarted = true)
-        recordJobsKnown(readStartMillis)
-        awaitJobChanges(stored.jobsRevision)
-    }
-
     private fun readExecutors() {
         ports.updates.readAll(FleetUpdateKind.EXECUTORS, CALL_TIMEOUT_MILLIS) { verdict ->
             post { if (!closed) onExecutorsRead(verdict) }
@@ -347,6 +321,10 @@
         /** Time after the end of its wait at which a long poll has failed. */
         const val POLL_TIMEOUT_MILLIS = 700L
 
+        /** How long a long poll of jobs waits at most. */
+        const val MAX_JOB_POLL_WAIT_MILLIS = 500L
+        const val JOB_POLLS_WITHIN_AGE = 4
+
         /** Callers may get a count of waiting jobs that is at most this old. */
         const val MAX_COUNT_AGE_MILLIS = 2_000L
 
--- /dev/null
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
@@ -0,0 +1,128 @@
+// Follows the stored jobs and cancellations during one term of the lease, and tells up to which time they are known.
+// The answer to a long poll may be lost or may not come for seconds while the store answers all other calls, so that a
+// poll that is late is not waited for: another one is sent beside it.
+
+package org.gypsumturn.node
+
+import org.gypsumturn.batch.port.RowChanges
+import org.gypsumturn.batch.port.RowStore
+import org.gypsumturn.batch.port.StoredRow
+import org.gypsumturn.batch.state.JobRows
+import org.gypsumturn.model.Revision
+import org.gypsumturn.model.Verdict
+
+/** Receives what a [JobFeed] reads, on the thread of the session. */
+internal interface JobFeedListener {
+    /** Called with changed [rows], in the order of their revisions. */
+    fun onRowsChanged(rows: List<StoredRow>)
+
+    /** Called with all rows, after the store has discarded the history of changes. */
+    fun onRowsReadAgain(stored: StoredJobs)
+
+    /** Called after the above. Everything that was stored until [asOfMillis] on the steady clock is known. */
+    fun onKnown(asOfMillis: Long)
+
+    /** Called with the result of a poll, unless a later one has been answered. */
+    fun onPollResult(verdict: Verdict<*>)
+}
+
+/**
+ * Polls the rows of jobs with a wait of [waitMillis]. All calls must be on the thread of the session.
+ *
+ * @param post runs an action on the thread of the session
+ * @param postDelayed runs an action on the thread of the session after a delay in milliseconds
+ */
+internal class JobFeed(
+    private val store: RowStore,
+    private val waitMillis: Long,
+    private val post: Post,
+    private val postDelayed: DelayedPost,
+    private val nowMillis: () -> Long,
+    private val listener: JobFeedListener,
+) {
+    private var position = Revision.ABSENT
+    private var newestPoll = 0L
+    private var lastAnsweredPoll = 0L
+    private var reader: TakeoverReader? = null
+    private var closed = false
+
+    /** Follows the changes after [revision]. The first poll does not wait, as the rows may have been read long ago. */
+    fun start(revision: Revision) {
+        position = revision
+        poll(0)
+    }
+
+    /** Ends the feed. The listener is not called any more. */
+    fun close() {
+        closed = true
+        reader?.cancelled = true
+    }
+
+    private fun poll(waitMillis: Long) {
+        val number = ++newestPoll
+        val sentMillis = nowMillis()
+        store.awaitChanges(JobRows.TABLE, position, waitMillis, waitMillis + POLL_TIMEOUT_MILLIS) { verdict ->
+            post { if (!closed) onAnswer(number, sentMillis, waitMillis, verdict) }
+        }
+        postDelayed(waitMillis + LATE_MILLIS) { pollUnlessSuperseded(number) }
+    }
+
+    /** Polls without a wait, unless a poll has been sent since poll [number]. */
+    private fun pollUnlessSuperseded(number: Long) {
+        if (!closed && number == newestPoll) poll(0)
+    }
+
+    private fun onAnswer(number: Long, sentMillis: Long, waitMillis: Long, verdict: Verdict<RowChanges>) {
+        val changes = (verdict as? Verdict.Ran)?.value
+        if (changes != null || number > lastAnsweredPoll) listener.onPollResult(verdict)
+        if (changes != null) lastAnsweredPoll = maxOf(lastAnsweredPoll, number)
+        when (changes) {
+            is RowChanges.Known -> {
+                // Another poll may have delivered the first ones of these rows.
+                val rows = changes.rows.filter { it.revision > position }
+                position = maxOf(position, changes.revision)
+                if (rows.isNotEmpty()) listener.onRowsChanged(rows)
+                listener.onKnown(knownUntilMillis(sentMillis, waitMillis, changes))
+                if (number == newestPoll) poll(this.waitMillis)
+            }
+
+            RowChanges.Discarded -> if (number == newestPoll) readAgain()
+
+            null -> if (number == newestPoll) postDelayed(RETRY_MILLIS) { pollUnlessSuperseded(number) }
+        }
+    }
+
+    /**
+     * Time up to which [changes] are complete, as the answer to a poll that was sent at [sentMillis]. An answer with
+     * changes is only known to be later than the sending; one without is given at the end of the wait.
+     */
+    private fun knownUntilMillis(sentMillis: Long, waitMillis: Long, changes: RowChanges.Known): Long {
+        val waited = changes.rows.isEmpty() && nowMillis() - sentMillis >= waitMillis
+        return if (waited) sentMillis + waitMillis else sentMillis
+    }
+
+    private fun readAgain() {
+        logEvent("history discarded", "table" to JobRows.TABLE)
+        // Open polls start after a revision that the history does not reach back to.
+        newestPoll++
+        val startMillis = nowMillis()
+        reader = TakeoverReader(store, post, postDelayed) { stored ->
+            if (!closed) {
+                listener.onRowsReadAgain(stored)
+                listener.onKnown(startMillis)
+                start(stored.jobsRevision)
+            }
+        }.also { it.start() }
+    }
+
+    private companion object {
+        /** Time after the end of its wait at which a poll has failed. */
+        const val POLL_TIMEOUT_MILLIS = 700L
+
+        /** Time after the end of its wait at which a poll is late and another one is sent. */
+        const val LATE_MILLIS = 300L
+
+        /** Pause before a failed poll is repeated. */
+        const val RETRY_MILLIS = 100L
+    }
+}
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -176,6 +176,7 @@
             PlatformExecutorCalls(executorClient),
             machines,
             advisor,
+            store,
             metrics::recordJobsAsOf,
         )
     }
@@ -194,6 +195,7 @@
         stopMillis = reloadableSettings.current[NodeSettings.stopMillis],
         overloadOrder = OverloadOrder.valueOf(reloadableSettings.current[NodeSettings.overloadOrder].uppercase()),
         maxProgressBytes = settings[NodeSettings.maxRowBytes].toInt(),
+        cancelMillis = reloadableSettings.current[NodeSettings.cancelMillis],
     )
 
     /**
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeSettings.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeSettings.kt
@@ -3,6 +3,7 @@
 
 package org.gypsumturn.node
 
+import org.gypsumturn.batch.schedule.SchedulerSettings
 import org.gypsumturn.runtime.settings.HostAndPort
 import org.gypsumturn.runtime.settings.Setting
 import org.gypsumturn.runtime.settings.SettingsSchema
@@ -84,6 +85,17 @@
     public val noticeMillis: Setting<Long> =
         millis("notice_millis", 4_500, "time without a run after which a long-running task counts as missing")
 
+    /** A start order takes up to 600 ms, so that much less than a second would leave no time to read a cancellation. */
+    public val cancelMillis: Setting<Long> =
+        wholeNumber(
+            "limits",
+            "cancel_millis",
+            SchedulerSettings.DEFAULT_CANCEL_MILLIS,
+            1_000L..DAY_MILLIS,
+            "milliseconds",
+            "time after the answer to a cancellation from which on no task of the job starts",
+        )
+
     public val remoteFactor: Setting<Double> =
         number(
             "limits",
@@ -128,7 +140,7 @@
         listOf(
             nodeName, dataCentre, host, peerPort, metricsPort, coreShare, callerAddress, readyAddress,
             storeAddress, machinesAddress, advisorAddress, orderMode, maxRowBytes,
-            maxLeaseMillis, stopMillis, gangTimeoutMillis, earlyMillis, orderLeaseMillis, noticeMillis,
+            maxLeaseMillis, stopMillis, gangTimeoutMillis, earlyMillis, orderLeaseMillis, noticeMillis, cancelMillis,
             remoteFactor, moveSeconds, upkeepSeconds, graceSeconds, statusSeconds, overloadOrder,
         ),
     )
--- a/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
@@ -40,12 +40,18 @@
     private val peers: () -> List<Endpoint>,
     private val nowMillis: () -> Long,
     private val runOnThread: Post,
-) : RowStore {
+) : RowStore,
+    StoreContact {
     @Volatile
     private var directFailingSinceMillis: Long? = null
 
     @Volatile
-    private var lastAnswerMillis = nowMillis()
+    override var lastAnswerMillis: Long = nowMillis()
+        private set
+
+    @Volatile
+    override var failedCallSentMillis: Long? = null
+        private set
 
     @Volatile
     private var lastRelayedAnswerMillis = Long.MIN_VALUE / 2
@@ -55,6 +61,9 @@
     private var peersFailedMillis = Long.MIN_VALUE / 2
     private var lastAnsweringPeer: Endpoint? = null
 
+    /** Number of long polls that have no answer yet, by the way that they take (null for the direct one) and table. */
+    private val openPolls = HashMap<Pair<Endpoint?, String>, Int>()
+
     /** Peers that gave no answer in time, and until when they are passed over. */
     private val silentPeers = HashMap<Endpoint, Long>()
 
@@ -104,7 +113,13 @@
         onVerdict: VerdictCallback<RowChanges>,
     ) {
         callAndTrackAnswers(
-            { direct.awaitChanges(table, after, waitMillis, timeoutMillis, it) },
+            { onAnswer ->
+                val onEnd = countOpenPoll(null, table)
+                direct.awaitChanges(table, after, waitMillis, timeoutMillis) { verdict ->
+                    onEnd()
+                    onAnswer(verdict)
+                }
+            },
             {
                 RelayCall(
                     RelayKind.FOLLOW,
@@ -116,9 +131,16 @@
             },
             RelayAnswer::toChanges,
             onVerdict,
+            polledTable = table,
         )
     }
 
+    /** Counts a long poll of [table] through [peer], or a direct one, as open until the returned function is called. */
+    private fun countOpenPoll(peer: Endpoint?, table: String): () -> Unit {
+        openPolls.merge(peer to table, 1, Int::plus)
+        return { openPolls.computeIfPresent(peer to table) { _, count -> (count - 1).takeIf { it > 0 } } }
+    }
+
     /**
      * Whether the store has answered neither directly nor through peers for [UNREACHABLE_AFTER_MILLIS] at [nowMillis].
      * May be called from any thread.
@@ -142,23 +164,36 @@
         call: () -> RelayCall,
         decode: (RelayAnswer) -> T,
         onVerdict: VerdictCallback<T>,
+        polledTable: String? = null,
     ) {
         runOnThread {
-            callDirectOrRelayed(callStore, call, decode) { verdict ->
-                if (verdict is Verdict.Ran) lastAnswerMillis = nowMillis()
+            val sentMillis = nowMillis()
+            callDirectOrRelayed(callStore, call, decode, polledTable) { verdict ->
+                val failure = verdict.failureOrNull()
+                if (failure == null) {
+                    lastAnswerMillis = nowMillis()
+                } else if (failure.kind != FailureKind.INVALID) {
+                    failedCallSentMillis = maxOf(failedCallSentMillis ?: sentMillis, sentMillis)
+                }
                 onVerdict(verdict)
             }
         }
     }
 
+    /**
+     * Makes the call directly or relays it. A long poll of [polledTable] beside another one of the same table is
+     * relayed if possible, since the direct way may be what the other one hangs on.
+     */
     private fun <T> callDirectOrRelayed(
         callStore: (VerdictCallback<T>) -> Unit,
         call: () -> RelayCall,
         decode: (RelayAnswer) -> T,
+        polledTable: String?,
         onVerdict: VerdictCallback<T>,
     ) {
         probeDirectWayIfDue()
-        if (directFailingSinceMillis != null && mayRelay(nowMillis())) {
+        val avoidsDirect = directFailingSinceMillis != null || (polledTable != null && null to polledTable in openPolls)
+        if (avoidsDirect && mayRelay(nowMillis())) {
             relay(call(), decode) { verdict ->
                 if (verdict is Verdict.NotRun) callDirect(callStore, onVerdict) else onVerdict(verdict)
             }
@@ -219,18 +254,23 @@
     private fun mayRelay(now: Long) = peers().isNotEmpty() && now - peersFailedMillis >= RELAY_PAUSE_MILLIS
 
     private fun <T> relay(call: RelayCall, decode: (RelayAnswer) -> T, onVerdict: VerdictCallback<T>) {
-        relayToFirstOf(peersToTry(nowMillis()), call, decode, onVerdict)
+        relayToFirstOf(peersToTry(nowMillis(), call), call, decode, onVerdict)
     }
 
-    /** The peer that answered last, and then some others, without those that were silent if there are any left. */
-    private fun peersToTry(now: Long): List<Endpoint> {
+    /**
+     * The peer that answered last, and then some others, without those that were silent if there are any left. Peers
+     * through which a long poll of the same table is open come last.
+     */
+    private fun peersToTry(now: Long, call: RelayCall): List<Endpoint> {
         silentPeers.values.removeIf { it <= now }
         val known = peers()
         val candidates = known.filter { it !in silentPeers }.ifEmpty { known }
         val offset = Math.floorMod(now, candidates.size.toLong()).toInt()
         val rotated = candidates.drop(offset) + candidates.take(offset)
         val preferred = lastAnsweringPeer?.takeIf { it in candidates }
-        return (listOfNotNull(preferred) + rotated.filter { it != preferred }).take(MAX_PEERS_TRIED)
+        val ordered = listOfNotNull(preferred) + rotated.filter { it != preferred }
+        val isPolled = { peer: Endpoint -> call.kind == RelayKind.FOLLOW && peer to call.table in openPolls }
+        return ordered.sortedBy(isPolled).take(MAX_PEERS_TRIED)
     }
 
     /** Relays [call] to the peers one after the other, until one of them has not declined it. */
@@ -263,7 +303,9 @@
         val body = relayJson.encodeToString(RelayCall.serializer(), call).encodeToByteArray()
         val lane = if (call.kind == RelayKind.FOLLOW) "relay-${call.table}" else "relay"
         val timeoutMillis = call.timeoutMillis + HOP_TIMEOUT_MILLIS
+        val onEnd = if (call.kind == RelayKind.FOLLOW) countOpenPoll(peer, call.table) else { -> }
         client.send(peer, lane, HttpCall("POST", PATH, body), timeoutMillis) { verdict ->
+            onEnd()
             val answer = toRelayVerdict(verdict)
             lastAnsweringPeer = if (answer is Verdict.Ran) peer else lastAnsweringPeer?.takeIf { it != peer }
             if (answer is Verdict.Ran) lastRelayedAnswerMillis = nowMillis()
@@ -331,7 +373,8 @@
 
             RelayKind.FOLLOW ->
                 direct.awaitChanges(call.table, Revision(call.after), call.waitMillis, call.timeoutMillis) { verdict ->
-                    recordDirectResult(verdict)
+                    // A peer polls through this node when its poll hangs, which need not be for lack of a direct way.
+                    if (verdict is Verdict.Ran) recordDirectResult(verdict)
                     reply(toServedAnswer(verdict.map { relayAnswerOf(it) }))
                 }
         }
--- a/node/src/test/kotlin/org/gypsumturn/node/ControlLeaseElectorTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/ControlLeaseElectorTest.kt
@@ -150,7 +150,7 @@
 
     private var aheadMillis = 0L
 
-    /** The clock of the elector. It runs ahead of [NodeClock], since sessions read that clock themselves. */
+    /** The clock of the elector and its sessions. It runs ahead of [NodeClock]. */
     private fun now(): ClockReadings {
         val nodeReadings = NodeClock.readings()
         return ClockReadings(nodeReadings.steadyMillis + aheadMillis, nodeReadings.wallMillis + aheadMillis)
@@ -164,7 +164,8 @@
     ): ControlLeaseElector {
         val rowStore = UnansweredLongPolls(store)
         val lease = ControlLease(node, "$node/1", "10.0.0.1:1", LeaseTimes(3_000, 600, 150))
-        val ports = SessionPorts(rowStore, SingleExecutorFeed, executors, null, null)
+        val ports =
+            SessionPorts(rowStore, SingleExecutorFeed, executors, null, null, nowMillis = { now().steadyMillis })
         return ControlLeaseElector(lease, rowStore, 0, { it() }, ::now, reachesStoreOnlyThroughPeers) { heldLease ->
             HolderSession(heldLease, settings, MachineTimes(0, 0, 0), ports, { _, _ -> }, { }, { it() }) { _, _ -> }
         }
--- a/node/src/test/kotlin/org/gypsumturn/node/VirtualNodes.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/VirtualNodes.kt
@@ -71,7 +71,7 @@
                 it,
                 SchedulerSettings(5_000, 6_000, 120),
                 MachineTimes(0, 0, 0),
-                SessionPorts(client, executors.updates, executors, null, null, nowMillis = loop::nowMillis),
+                SessionPorts(client, executors.updates, executors, null, null, client, nowMillis = loop::nowMillis),
                 { event, fields -> lines.getOrPut(event) { ArrayList() } += fields.toMap() },
                 { },
                 post,
--- a/node/src/test/kotlin/org/gypsumturn/node/VirtualStoreServer.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/VirtualStoreServer.kt
@@ -59,7 +59,12 @@
     }
 
     /** A client of one node. */
-    inner class Client : RowStore {
+    inner class Client :
+        RowStore,
+        StoreContact {
+        override var lastAnswerMillis = loop.nowMillis
+        override var failedCallSentMillis: Long? = null
+
         override fun transact(
             transaction: RowTransaction,
             timeoutMillis: Long,
@@ -104,10 +109,12 @@
         }
 
         private fun <T> call(timeoutMillis: Long, onVerdict: VerdictCallback<T>, perform: ((T) -> Unit) -> Unit) {
+            val sentMillis = loop.nowMillis
             var isFinished = false
             val finish = { verdict: Verdict<T> ->
                 if (!isFinished) {
                     isFinished = true
+                    if (verdict is Verdict.Ran) lastAnswerMillis = loop.nowMillis else failedCallSentMillis = sentMillis
                     onVerdict(verdict)
                 }
             }
