--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -196,6 +196,7 @@
             PlatformExecutorCalls(executorClient),
             machines,
             advisor,
+            store,
             metrics::recordJobsAsOf,
         )
     }
@@ -214,6 +215,7 @@
         stopMillis = reloadableSettings.current[NodeSettings.stopMillis],
         overloadOrder = OverloadOrder.valueOf(reloadableSettings.current[NodeSettings.overloadOrder].uppercase()),
         maxProgressBytes = settings[NodeSettings.maxRowBytes].toInt(),
+        cancelMillis = reloadableSettings.current[NodeSettings.cancelMillis],
     )
 
     /**
