Tell the lease holder of a stored cancellation

A holder learned of a cancellation by its job feed alone, so that tasks of the job went on to start for as long as the feed was silent, up to the bound of `cancel_millis`. The node that stores a cancellation asks the holder for the job before, and so knows where it is.

After the answer to the caller the node sends a notice to the holder: once, for 500 ms at most, in a lane of its own, and none beyond 64 that are open. The holder applies it as if it had read the row. If it does not know the job, or the caller may not cancel it, it reads the row, 16 at a time at most, and keeps the cancellation as one without a job. The bound does not rely on notices.

Measured by StaleJobsTest in virtual time: with a silent feed and notices no task of the job starts after the acknowledgement.

--- a/node/src/main/kotlin/org/gypsumturn/node/ControlLeaseElector.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ControlLeaseElector.kt
@@ -300,6 +300,10 @@
         post { reply(session?.pendingJobCount(clock().steadyMillis, queue)) }
     }
 
+    override fun applyCancellation(notice: CancellationNotice) {
+        post { session?.applyCancellation(notice) }
+    }
+
     private companion object {
         /**
          * How long a long poll of the lease waits for a change. Its answer also carries the store's clock, which tells
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -164,6 +164,11 @@
             ?: HolderAnswer.NoJob(accepts)
     }
 
+    /** Applies a stored cancellation that a node has told of. Before the stored rows are read it is not needed. */
+    public fun applyCancellation(notice: CancellationNotice) {
+        if (jobsLoaded && !closed) jobIntake.applyNotice(ports.nowMillis(), notice)
+    }
+
     /**
      * Number of jobs of [queue] of which no task has been started; null until the stored state has been read, and while
      * the changes of jobs have not been read for longer than a count may be old.
--- a/node/src/main/kotlin/org/gypsumturn/node/JobIntake.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobIntake.kt
@@ -42,6 +42,7 @@
     private val rowsByJob = HashMap<JobId, MutableSet<RowAddress>>()
     private var lastRemovalMillis = 0L
     private var removesCancellations = false
+    private var openNoticeReads = 0
 
     /** Whether cancellations of jobs that are not known may be stored. */
     public val acceptsUnmatched: Boolean get() = !unmatched.isFull
@@ -127,14 +128,18 @@
                 arrayOf("job" to id, "workspace" to content.caller?.workspace, "held_ms" to heldMillis),
             )
         }
+        cancelJob(nowMillis, id, address, "by" to "feed", "revision" to revision, "held_ms" to heldMillis)
+    }
+
+    /** Cancels job [id], whose cancellation is stored at [address]. The log line has [fields] too. */
+    private fun cancelJob(nowMillis: Long, id: JobId, address: RowAddress, vararg fields: Pair<String, Any?>) {
         if (scheduler.job(id)?.phase?.ended == false) {
             decisionLog(
                 "cancellation applied",
                 arrayOf(
                     "job" to id,
                     "partition" to address.partition,
-                    "revision" to revision,
-                    "held_ms" to heldMillis,
+                    *fields,
                     "jobs_age_ms" to scheduler.jobKnowledge?.ageMillis(nowMillis),
                 ),
             )
@@ -142,6 +147,33 @@
         scheduler.cancelJob(nowMillis, id)
     }
 
+    /**
+     * Applies the stored cancellation of [notice] at [nowMillis], as if its row had been read. If the job is not known,
+     * or is not the caller's, the row is read, which tells its revision.
+     */
+    public fun applyNotice(nowMillis: Long, notice: CancellationNotice) {
+        val address = JobRows.cancellation(notice.job, notice.partition, notice.content.caller)
+        val job = scheduler.job(notice.job)
+        if (job != null && notice.content.appliesTo(job.job)) {
+            rowsOf(notice.job) += address
+            cancelJob(nowMillis, notice.job, address, "by" to "notice")
+        } else {
+            readNoticedRow(nowMillis, address)
+        }
+    }
+
+    private fun readNoticedRow(nowMillis: Long, address: RowAddress) {
+        if (openNoticeReads >= MAX_NOTICE_READS) return
+        openNoticeReads++
+        store.read(address.table, address.partition, address.key, 1, CALL_TIMEOUT_MILLIS) { verdict ->
+            post {
+                openNoticeReads--
+                val rows = (verdict as? Verdict.Ran)?.value?.rows.orEmpty().filter { it.address == address }
+                if (!closed) applyRows(nowMillis, rows, neverStarted = false)
+            }
+        }
+    }
+
     private fun rowsOf(id: JobId) = rowsByJob.getOrPut(id) { HashSet(1) }
 
     /** Removes rows of jobs and cancellations that are no longer kept, if the last removal is long enough ago. */
@@ -224,9 +256,12 @@
     }
 
     private companion object {
-        /** Timeout of a removal. */
+        /** Timeout of a removal, and of a read. */
         const val CALL_TIMEOUT_MILLIS = 1_500L
 
+        /** Reads of rows of notices without an answer from which on the feed of jobs is relied on. */
+        const val MAX_NOTICE_READS = 16
+
         /** Time between two removals of rows of expired jobs. */
         const val REMOVAL_INTERVAL_MILLIS = 2_000L
 
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
@@ -63,6 +63,7 @@
  *
  * @param partition partition in which this node stores jobs and cancellations
  * @param limits limits on the jobs that are accepted
+ * @param notifyHolder tells the lease holder of a cancellation that has been stored, after the caller's answer
  * @param nowMillis reads the monotonic clock
  */
 public class NodeJobRequestHandler(
@@ -73,6 +74,7 @@
     private val partition: String,
     private val limits: JobLimits,
     private val metrics: NodeMetrics,
+    private val notifyHolder: (CancellationNotice) -> Unit = { },
     private val nowMillis: () -> Long = NodeClock::steadyMillis,
 ) : JobRequestHandler {
     override fun route(host: String, path: String): RouteResult {
@@ -110,8 +112,7 @@
                 LookUp.Unreadable -> reply(refuse(call, CallerAnswer.Cause.NOT_READY, "a partition can't be read"))
 
                 LookUp.Found -> {
-                    val write = RowWrite(JobRows.cancellation(id, partition), StoredCancellation.CHECKED.encode())
-                    commit(call, write, CallerAnswer.CancelStored, reply)
+                    commitCancellation(call, StoredCancellation.CHECKED, CallerAnswer.CancelStored, reply)
                 }
 
                 is LookUp.NotFound -> cancelUnknown(call, CancellationCaller(queue, workspace), result, reply)
@@ -137,8 +138,20 @@
             reply(refuse(call, CallerAnswer.Cause.OVERLOADED, "too many cancellations without a job"))
             return
         }
-        val address = JobRows.cancellation(call.id, partition, caller)
-        commit(call, RowWrite(address, StoredCancellation(caller).encode()), CallerAnswer.NoSuchJob, reply)
+        commitCancellation(call, StoredCancellation(caller), CallerAnswer.NoSuchJob, reply)
+    }
+
+    private fun commitCancellation(
+        call: CallerCall,
+        content: StoredCancellation,
+        success: CallerAnswer,
+        reply: (CallerAnswer) -> Unit,
+    ) {
+        val write = RowWrite(JobRows.cancellation(call.id, partition, content.caller), content.encode())
+        commit(call, write, success) { answer ->
+            reply(answer)
+            if (answer == success) notifyHolder(CancellationNotice(call.id, partition, content))
+        }
     }
 
     /** Result of looking a job up, as far as the caller may know of it. */
--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -105,6 +105,7 @@
             JobRows.partitionOf(nodeName),
             JobLimits(settings[NodeSettings.maxRowBytes].toInt()),
             metrics,
+            peers::notifyHolder,
         )
     private val ingress =
         CallerIngress(jobRequestHandler) { !isShuttingDown && configurationSubscriber.current != null }
--- a/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
@@ -1,5 +1,5 @@
-// Queries between nodes. Any node can ask the holder of the control lease for the state of a job, and for the number of
-// jobs of a queue that have not been started.
+// Calls between nodes. Any node can ask the holder of the control lease for the state of a job, and for the number of
+// jobs of a queue that have not been started, and tells it of cancellations that it has stored.
 
 package org.gypsumturn.node
 
@@ -10,6 +10,7 @@
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.model.Queue
 import org.gypsumturn.batch.model.QueueId
+import org.gypsumturn.batch.state.StoredCancellation
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.model.WorkspaceId
@@ -37,6 +38,17 @@
 @Serializable
 private class PendingAnswer(val count: Int)
 
+/**
+ * Tells the lease holder that the cancellation [content] of [job] is stored in [partition]. The holder reads it from
+ * the store in any case, and later if the notice gets lost.
+ */
+@Serializable
+public data class CancellationNotice(
+    public val job: JobId,
+    public val partition: String,
+    public val content: StoredCancellation,
+)
+
 /**
  * Queries to this process as the lease holder. Each call replies on the control thread, with null if this process does
  * not hold the lease or has not read the stored state yet.
@@ -47,6 +59,9 @@
 
     /** Replies with the number of jobs of [queue] of which no task has been started. */
     public fun countPendingJobs(queue: QueueId, reply: (Int?) -> Unit)
+
+    /** Applies the stored cancellation of [notice] if this process holds the lease. */
+    public fun applyCancellation(notice: CancellationNotice)
 }
 
 /**
@@ -60,6 +75,28 @@
     private val local: LocalHolderQueries,
     private val holderAddress: () -> HolderAddress,
 ) : HolderQueries {
+    private var openNotices = 0
+
+    /**
+     * Sends [notice] to the lease holder, without a repetition. It is dropped if the holder is not known, or while many
+     * others have no answer. All calls must be on the thread of the client.
+     */
+    public fun notifyHolder(notice: CancellationNotice) {
+        when (val holder = holderAddress()) {
+            HolderAddress.Unknown -> Unit
+
+            HolderAddress.Self -> local.applyCancellation(notice)
+
+            is HolderAddress.Peer -> {
+                if (openNotices >= MAX_OPEN_NOTICES) return
+                openNotices++
+                val body = json.encodeToString(CancellationNotice.serializer(), notice).encodeToByteArray()
+                val call = HttpCall("POST", CANCELLATIONS_PATH, body)
+                client.send(holder.endpoint, "notice", call, NOTICE_TIMEOUT_MILLIS) { openNotices-- }
+            }
+        }
+    }
+
     override fun queryState(id: JobId, timeoutMillis: Long, reply: (HolderAnswer?) -> Unit) {
         askHolder({ local.queryJobState(id, reply) }, "$JOB_PATH_PREFIX$id", timeoutMillis, { reply(null) }) { answer ->
             val job = json.decodeFromString(JobAnswer.serializer(), answer.body.decodeToString())
@@ -111,8 +148,8 @@
     }
 
     /**
-     * Handles the query [request] of a peer. The status is 503 if this process can't answer as the lease holder, and
-     * 404 for an unknown path.
+     * Handles the query or notice [request] of a peer. The status is 503 if this process can't answer a query as the
+     * lease holder, 400 for a malformed notice, and 404 for an unknown path.
      */
     public fun handle(request: ServedRequest, reply: (ServedAnswer) -> Unit) {
         val path = request.path
@@ -129,10 +166,23 @@
                 }
             }
 
+            path == CANCELLATIONS_PATH -> reply(ServedAnswer(handleNotice(request), ByteArray(0)))
+
             else -> reply(ServedAnswer(HttpStatus.NOT_FOUND, ByteArray(0)))
         }
     }
 
+    private fun handleNotice(request: ServedRequest): Int {
+        val notice = try {
+            json.decodeFromString(CancellationNotice.serializer(), request.body.decodeToString())
+        } catch (e: IllegalArgumentException) {
+            logEvent("notice unreadable", "why" to e.message)
+            return HttpStatus.BAD_REQUEST
+        }
+        local.applyCancellation(notice)
+        return HttpStatus.OK
+    }
+
     private fun jobAnswerOf(answer: HolderAnswer): JobAnswer = when (answer) {
         is HolderAnswer.State -> JobAnswer(answer.phase, answer.workspace, answer.acceptsCancellations)
         is HolderAnswer.NoJob -> JobAnswer(acceptsCancellations = answer.acceptsCancellations)
@@ -146,6 +196,13 @@
     private companion object {
         const val JOB_PATH_PREFIX = "/jobs/"
         const val PENDING_PATH_PREFIX = "/pending/"
+        const val CANCELLATIONS_PATH = "/cancellations"
+
+        /** Timeout of a notice. The holder has most likely read the row from the store by then. */
+        const val NOTICE_TIMEOUT_MILLIS = 500L
+
+        /** Notices without an answer from which on further ones are dropped. */
+        const val MAX_OPEN_NOTICES = 64
     }
 }
 
--- a/node/src/test/kotlin/org/gypsumturn/node/JobIntakeTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/JobIntakeTest.kt
@@ -101,12 +101,54 @@
         fieldsByEvent.getValue("cancellation applied") shouldBe mapOf(
             "job" to idOf(1),
             "partition" to partition,
+            "by" to "feed",
             "revision" to row.revision,
             "held_ms" to 0L,
             "jobs_age_ms" to 800L,
         )
     }
 
+    private fun notice(number: Int, workspace: WorkspaceId?): CancellationNotice =
+        CancellationNotice(idOf(number), partition, StoredCancellation(CancellationCaller("h/q/", workspace)))
+
+    // Guards against: a cancellation that another node tells of applies to a job that its caller may not see, or is
+    // not applied although the job is known.
+    @Test
+    fun `a notice cancels a job of its caller at once, and no other`() {
+        (1..2).forEach { readJob(0, job(it, own)) }
+        val callsBefore = store.callCount
+        intake.applyNotice(100, notice(1, own))
+        store.callCount shouldBe callsBefore
+        scheduler.job(idOf(1))!!.phase shouldBe JobPhase.CANCELLED
+        intake.applyNotice(100, notice(2, other))
+        scheduler.job(idOf(2))!!.phase shouldBe JobPhase.QUEUED
+        fieldsByEvent.getValue("cancellation applied")["by"] shouldBe "notice"
+    }
+
+    // Guards against: a notice of a job that is read later is lost, or is kept without the row that it tells of.
+    @Test
+    fun `a notice of a job that is not known keeps the cancellation if its row is stored`() {
+        intake.applyNotice(0, notice(1, own))
+        intake.unmatchedCount shouldBe 0
+        storeCancellation(1, own)
+        intake.applyNotice(0, notice(1, own))
+        intake.unmatchedCount shouldBe 1
+        readJob(100, job(1, own)) shouldBe JobPhase.CANCELLED
+    }
+
+    // Guards against: notices of unknown jobs make the holder read without bound while the store is slow.
+    @Test
+    fun `notices of unknown jobs cause a bounded number of reads at once`() {
+        val held = ArrayList<() -> Unit>()
+        intake = JobIntake(scheduler, store, settings, ::recordEvent) { held += it }
+        val callsBefore = store.callCount
+        repeat(100) { intake.applyNotice(0, notice(it, own)) }
+        store.callCount shouldBe callsBefore + 16
+        held.forEach { it() }
+        intake.applyNotice(0, notice(100, own))
+        store.callCount shouldBe callsBefore + 17
+    }
+
     // Guards against: callers of a public queue cancel jobs that other queues do not let them see.
     @Test
     fun `a cancellation on a public queue does not apply to a job that a workspace submits to another queue`() {
--- a/node/src/test/kotlin/org/gypsumturn/node/NodeJobRequestHandlerTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/NodeJobRequestHandlerTest.kt
@@ -51,6 +51,9 @@
 
         override fun countPending(queue: Queue, timeoutMillis: Long, reply: (Int?) -> Unit) = reply(null)
     }
+
+    /** Answers to callers and notices to the holder, in their order. */
+    private val told = ArrayList<Any>()
     private val handler = NodeJobRequestHandler(
         { configuration },
         store,
@@ -59,10 +62,12 @@
         JobRows.partitions.first(),
         JobLimits(65_536),
         NodeMetrics(PrometheusRegistry()),
+        { told += it },
     )
 
     @BeforeEach
     fun reset() {
+        told.clear()
         store.rows.clear()
         store.failureMode = StoreFailureMode.NONE
         store.refusesWrites = false
@@ -102,6 +107,27 @@
         stateFor(other) shouldBe CallerAnswer.NoSuchJob
     }
 
+    // Guards against: the holder is told of a cancellation that is not stored, or a caller waits for that.
+    @Test
+    fun `the holder is told of a cancellation after the answer, and only of one that is stored`() {
+        storeJob()
+        val cancel = { caller: WorkspaceId? -> handler.cancel(queue, job.id, caller, 1_000) { told += it } }
+        store.refusesWrites = true
+        cancel(own)
+        told.single().shouldBeInstanceOf<CallerAnswer.NotAccepted>()
+        told.clear()
+        store.refusesWrites = false
+        cancel(own)
+        cancel(other)
+        val partition = JobRows.partitions.first()
+        told shouldBe listOf(
+            CallerAnswer.CancelStored,
+            CancellationNotice(job.id, partition, StoredCancellation.CHECKED),
+            CallerAnswer.NoSuchJob,
+            CancellationNotice(job.id, partition, StoredCancellation(CancellationCaller(queue, other))),
+        )
+    }
+
     @Test
     fun `a caller gets the state of its own job, also from the stored rows`() {
         storeJob()
@@ -216,6 +242,6 @@
         JobRows.partitions.first(),
         JobLimits(65_536),
         NodeMetrics(PrometheusRegistry()),
-        nowMillis,
+        nowMillis = nowMillis,
     )
 }
--- a/node/src/test/kotlin/org/gypsumturn/node/StaleJobsTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/StaleJobsTest.kt
@@ -90,6 +90,17 @@
         }
     }
 
+    // Guards against: a holder that is told of a cancellation waits for its job feed.
+    @Test
+    fun `a notice stops the starts of a cancelled job at once while the job feed is silent`() {
+        val (nodes, id) = nodesWithJobUnderWay()
+        nodes.noticesArrive = true
+        nodes.store.silentFeeds += JobRows.TABLE
+        val (starts, _) = startsAfterCancellation(nodes, id, 5_000)
+        starts shouldBe 0
+        nodes.executors.stops.count { it.task.job == id } shouldBeGreaterThan 0
+    }
+
     private companion object {
         const val TASKS = 400
 
--- a/node/src/test/kotlin/org/gypsumturn/node/VirtualNodes.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/VirtualNodes.kt
@@ -24,7 +24,12 @@
 import org.gypsumturn.model.PoolId
 import kotlin.random.Random
 
-internal class VirtualNodes(seed: Long = 1, executors: Int = 3) {
+internal class VirtualNodes(
+    seed: Long = 1,
+    executors: Int = 3,
+    cancelMillis: Long = SchedulerSettings.DEFAULT_CANCEL_MILLIS,
+) {
+    private val settings = SchedulerSettings(5_000, 6_000, 120, cancelMillis = cancelMillis)
     val loop = VirtualLoop()
     val store = VirtualStoreServer(loop, Random(seed))
     val executors = VirtualExecutors(loop, executors, POOL, ResourceAmounts(4_000, 8_000, 0), RUN_MILLIS)
@@ -32,6 +37,9 @@
     private val configuration =
         FleetConfiguration(1, listOf(queue), mapOf(POOL to PoolRecord(POOL, true, false, "")), CallerLimits(1_000))
 
+    /** Whether notices of cancellations reach the holder. */
+    var noticesArrive = false
+
     /** Lines of the holders by event. */
     val lines = HashMap<String, MutableList<Map<String, Any?>>>()
     private var holder = Holder("a")
@@ -57,6 +65,7 @@
         JobRows.partitions[1],
         JobLimits(65_536),
         NodeMetrics(PrometheusRegistry()),
+        { notice -> if (noticesArrive) loop.runAfter(2) { holder.elector.applyCancellation(notice) } },
     ) { loop.nowMillis }
 
     /** A process that competes for the lease. It does nothing while it is [suspended]. */
@@ -69,7 +78,7 @@
         val elector = ControlLeaseElector(lease, client, 0, post, { ClockReadings(loop.nowMillis, loop.nowMillis) }) {
             HolderSession(
                 it,
-                SchedulerSettings(5_000, 6_000, 120),
+                settings,
                 MachineTimes(0, 0, 0),
                 SessionPorts(client, executors.updates, executors, null, null, client, nowMillis = loop::nowMillis),
                 { event, fields -> lines.getOrPut(event) { ArrayList() } += fields.toMap() },
