Write the last lines of a node before its process ends

The line 'stopped', which tells whether answers were cut, was missing in the log of a node that had shut down gracefully: lines pass through a queue, and the process ended without waiting for the thread that writes them.

--- a/node/src/main/kotlin/org/gypsumturn/node/Main.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/Main.kt
@@ -3,6 +3,7 @@
 package org.gypsumturn.node
 
 import org.gypsumturn.runtime.log.configureEventLogging
+import org.gypsumturn.runtime.log.stopLogging
 import org.gypsumturn.runtime.program.onReload
 import org.gypsumturn.runtime.program.runProgram
 import org.gypsumturn.runtime.program.serveUntilShutdown
@@ -15,6 +16,9 @@
         val program = NodeProgram(reloadableSettings)
         onReload { reloadableSettings.reloadIfNeeded(requested = true) }
         program.start()
-        serveUntilShutdown(program::shutDown)
+        serveUntilShutdown {
+            program.shutDown()
+            stopLogging()
+        }
     }
 }
--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/log/Logging.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/log/Logging.kt
@@ -71,6 +71,14 @@
     root.addAppender(asyncAppender)
 }
 
+/**
+ * Writes the lines that wait and ends the logging. Called last when a process ends, which would lose them otherwise.
+ * Waits for one second at most.
+ */
+public fun stopLogging() {
+    (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
+}
+
 /** Largest number of lines that wait to be written; about what a busy node logs in one second. */
 private const val EVENT_QUEUE_LINES = 4_096
 
