Handle signals from the start of a node's main function

A node that got SIGHUP while it read its settings ended, because a virtual machine ends on that signal unless the program handles it, and the handler was installed after the settings were read. A node that got SIGTERM while it opened its ports ended at once, with the requests that it had read, because the shutdown hook was installed after all ports were open.

The handler of SIGHUP is installed first and remembers an early request. The hook is installed before the start. A signal before the main function is reached still ends the virtual machine.

--- a/node/src/main/kotlin/org/gypsumturn/node/Main.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/Main.kt
@@ -4,21 +4,22 @@
 
 import org.gypsumturn.runtime.log.configureEventLogging
 import org.gypsumturn.runtime.log.stopLogging
-import org.gypsumturn.runtime.program.onReload
+import org.gypsumturn.runtime.program.ReloadSignal
 import org.gypsumturn.runtime.program.runProgram
 import org.gypsumturn.runtime.program.serveUntilShutdown
 
 /** Runs a node until the process is asked to terminate. A request to reload reads the settings file again. */
 public fun main(args: Array<String>) {
+    val reloadSignal = ReloadSignal()
     runProgram("gypsumturn-node", NodeSettings.schema, args) { settings, file ->
         configureEventLogging()
         val reloadableSettings = ReloadableSettings(NodeSettings.schema, file, settings)
         val program = NodeProgram(reloadableSettings)
-        onReload { reloadableSettings.reloadIfNeeded(requested = true) }
-        program.start()
-        serveUntilShutdown {
+        reloadSignal.handleWith { reloadableSettings.reloadIfNeeded(requested = true) }
+        val shutDown = {
             program.shutDown()
             stopLogging()
         }
+        serveUntilShutdown(shutDown, program::start)
     }
 }
--- a/node/src/test/kotlin/org/gypsumturn/node/ReloadableSettingsTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/ReloadableSettingsTest.kt
@@ -5,7 +5,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
-import org.gypsumturn.runtime.program.onReload
+import org.gypsumturn.runtime.program.ReloadSignal
 import org.gypsumturn.runtime.settings.SettingsResult
 import org.gypsumturn.runtime.settings.SettingsSchema
 import org.gypsumturn.runtime.settings.wholeNumber
@@ -55,7 +55,7 @@
     @Test
     fun `a HUP signal calls the reload handler and does not end the process`() {
         val requested = CountDownLatch(1)
-        onReload { requested.countDown() }
+        ReloadSignal().handleWith { requested.countDown() }
         Signal.raise(Signal("HUP"))
         requested.await(10, TimeUnit.SECONDS) shouldBe true
     }
--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
@@ -94,13 +94,39 @@
     }
 }
 
-/** Blocks until the process is asked to end (SIGTERM or SIGINT), and then runs [close]. */
-public fun serveUntilShutdown(close: () -> Unit) {
+/**
+ * Runs [start], blocks until the process is asked to end (SIGTERM or SIGINT), and then runs [close]. A process that is
+ * asked to end while it starts runs [close] too, at the same time as [start].
+ */
+public fun serveUntilShutdown(close: () -> Unit, start: () -> Unit = {}) {
     Runtime.getRuntime().addShutdownHook(Thread(close, "shutdown"))
+    start()
     Thread.currentThread().join()
 }
 
-/** Calls [reload] on each SIGHUP, which asks a process to reload its settings and would otherwise end it. */
-public fun onReload(reload: () -> Unit) {
-    Signal.handle(Signal("HUP")) { reload() }
+/**
+ * Handles SIGHUP, which asks a process to reload its settings. A program that reloads creates it before anything else,
+ * because the signal ends a process that does not handle it.
+ */
+public class ReloadSignal {
+    private var reload: (() -> Unit)? = null
+    private var isPending = false
+
+    init {
+        Signal.handle(Signal("HUP")) { onSignal() }
+    }
+
+    /** Calls [reload] on each further signal, and at once if there was a signal before. */
+    @Synchronized
+    public fun handleWith(reload: () -> Unit) {
+        this.reload = reload
+        if (isPending) reload()
+        isPending = false
+    }
+
+    @Synchronized
+    private fun onSignal() {
+        val handler = reload
+        if (handler == null) isPending = true else handler()
+    }
 }
