Answer the state of a job within the deadline of its caller

Callers that asked for a state while the holder was silent and the store slow got their answer after their deadline. Cause: the query to the holder and each read of the store began with the whole deadline, or a second, whatever the steps before had used.

The steps now share the time that is left until shortly before the deadline.

--- a/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeJobRequestHandler.kt
@@ -172,8 +172,11 @@
         }
     }
 
+    /** All reads of the store share the time that the caller waits, so that each caller gets an answer in its time. */
     override fun queryState(id: JobId, workspace: WorkspaceId?, deadlineMillis: Long, reply: (CallerAnswer) -> Unit) {
-        holder.queryState(id, minOf(deadlineMillis, HOLDER_TIMEOUT_MILLIS)) { answer ->
+        val answerByMillis = nowMillis() + deadlineMillis - replyMarginMillis(deadlineMillis)
+        val leftMillis = { answerByMillis - nowMillis() }
+        holder.queryState(id, minOf(leftMillis(), HOLDER_TIMEOUT_MILLIS)) { answer ->
             when (answer) {
                 is HolderAnswer.State -> reply(
                     if (isVisible(answer.workspace, workspace)) {
@@ -183,9 +186,9 @@
                     },
                 )
 
-                is HolderAnswer.NoJob -> replyWithStateOfStored(id, workspace, JobPhase.QUEUED, deadlineMillis, reply)
+                is HolderAnswer.NoJob -> replyWithStateOfStored(id, workspace, JobPhase.QUEUED, leftMillis(), reply)
 
-                null -> replyWithStoredProgress(id, workspace, deadlineMillis, reply)
+                null -> replyWithStoredProgress(id, workspace, leftMillis, reply)
             }
         }
     }
@@ -204,10 +207,10 @@
     private fun replyWithStoredProgress(
         id: JobId,
         workspace: WorkspaceId?,
-        deadlineMillis: Long,
+        leftMillis: () -> Long,
         reply: (CallerAnswer) -> Unit,
     ) {
-        readRow(JobRows.progress(id), deadlineMillis) { verdict ->
+        readRow(JobRows.progress(id), leftMillis()) { verdict ->
             val phase = (verdict as? Verdict.Ran)?.value?.value?.let { ProgressRecord.decode(it).phase }
             when {
                 verdict !is Verdict.Ran -> reply(CallerAnswer.NotAccepted(CallerAnswer.Cause.NOT_READY, null))
@@ -215,7 +218,7 @@
                 phase != null && workspace == null -> reply(CallerAnswer.State(phase))
 
                 // The row of the progress does not tell whose job it is.
-                else -> replyWithStateOfStored(id, workspace, phase ?: JobPhase.QUEUED, deadlineMillis, reply)
+                else -> replyWithStateOfStored(id, workspace, phase ?: JobPhase.QUEUED, leftMillis(), reply)
             }
         }
     }
@@ -269,7 +272,7 @@
     }
 
     private fun readRow(address: RowAddress, deadlineMillis: Long, onResult: (Verdict<StoredRow?>) -> Unit) {
-        val timeoutMillis = minOf(deadlineMillis, READ_TIMEOUT_MILLIS)
+        val timeoutMillis = minOf(deadlineMillis, READ_TIMEOUT_MILLIS).coerceAtLeast(0)
         store.read(address.table, address.partition, address.key, 1, timeoutMillis) { verdict ->
             onResult(verdict.map { page -> page.rows.firstOrNull { it.address == address } })
         }
