Send no start that was decided too long ago

A holder that was suspended between its decision and its sending started a task after another holder had taken over. An executor refuses such an order by the fencing token or by the lease in it, unless it was restarted under its id meanwhile: its clock and its tokens begin anew. The task then ran twice, or ran although its job had been cancelled.

The sender now compares both clocks of the process with those of the decision. The steady clock alone does not tell, since it stands still while a machine is suspended. The timeout of a start counts from its decision.

--- a/node/src/main/kotlin/org/gypsumturn/node/ExecutorOrderSender.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ExecutorOrderSender.kt
@@ -2,6 +2,8 @@
 
 package org.gypsumturn.node
 
+import org.gypsumturn.batch.lease.ClockReadings
+import org.gypsumturn.batch.model.OrderAnswer
 import org.gypsumturn.batch.port.Advice
 import org.gypsumturn.batch.port.ExecutorCalls
 import org.gypsumturn.batch.port.PlacementAdvisor
@@ -14,22 +16,28 @@
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.Verdict
 
-/** Sends the orders and questions of [scheduler] during the term of the lease with [epoch]. */
+/**
+ * Sends the orders and questions of [scheduler] during the term of the lease with [epoch].
+ *
+ * @param clock reads the clocks of the process
+ */
 public class ExecutorOrderSender(
     private val scheduler: BatchScheduler,
     private val executors: ExecutorCalls,
     private val advisor: PlacementAdvisor?,
     private val epoch: Epoch,
     private val post: Post,
-    private val nowMillis: () -> Long,
+    private val clock: () -> ClockReadings,
 ) {
+    private val nowMillis get() = clock().steadyMillis
+
     /** Set when the term is over. Answers that arrive later are ignored. */
     public var closed: Boolean = false
 
-    /** Sends [order] to its executor. The answer goes to the scheduler. */
-    public fun send(order: ExecutorOrder) {
+    /** Sends [order], which was decided at [decided], to its executor. The answer goes to the scheduler. */
+    public fun send(order: ExecutorOrder, decided: ClockReadings) {
         when (order) {
-            is ExecutorOrder.Start -> startRun(order)
+            is ExecutorOrder.Start -> startRun(order, decided)
             is ExecutorOrder.Stop -> stopRun(order)
             is ExecutorOrder.Poll -> poll(order)
             is ExecutorOrder.Forget -> executors.closeConnections(order.target)
@@ -42,7 +50,7 @@
      */
     public fun askAdvisor(question: AdviceQuestion) {
         val onVerdict = { verdict: Verdict<Advice> ->
-            postUnlessClosed { scheduler.onAdviceAnswered(nowMillis(), question, verdict) }
+            postUnlessClosed { scheduler.onAdviceAnswered(nowMillis, question, verdict) }
         }
         if (advisor == null) {
             onVerdict(Verdict.NotRun(Failure(FailureKind.INVALID, "no placement advisor is configured")))
@@ -51,22 +59,35 @@
         }
     }
 
-    private fun startRun(order: ExecutorOrder.Start) {
-        executors.startRun(order.target, order.order, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
-            postUnlessClosed { scheduler.onStartAnswered(nowMillis(), order, verdict) }
+    /**
+     * Sends the start unless its time is over, as after a suspension of the process or the machine: another holder may
+     * have taken over meanwhile, and the executor may have been replaced by one that does not refuse the order.
+     */
+    private fun startRun(order: ExecutorOrder.Start, decided: ClockReadings) {
+        val onVerdict = { verdict: Verdict<OrderAnswer> ->
+            postUnlessClosed { scheduler.onStartAnswered(nowMillis, order, verdict) }
+        }
+        val now = clock()
+        val elapsedMillis = maxOf(now.steadyMillis - decided.steadyMillis, now.wallMillis - decided.wallMillis, 0)
+        val remainingMillis = SchedulerSettings.ORDER_TIMEOUT_MILLIS - elapsedMillis
+        if (remainingMillis > 0) {
+            executors.startRun(order.target, order.order, remainingMillis, onVerdict)
+        } else {
+            logEvent("start not sent", "task" to order.run.id.task, "decided_ms" to elapsedMillis)
+            onVerdict(Verdict.NotRun(Failure(FailureKind.TIMEOUT, "the order was decided too long ago")))
         }
     }
 
     private fun stopRun(order: ExecutorOrder.Stop) {
         executors.stopRun(order.target, order.run, epoch, SchedulerSettings.ORDER_TIMEOUT_MILLIS) { verdict ->
-            postUnlessClosed { scheduler.onStopAnswered(nowMillis(), order, verdict) }
+            postUnlessClosed { scheduler.onStopAnswered(nowMillis, order, verdict) }
         }
     }
 
     private fun poll(order: ExecutorOrder.Poll) {
         val timeoutMillis = (order.order.waitMillis ?: 0) + SchedulerSettings.POLL_TIMEOUT_MILLIS
         executors.poll(order.target, order.order, timeoutMillis) { verdict ->
-            postUnlessClosed { scheduler.onPollAnswered(nowMillis(), order, verdict) }
+            postUnlessClosed { scheduler.onPollAnswered(nowMillis, order, verdict) }
         }
     }
 
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -39,6 +39,7 @@
  * @property reportJobsAsOf receives the time on the steady clock up to which the stored jobs are known, whenever it
  * changes, and null at the end of the term
  * @property nowMillis reads the steady clock
+ * @property wallMillis reads the time of day, as milliseconds since 1970
  */
 public class SessionPorts(
     public val store: RowStore,
@@ -49,6 +50,7 @@
     public val storeContact: StoreContact? = null,
     public val reportJobsAsOf: (Long?) -> Unit = { },
     public val nowMillis: () -> Long = NodeClock::steadyMillis,
+    public val wallMillis: () -> Long = NodeClock::wallMillis,
 )
 
 /**
@@ -71,7 +73,9 @@
     private val epoch = lease.epoch
     private val scheduler = BatchScheduler(settings, epoch, decisionLog)
     private val orderSender =
-        ExecutorOrderSender(scheduler, ports.executors, ports.advisor, epoch, post, ports.nowMillis)
+        ExecutorOrderSender(scheduler, ports.executors, ports.advisor, epoch, post) {
+            ClockReadings(ports.nowMillis(), ports.wallMillis())
+        }
     private val fence = ProgressFence(ports.store, epoch, post, postDelayed)
     private val progressWriter =
         ProgressWriter(scheduler, fence, ports.store, settings.maxProgressBytes, ports.nowMillis, post)
@@ -179,7 +183,7 @@
         if (!ready || closed || fencedOff) return
         val overdueMillis = lease.overdueMillis(now)
         scheduler.runSchedulingPass(now.steadyMillis, now.wallMillis, overdueMillis, jobKnowledge(now.steadyMillis))
-            .forEach(orderSender::send)
+            .forEach { orderSender.send(it, now) }
         scheduler.takeQuestions().forEach(orderSender::askAdvisor)
         if (now.steadyMillis - workspacesReportedMillis >= WORKSPACE_REPORT_MILLIS) {
             workspacesReportedMillis = now.steadyMillis
