Test starts that a suspended holder sends late

CancelledStartTest covered starts that executors carry out late. Now a holder is also suspended between its decision and the sending, another node acknowledges the cancellation and takes over, reaching only some of the executors, and the first holder goes on up to 6 s later with its lease valid by its own clock for up to 2 s more. The sender's own check of the age is left out here: this is what the next holder does alone.

--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -226,6 +226,43 @@
     return parts.size == 3 && parts[1] == executor.id.value && parts[2].toLong() >= nowMillis
 }
 
+/**
+ * Lets a new holder take over while the old one goes on, which believes that its lease lapses at
+ * [validUntilMillis].
+ */
+internal fun VirtualFleet.takeOverFromLiveHolder(
+    epoch: Long,
+    validUntilMillis: Long,
+    hasLapsedEntry: (VirtualExecutor) -> Boolean = { false },
+) {
+    resumeFormerHolder(scheduler, validUntilMillis)
+    takeOver(epoch, hasLapsedEntry = hasLapsedEntry)
+}
+
+/** A [holder] that is suspended between its decisions and their sending. */
+internal class SuspendedHolder(val holder: BatchScheduler) {
+    val unsentOrders = ArrayList<ExecutorOrder>()
+
+    /** Keeps [order] back if it is one of this holder. */
+    fun withholds(sender: BatchScheduler, order: ExecutorOrder): Boolean = sender === holder && unsentOrders.add(order)
+}
+
+/** Suspends the holder before it sends the orders that it decides next. Another one may take over meanwhile. */
+internal fun VirtualFleet.suspendHolder() {
+    suspendedHolder = SuspendedHolder(scheduler)
+}
+
+/**
+ * Lets the suspended holder send what it had decided, and go on until its lease lapses at [validUntilMillis] by its
+ * clocks.
+ */
+internal fun VirtualFleet.wakeHolder(validUntilMillis: Long) {
+    val suspended = checkNotNull(suspendedHolder)
+    suspendedHolder = null
+    suspended.unsentOrders.forEach { deliver(suspended.holder, it) }
+    resumeFormerHolder(suspended.holder, validUntilMillis)
+}
+
 /** Simulates a fleet that is controlled by [scheduler], in steps of a few milliseconds. */
 internal class VirtualFleet(
     executors: Int,
@@ -291,6 +328,7 @@
     /** An earlier holder that does not know of its successor, and the time at which its lease lapses. */
     var formerHolder: BatchScheduler? = null
     private var formerHolderValidUntilMillis = 0L
+    var suspendedHolder: SuspendedHolder? = null
 
     init {
         repeat(executors) { add("x$it", capacity, pool) }
@@ -354,19 +392,6 @@
         scheduler.startRecovery(nowMillis, storedRosters.toMap(), nowMillis + 5_500)
     }
 
-    /**
-     * Lets a new holder take over while the old one goes on, which believes that its lease lapses at
-     * [validUntilMillis].
-     */
-    fun takeOverFromLiveHolder(
-        epoch: Long,
-        validUntilMillis: Long,
-        hasLapsedEntry: (VirtualExecutor) -> Boolean = { false },
-    ) {
-        resumeFormerHolder(scheduler, validUntilMillis)
-        takeOver(epoch, hasLapsedEntry = hasLapsedEntry)
-    }
-
     /** Lets [holder], which does not know of its successor, go on until its lease lapses at [validUntilMillis]. */
     fun resumeFormerHolder(holder: BatchScheduler, validUntilMillis: Long) {
         formerHolder = holder
@@ -472,7 +497,8 @@
         executor.ends += ReportedRunEnd(++executor.endNumber, run.id, how, "")
     }
 
-    private fun deliver(holder: BatchScheduler, order: ExecutorOrder) {
+    fun deliver(holder: BatchScheduler, order: ExecutorOrder) {
+        if (suspendedHolder?.withholds(holder, order) == true) return
         val executor = executors[order.target.id]?.takeIf { holder !in it.unreachableFrom }
         when (order) {
             is ExecutorOrder.Start -> {
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CancelledStartTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/CancelledStartTest.kt
@@ -10,6 +10,8 @@
 import org.gypsumturn.batch.VirtualFleet
 import org.gypsumturn.batch.job
 import org.gypsumturn.batch.step
+import org.gypsumturn.batch.suspendHolder
+import org.gypsumturn.batch.wakeHolder
 import kotlin.random.Random
 
 class CancelledStartTest : AnnotationSpec() {
@@ -46,6 +48,39 @@
         lateStarts shouldBeGreaterThan 0
     }
 
+    // Guards against: a start that a holder has decided before it was suspended, and sends after another node has
+    // acknowledged the cancellation and taken over, runs on (UNASKED) or lets a task run twice.
+    @Test
+    fun `a start that a suspended holder sends late is stopped by the next holder`() {
+        var lateStarts = 0
+        (1L..300L).forEach { seed ->
+            val random = Random(seed)
+            val fleet = VirtualFleet(3)
+            fleet.run(100)
+            fleet.suspendHolder()
+            val cancelled = job(1, step(count = 6))
+            fleet.submit(cancelled) { LONG_MILLIS }
+            fleet.run(5)
+            fleet.takeOver(2)
+            fleet.scheduler.cancelJob(fleet.nowMillis, cancelled.id)
+            val successor = fleet.scheduler
+            // An executor that the successor has reached refuses the late start.
+            fleet.executors.values.filter { random.nextBoolean() }.forEach { it.unreachableFrom += successor }
+            fleet.run(random.nextLong(0, 6_000))
+            fleet.wakeHolder(fleet.nowMillis + random.nextLong(0, 2_000))
+            fleet.run(random.nextLong(5, 1_000))
+            if (fleet.starts.isNotEmpty()) lateStarts++
+            fleet.executors.values.forEach { it.unreachableFrom.clear() }
+            fleet.run(CONTACT_MILLIS)
+            withClue("seed $seed") {
+                fleet.executors.values.flatMap { it.runs.keys }.shouldBeEmpty()
+                fleet.breaches.shouldBeEmpty()
+            }
+        }
+        println("suspended holders: late starts with $lateStarts of 300 seeds")
+        lateStarts shouldBeGreaterThan 0
+    }
+
     private companion object {
         /** A task that nobody stops runs until the end of the test. */
         const val LONG_MILLIS = 60_000L
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LapsedHolderTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/LapsedHolderTest.kt
@@ -7,6 +7,7 @@
 import org.gypsumturn.batch.job
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.step
+import org.gypsumturn.batch.takeOverFromLiveHolder
 import kotlin.random.Random
 
 /**
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/TakeoverTest.kt
@@ -10,6 +10,7 @@
 import org.gypsumturn.batch.model.ResourceAmounts
 import org.gypsumturn.batch.queue
 import org.gypsumturn.batch.step
+import org.gypsumturn.batch.takeOverFromLiveHolder
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.PoolId
 import kotlin.random.Random
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/WorkspaceLedgerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/WorkspaceLedgerTest.kt
@@ -17,6 +17,7 @@
 import org.gypsumturn.batch.model.JobPhase
 import org.gypsumturn.batch.queue
 import org.gypsumturn.batch.step
+import org.gypsumturn.batch.takeOverFromLiveHolder
 import org.gypsumturn.batch.workspace
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.WorkspaceId
