Count lasting tasks that are away for too long around a takeover

Nothing in the model measured how long a lasting task has no run when an executor is lost around a takeover, nor by which cause.

--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/LastingTaskMonitor.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/LastingTaskMonitor.kt
@@ -14,6 +14,9 @@
     private val lastWithoutRoomMillis = HashMap<TaskName, Long>()
     private val endedByOrder = LinkedHashSet<TaskName>()
 
+    /** Called with each task that runs again later than it should, and the time since its last run. */
+    var onReturnedLate: (TaskName, Long) -> Unit = { _, _ -> }
+
     fun stepOf(task: TaskName): Step = rules.jobs.getValue(task.job).steps[task.step]
 
     fun isLasting(task: TaskName): Boolean = stepOf(task).longRunning
@@ -26,7 +29,10 @@
 
     /** Takes note of the [runs] of all executors at [nowMillis]. */
     fun observe(nowMillis: Long, runs: List<ModelRun>) {
-        runs.filter { isLasting(it.id.task) }.forEach { lastRunMillis[it.id.task] = nowMillis }
+        runs.filter { isLasting(it.id.task) }.forEach { run ->
+            val awayMillis = nowMillis - (lastRunMillis.put(run.id.task, nowMillis) ?: nowMillis)
+            if (awayMillis > RESTART_MILLIS) onReturnedLate(run.id.task, awayMillis)
+        }
         runs.filter { isAtWork(nowMillis, it) }.forEach {
             lastAtWorkMillis[it.id.task] = nowMillis
             endedByOrder -= it.id.task
--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/RunModel.kt
@@ -441,9 +441,8 @@
     }
 
     private fun observeTasks() {
-        if (platform == null) return
         rules.lasting.observe(nowMillis, machines.mapNotNull { it.executor }.flatMap { it.runs.values })
-        platform.recordState()
+        platform?.recordState()
     }
 
     /** Lets all faults end. Returns how a lasting task is lost nevertheless, or null if all of them run in time. */
