Test the ways of concurrent polls and the contact with the store

A poll beside an open one takes another way, a relayed poll that fails leaves the relaying node's own way alone, and the last answer and the last failed call are known. By the code the first two fail before; that was not run.

--- a/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
@@ -12,9 +12,13 @@
 import org.gypsumturn.batch.port.RowChanges
 import org.gypsumturn.batch.port.RowCondition
 import org.gypsumturn.batch.port.RowPage
+import org.gypsumturn.batch.port.RowStore
 import org.gypsumturn.batch.port.RowTransaction
 import org.gypsumturn.batch.port.RowWrite
 import org.gypsumturn.batch.port.TransactionOutcome
+import org.gypsumturn.batch.port.VerdictCallback
+import org.gypsumturn.model.Failure
+import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 import org.gypsumturn.transport.Endpoint
@@ -199,4 +203,67 @@
         write()
         store.isUnreachable(nowMillis) shouldBe false
     }
+
+    private fun poll(): Verdict<RowChanges> =
+        awaitVerdict { store.awaitChanges("jobs", Revision.ABSENT, 0, CALL_TIMEOUT_MILLIS, it) }
+
+    /** A store whose long polls end with [verdict], or never if that is null. */
+    private fun storeWithPolls(memory: MemoryRowStore, verdict: Verdict<RowChanges>?) = object : RowStore by memory {
+        override fun awaitChanges(
+            table: String,
+            after: Revision,
+            waitMillis: Long,
+            timeoutMillis: Long,
+            onVerdict: VerdictCallback<RowChanges>,
+        ) {
+            verdict?.let(onVerdict)
+        }
+    }
+
+    // Guards against: each further poll hangs on the way on which the first one hangs.
+    @Test
+    fun `a long poll beside an open one of the same table takes another way`() {
+        val hangingPeer = startServer { _, _ -> }
+        val peer = startPeerOf(peerStore)
+        val direct = storeWithPolls(localStore, null)
+        val peers = ArrayList(listOf(hangingPeer))
+        store = RelayedRowStore(direct, client, { peers }, { nowMillis }) { loop.execute(it) }
+        repeat(2) { store.awaitChanges("jobs", Revision.ABSENT, 0, CALL_TIMEOUT_MILLIS) { } }
+        peers += peer
+        repeat(5) { number ->
+            nowMillis = number.toLong()
+            poll().shouldBeInstanceOf<Verdict.Ran<RowChanges>>()
+        }
+        peerStore.callCount shouldBe 5
+        write().shouldBeInstanceOf<Verdict.Ran<TransactionOutcome>>()
+        localStore.rows.size shouldBe 1
+    }
+
+    // Guards against: polls that hang for all nodes make each node that relays one take its own way for lost.
+    @Test
+    fun `a node at which a relayed poll fails goes on relaying other calls`() {
+        val timeout = Verdict.MayHaveRun(Failure(FailureKind.TIMEOUT, "no answer in time"))
+        val relay = RelayedRowStore(storeWithPolls(peerStore, timeout), client, { emptyList() }, { nowMillis }) {
+            loop.execute(it)
+        }
+        store = storeWithPeers(startServer(relay::handle))
+        localStore.failureMode = StoreFailureMode.REFUSES
+        poll().shouldBeInstanceOf<Verdict.MayHaveRun>()
+        write().shouldBeInstanceOf<Verdict.Ran<TransactionOutcome>>()
+        peerStore.rows.size shouldBe 1
+    }
+
+    // Guards against: an outage of the store can't be told from a process that made no calls.
+    @Test
+    fun `the last answer and the sending of the last failed call are known`() {
+        nowMillis = 50
+        write()
+        store.lastAnswerMillis shouldBe 50
+        store.failedCallSentMillis shouldBe null
+        nowMillis = 100
+        localStore.failureMode = StoreFailureMode.SILENT
+        write()
+        store.lastAnswerMillis shouldBe 50
+        store.failedCallSentMillis shouldBe 100
+    }
 }
