--- a/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelHolder.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/check/ModelHolder.kt
@@ -61,8 +61,12 @@
     var suspendsBeforeStart = false
     var suspendsMachine = false
 
-    /** Orders that it has decided and not sent before it was suspended, and the time since when it is. */
+    /** Orders that it has decided and not sent before it was suspended, and when that was. */
     val unsentOrders = ArrayList<ExecutorOrder>()
+    var decidedMillis = 0L
+        private set
+
+    /** The time since when its machine is suspended. */
     private var suspendedMillis: Long? = null
 
     /** The time at which it last went on after a pause. */
@@ -84,6 +88,7 @@
     /** Suspends it with [orders], which it has decided. */
     fun suspend(nowMillis: Long, orders: List<ExecutorOrder>) {
         unsentOrders += orders
+        decidedMillis = nowMillis
         if (suspendsMachine) suspendedMillis = nowMillis
         suspendsBeforeStart = false
         paused = true
@@ -149,6 +154,10 @@
 
     fun isSilent(id: InstanceId): Boolean = scheduler.executors[id]?.unreachableSinceMillis != null
 
+    /** When the newest call to the store was sent that is known to have failed, if one is. */
+    private fun failedCallSentMillis(nowMillis: Long): Long? =
+        (nowMillis - STORE_TIMEOUT_MILLIS).takeIf { cut && it >= maxOf(storeAnsweredMillis, wokeMillis ?: 0) }
+
     /** Makes the decisions that are due, by jobs that it believes to know up to [jobsAsOfMillis]. */
     fun runPass(nowMillis: Long, jobsAsOfMillis: Long): List<ExecutorOrder> {
         if (!cut) storeAnsweredMillis = nowMillis
@@ -159,7 +168,7 @@
         val knowledge = JobKnowledge(
             asOfMillis = jobsAsOfMillis - steadyLagWhenKnownMillis,
             storeAnsweredMillis = steady(storeAnsweredMillis),
-            failedCallSentMillis = steady(nowMillis).takeIf { cut },
+            failedCallSentMillis = failedCallSentMillis(nowMillis)?.let(::steady),
         )
         val overdueMillis = nowMillis - renewedMillis - VALID_MILLIS
         return scheduler.runSchedulingPass(steady(nowMillis), nowMillis, overdueMillis, knowledge)
@@ -241,6 +250,7 @@
     companion object {
         /** Time after its last renewal at which another node may claim the control lease, and at which it is valid. */
         const val LAPSE_MILLIS = 2_400L
+        private const val STORE_TIMEOUT_MILLIS = 1_000L
         private const val MAX_AGE_MILLIS = 10_000L
         private const val VALID_MILLIS = 2_250L
 
