Count the leases of earlier holders from the claim

Callers saw: after a takeover the tasks of an executor that can't be asked have no run for 9 s and more, the longer the store takes to answer.

Cause: the new holder waits for the longest lease that earlier holders may have given, and began that wait when it had read jobs, rosters and entries. Their control leases had lapsed, or were given up, before the claim, so that no lease is given that counts from a later moment.

The wait counts from the beginning of the session.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
@@ -31,6 +31,13 @@
     /** Time for which the state of an ended job is kept. */
     public val endedJobKeptMillis: Long get() = statusSeconds * MILLIS_PER_SECOND + EXPIRY_SLACK_MILLIS
 
+    /**
+     * Time from the beginning of a term after which the leases of all runs that earlier holders have started have
+     * lapsed. An earlier holder may have given a lease to an executor that had restarted, which grants the longest one.
+     */
+    public val earlierLeasesMillis: Long
+        get() = maxLeaseMillis + maxLeaseMillis / SLOW_CLOCK_DIVISOR + LAST_ORDER_MILLIS
+
     public companion object {
         /** Largest value of a row by the default of the setting `max_row_bytes`. */
         public const val DEFAULT_MAX_PROGRESS_BYTES: Int = 65_536
@@ -93,6 +100,12 @@
 
         private const val MILLIS_PER_SECOND = 1_000L
 
+        /** The clock of an executor may be up to 2 % slow. The lease divided by this is more than that. */
+        private const val SLOW_CLOCK_DIVISOR = 30
+
+        /** Time that the last order of an earlier lease holder may take to reach an executor. */
+        private const val LAST_ORDER_MILLIS = 200L
+
         /** Time for which an ended job is kept beyond the promised one. */
         private const val EXPIRY_SLACK_MILLIS = 30_000L
     }
--- a/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/VirtualFleet.kt
@@ -347,7 +347,7 @@
         old.jobs.forEach { state ->
             scheduler.addJob(nowMillis, state.job, stored[state.job.id], state.revision, false)
         }
-        scheduler.startRecovery(nowMillis, storedRosters.toMap(), nowMillis + 5_500)
+        scheduler.startRecovery(nowMillis, storedRosters.toMap(), nowMillis + settings.earlierLeasesMillis)
     }
 
     /**
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -81,6 +81,9 @@
         }
     private val waves = LinkedHashMap<Long, UpkeepWave>()
 
+    /** When the term began. The control leases of earlier holders had lapsed by then, or were given up. */
+    private val startedMillis = NodeClock.steadyMillis()
+
     private val storedRosters = HashMap<PoolId, StoredRoster>()
     private var configuration: FleetConfiguration? = null
     private var jobsLoaded = false
@@ -296,9 +299,8 @@
     private fun becomeReadyIfLoaded() {
         if (ready || !jobsLoaded || !executorsLoaded) return
         ready = true
-        val waitMillis = settings.maxLeaseMillis + settings.maxLeaseMillis / SLOW_CLOCK_DIVISOR + LEASE_SLACK_MILLIS
         val nowMillis = NodeClock.steadyMillis()
-        scheduler.startRecovery(nowMillis, storedRosters, nowMillis + waitMillis)
+        scheduler.startRecovery(nowMillis, storedRosters, startedMillis + settings.earlierLeasesMillis)
         waves.values.forEach { machines?.addWave(it, firstHolder = false) }
         logEvent("session ready", "epoch" to epoch, "executors" to scheduler.executors.size)
     }
@@ -322,12 +324,6 @@
         /** Pause between two polls of the executors' entries, since these change with each heartbeat. */
         const val POLL_GAP_MILLIS = 250L
 
-        /** The clock of an executor may be up to 2 % slow. The lease divided by this is more than that. */
-        const val SLOW_CLOCK_DIVISOR = 30
-
-        /** Time that the last order of an earlier lease holder may take to reach an executor. */
-        const val LEASE_SLACK_MILLIS = 200L
-
         /** Time between two reports of the state of the workspaces. */
         const val WORKSPACE_REPORT_MILLIS = 2_000L
     }
