Send the starts of a slow pass while the lease is valid

It now counts from the end of the pass if the lease is valid and the jobs are known well enough then, which is what the age stands for.

--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -190,8 +190,10 @@
     public fun runDueWork(now: ClockReadings) {
         if (!ready || closed || fencedOff) return
         val overdueMillis = lease.overdueMillis(now)
-        scheduler.runSchedulingPass(now.steadyMillis, now.wallMillis, overdueMillis, jobKnowledge(now.steadyMillis))
-            .forEach { orderSender.send(it, now) }
+        val orders =
+            scheduler.runSchedulingPass(now.steadyMillis, now.wallMillis, overdueMillis, jobKnowledge(now.steadyMillis))
+        val confirmed = confirmationOf(now)
+        orders.forEach { orderSender.send(it, confirmed) }
         scheduler.takeQuestions().forEach(orderSender::askAdvisor)
         if (now.steadyMillis - workspacesReportedMillis >= WORKSPACE_REPORT_MILLIS) {
             workspacesReportedMillis = now.steadyMillis
@@ -204,6 +206,17 @@
         }
     }
 
+    /**
+     * When what the orders of the pass at [decided] rest on was last certain. That is the present time if the lease is
+     * valid and the jobs are known well enough now, so that a pass which takes long on a slow machine loses no orders.
+     */
+    private fun confirmationOf(decided: ClockReadings): ClockReadings {
+        val now = ClockReadings(ports.nowMillis(), ports.wallMillis())
+        val isConfirmed = lease.overdueMillis(now) < 0 &&
+            jobKnowledge(now.steadyMillis).allowsStarts(now.steadyMillis, settings.maxJobsAgeMillis)
+        return if (isConfirmed) now else decided
+    }
+
     private fun jobKnowledge(nowMillis: Long) = JobKnowledge(
         jobFeedAge.asOfMillis ?: readStartMillis,
         ports.storeContact?.lastAnswerMillis ?: nowMillis,
--- a/node/src/test/kotlin/org/gypsumturn/node/VirtualNodes.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/VirtualNodes.kt
@@ -68,6 +68,9 @@
         { notice -> if (noticesArrive) loop.runAfter(2) { holder.elector.applyCancellation(notice) } },
     ) { loop.nowMillis }
 
+    /** By how much the clocks of a session are ahead of the beginning of a pass, as if each took that long. */
+    var passMillis = 0L
+
     /** A process that competes for the lease. It does nothing while it is [suspended]. */
     private inner class Holder(node: String) {
         var suspended = false
@@ -87,8 +90,8 @@
                     null,
                     null,
                     client,
-                    nowMillis = loop::nowMillis,
-                    wallMillis = loop::nowMillis,
+                    nowMillis = { loop.nowMillis + passMillis },
+                    wallMillis = { loop.nowMillis + passMillis },
                 ),
                 { event, fields -> lines.getOrPut(event) { ArrayList() } += fields.toMap() },
                 { },
