Continue with the holder's own answers on the event loop

On the node that holds the control lease, the answer to its query to itself arrived on the control thread, and what follows a look-up ran there: a cancellation was handed to JobCommitter on that thread while submissions are on the event loop. JobCommitter and the request handler are for one thread only, so that a write could be lost or stay without an answer. No such loss was observed; the fault was found by reading.

PeerCalls now runs these answers on the thread of the queries. PeerCallsTest failed before: neither kind of answer arrived on the event loop.

--- a/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/NodeProgram.kt
@@ -95,7 +95,7 @@
             { changed -> post { leaseElector.configure(changed) } },
             { wave -> post { leaseElector.addWave(wave) } },
         )
-    private val peers = PeerCalls(peerClient, leaseElector) { leaseElector.holder }
+    private val peers = PeerCalls(peerClient, leaseElector, { leaseElector.holder }) { action -> loop.execute(action) }
     private val jobRequestHandler =
         NodeJobRequestHandler(
             { configurationSubscriber.current },
--- a/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/PeerCalls.kt
@@ -54,14 +54,18 @@
  *
  * @param local answers the queries if this process holds the lease
  * @param holderAddress where the lease holder is at the moment
+ * @param runOnCallerThread runs an action on the thread of the queries. [local] replies on another one, and what
+ * handles the answer is not safe for use by several threads
  */
 public class PeerCalls(
     private val client: HttpClient,
     private val local: LocalHolderQueries,
     private val holderAddress: () -> HolderAddress,
+    private val runOnCallerThread: (() -> Unit) -> Unit,
 ) : HolderQueries {
     override fun queryState(id: JobId, timeoutMillis: Long, reply: (HolderAnswer?) -> Unit) {
-        askHolder({ local.queryJobState(id, reply) }, "$JOB_PATH_PREFIX$id", timeoutMillis, { reply(null) }) { answer ->
+        val askLocally = { local.queryJobState(id) { answer -> runOnCallerThread { reply(answer) } } }
+        askHolder(askLocally, "$JOB_PATH_PREFIX$id", timeoutMillis, { reply(null) }) { answer ->
             val job = json.decodeFromString(JobAnswer.serializer(), answer.body.decodeToString())
             reply(
                 job.phase?.let { HolderAnswer.State(it, job.workspace, job.acceptsCancellations) }
@@ -72,7 +76,8 @@
 
     override fun countPending(queue: Queue, timeoutMillis: Long, reply: (Int?) -> Unit) {
         val path = PENDING_PATH_PREFIX + URLEncoder.encode(queue.id.value, Charsets.UTF_8)
-        askHolder({ local.countPendingJobs(queue.id, reply) }, path, timeoutMillis, { reply(null) }) { answer ->
+        val askLocally = { local.countPendingJobs(queue.id) { count -> runOnCallerThread { reply(count) } } }
+        askHolder(askLocally, path, timeoutMillis, { reply(null) }) { answer ->
             reply(json.decodeFromString(PendingAnswer.serializer(), answer.body.decodeToString()).count)
         }
     }
