--- a/node/src/test/kotlin/org/gypsumturn/node/PeerCallsTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/PeerCallsTest.kt
@@ -53,7 +53,7 @@
     }
 
     private fun callsTo(address: HolderAddress, local: LocalHolder = LocalHolder()) =
-        PeerCalls(client, local) { address }
+        PeerCalls(client, local, { address }) { action -> loop.execute(action) }
 
     @AfterAll
     fun stopEventLoop() {
