Read all jobs again also when a superseded poll tells of a discarded history

Callers saw no starts until the store kept its history again: JobFeed dropped the answer that the history is discarded (410) unless it came to the newest poll. If a call takes longer than the 300 ms after which a poll is superseded, no answer does, so that the rows were never read again.

The answer counts for each poll that was sent after the last reading began. A poll that was sent before it starts from a revision that the reading makes obsolete.

--- a/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
@@ -43,6 +43,9 @@
     private var position = Revision.ABSENT
     private var newestPoll = 0L
     private var lastAnsweredPoll = 0L
+
+    /** Number of the newest poll that had been sent when the last reading of all rows began. */
+    private var lastPollBeforeReading = 0L
     private var reader: TakeoverReader? = null
     private var closed = false
 
@@ -86,7 +89,8 @@
                 if (number == newestPoll) poll(this.waitMillis)
             }
 
-            RowChanges.Discarded -> if (number == newestPoll) readAgain()
+            // A poll that was superseded tells it too: if calls are slow, no poll is answered before the next is sent.
+            RowChanges.Discarded -> if (number > lastPollBeforeReading) readAgain()
 
             null -> if (number == newestPoll) postDelayed(RETRY_MILLIS) { pollUnlessSuperseded(number) }
         }
@@ -104,7 +108,7 @@
     private fun readAgain() {
         logEvent("history discarded", "table" to JobRows.TABLE)
         // Open polls start after a revision that the history does not reach back to.
-        newestPoll++
+        lastPollBeforeReading = ++newestPoll
         val startMillis = nowMillis()
         reader = TakeoverReader(store, post, postDelayed) { stored ->
             if (!closed) {
--- /dev/null
+++ b/node/src/test/kotlin/org/gypsumturn/node/JobFeedTest.kt
@@ -0,0 +1,49 @@
+// Tests of how the lease holder follows the stored jobs while the store is slow or discards its history, with whole
+// nodes in virtual time.
+
+package org.gypsumturn.node
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.gypsumturn.model.Revision
+
+class JobFeedTest : AnnotationSpec() {
+    /** Three jobs with more tasks than fit, and a store whose calls take [callMillis] from then on. */
+    private fun busyNodes(callMillis: Long): VirtualNodes {
+        val nodes = VirtualNodes()
+        nodes.run(500)
+        (1..3).forEach { number -> nodes.submit(number, TASKS).also { nodes.run(100) } }
+        nodes.run(1_000)
+        nodes.store.callMillis = callMillis
+        return nodes
+    }
+
+    /** Runs [nodes] for [millis]. Returns the longest time of it without a start. */
+    private fun longestGapMillis(nodes: VirtualNodes, millis: Long): Long {
+        val fromMillis = nodes.loop.nowMillis
+        nodes.run(millis)
+        val starts = nodes.executors.starts.map { it.atMillis }.filter { it > fromMillis }
+        return (listOf(fromMillis) + starts + nodes.loop.nowMillis).zipWithNext { a, b -> b - a }.max()
+    }
+
+    // Guards against: only a superseded poll tells of a discarded history, so that the rows are never read again.
+    @Test
+    fun `rows are read again after a discarded history, however long a call takes`() {
+        for (callMillis in listOf(4L, 200L, 280L, 320L, 400L, 500L, 600L)) {
+            val nodes = busyNodes(callMillis)
+            nodes.run(5_000)
+            nodes.submit(4, 1)
+            nodes.run(10)
+            nodes.store.discardedUntil = Revision(nodes.store.revision.value + 1_000_000)
+            nodes.loop.runAfter(3_000) { nodes.store.discardedUntil = nodes.store.revision }
+            val gapMillis = longestGapMillis(nodes, 20_000)
+            withClue("$callMillis ms a call, longest time without a start") { gapMillis shouldBeLessThan 6_000 }
+        }
+    }
+
+    private companion object {
+        const val TASKS = 4_000
+    }
+}
