Give polls of jobs as much time as reads, and bound how many are open

No task started while a call to the store took 0.72 s or more, although the lease was renewed: each poll had failed 700 ms after its wait. Polls now have 1,500 ms, as reads have. A late one is superseded after 300 ms as before, so that it costs no time. At most five are open at a time, the number that are sent until the first of them has failed; long polls of a table have a lane of eight connections to the store. With three, fewer polls would be sent than before while answers are lost.

The bound is new; three polls were open with the shorter timeout.

--- a/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
@@ -42,6 +42,7 @@
 ) {
     private var position = Revision.ABSENT
     private var newestPoll = 0L
+    private var openPolls = 0
     private var lastAnsweredPoll = 0L
 
     /** Number of the newest poll that had been sent when the last reading of all rows began. */
@@ -62,10 +63,19 @@
     }
 
     private fun poll(waitMillis: Long) {
+        if (openPolls >= MAX_OPEN_POLLS) {
+            val newest = newestPoll
+            postDelayed(RETRY_MILLIS) { pollUnlessSuperseded(newest) }
+            return
+        }
         val number = ++newestPoll
         val sentMillis = nowMillis()
+        openPolls++
         store.awaitChanges(JobRows.TABLE, position, waitMillis, waitMillis + POLL_TIMEOUT_MILLIS) { verdict ->
-            post { if (!closed) onAnswer(number, sentMillis, waitMillis, verdict) }
+            post {
+                openPolls--
+                if (!closed) onAnswer(number, sentMillis, waitMillis, verdict)
+            }
         }
         postDelayed(waitMillis + LATE_MILLIS) { pollUnlessSuperseded(number) }
     }
@@ -120,8 +130,14 @@
     }
 
     private companion object {
-        /** Time after the end of its wait at which a poll has failed. */
-        const val POLL_TIMEOUT_MILLIS = 700L
+        /**
+         * Time after the end of its wait at which a poll has failed, the same as of reads. With 700 ms each poll failed
+         * while calls took that long, so that no task started although the lease was renewed.
+         */
+        const val POLL_TIMEOUT_MILLIS = 1_500L
+
+        /** Polls that may be open at a time: those that are sent every [LATE_MILLIS] until the first one has failed. */
+        const val MAX_OPEN_POLLS = 5
 
         /** Time after the end of its wait at which a poll is late and another one is sent. */
         const val LATE_MILLIS = 300L
--- a/node/src/test/kotlin/org/gypsumturn/node/JobFeedTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/JobFeedTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.model.Revision
 
 class JobFeedTest : AnnotationSpec() {
@@ -43,6 +44,24 @@
         }
     }
 
+    // Guards against: polls fail while the store takes longer for a call than they allow for, so that no task starts.
+    @Test
+    fun `tasks start while a call takes up to a second`() {
+        for (callMillis in listOf(500L, 650L, 720L, 800L, 900L, 1_000L)) {
+            val gapMillis = longestGapMillis(busyNodes(callMillis), 20_000)
+            withClue("$callMillis ms a call, longest time without a start") { gapMillis shouldBeLessThan 4_500 }
+        }
+    }
+
+    // Guards against: polls without an answer use up the connections to the store.
+    @Test
+    fun `at most five polls are open beside each other`() {
+        val nodes = busyNodes(4)
+        nodes.store.silentFeeds += JobRows.TABLE
+        nodes.run(10_000)
+        nodes.store.mostOpenPolls shouldBe 5
+    }
+
     private companion object {
         const val TASKS = 4_000
     }
--- a/node/src/test/kotlin/org/gypsumturn/node/VirtualStoreServer.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/VirtualStoreServer.kt
@@ -9,6 +9,7 @@
 import org.gypsumturn.batch.port.RowTransaction
 import org.gypsumturn.batch.port.TransactionOutcome
 import org.gypsumturn.batch.port.VerdictCallback
+import org.gypsumturn.batch.state.JobRows
 import org.gypsumturn.model.Failure
 import org.gypsumturn.model.FailureKind
 import org.gypsumturn.model.Revision
@@ -39,6 +40,12 @@
     var discardedUntil = Revision(0)
     private val waiters = ArrayList<Waiter>()
 
+    /** Number of pages of rows of jobs that were read. */
+    var jobPageReads = 0
+
+    /** Most long polls of rows of jobs that one client had open at a time. */
+    var mostOpenPolls = 0
+
     val revision: Revision
         get() {
             var newest = Revision(0)
@@ -64,6 +71,7 @@
         StoreContact {
         override var lastAnswerMillis = loop.nowMillis
         override var failedCallSentMillis: Long? = null
+        private var openPolls = 0
 
         override fun transact(
             transaction: RowTransaction,
@@ -82,6 +90,7 @@
             timeoutMillis: Long,
             onVerdict: VerdictCallback<RowPage>,
         ) = call(timeoutMillis, onVerdict) { answer ->
+            if (table == JobRows.TABLE && limit > 1) jobPageReads++
             memory.read(table, partition, from, limit, timeoutMillis) {
                 if (partition !in unreadablePartitions) answer((it as Verdict.Ran).value)
             }
@@ -93,7 +102,7 @@
             waitMillis: Long,
             timeoutMillis: Long,
             onVerdict: VerdictCallback<RowChanges>,
-        ) = call(timeoutMillis, onVerdict) { answer ->
+        ) = call(timeoutMillis, countOpenPoll(table, onVerdict)) { answer ->
             val answerNow = {
                 if (table !in silentFeeds) {
                     answer(if (after < discardedUntil) RowChanges.Discarded else changes(table, after))
@@ -108,6 +117,15 @@
             }
         }
 
+        private fun countOpenPoll(table: String, onVerdict: VerdictCallback<RowChanges>): VerdictCallback<RowChanges> {
+            if (table != JobRows.TABLE) return onVerdict
+            mostOpenPolls = maxOf(mostOpenPolls, ++openPolls)
+            return { verdict ->
+                openPolls--
+                onVerdict(verdict)
+            }
+        }
+
         private fun <T> call(timeoutMillis: Long, onVerdict: VerdictCallback<T>, perform: ((T) -> Unit) -> Unit) {
             val sentMillis = loop.nowMillis
             var isFinished = false
