Take a failed call for an outage only if the store has not answered since it was sent

A holder with outdated knowledge of jobs could go on with starts although the store answered: a call that was sent before the last answer and then failed counted as evidence that the store is silent. It must have been sent after the last answer. The KDoc tells how long others may acknowledge cancellations while only this process is cut off.

The test failed before (true instead of false for a call of 600 ms and an answer of 2,300 ms).

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobKnowledge.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobKnowledge.kt
@@ -23,14 +23,18 @@
      * Whether the process may start tasks at [nowMillis], if its knowledge must not lack cancellations that were
      * acknowledged more than [maxAgeMillis] ago.
      *
-     * Older knowledge is sufficient during an outage of the store, in which no cancellation can be acknowledged: the
-     * knowledge is as recent as the last answer of the store, and the store has not answered since. A failed call shows
-     * the latter only if it was sent recently, since a process that was suspended has missed the answers of that time.
+     * Older knowledge is sufficient while the store is silent to this process: the knowledge is as recent as the last
+     * answer of the store, and a call that was sent after that answer has failed. It must have been sent recently too,
+     * since a process that was suspended has missed the answers of that time.
+     *
+     * In an outage of the whole store no cancellation is acknowledged. If only this process is cut off, other nodes
+     * may acknowledge cancellations that it misses, and starts go on until its lease lapses, 2.25 s after the last
+     * renewal was sent, and for 3.5 s more at most.
      */
     public fun allowsStarts(nowMillis: Long, maxAgeMillis: Long): Boolean {
         if (ageMillis(nowMillis) <= maxAgeMillis) return true
-        val failedCallAgeMillis = nowMillis - (failedCallSentMillis ?: return false)
-        return storeAnsweredMillis - asOfMillis <= maxAgeMillis && failedCallAgeMillis <= maxAgeMillis
+        if (failedCallSentMillis == null || failedCallSentMillis < storeAnsweredMillis) return false
+        return storeAnsweredMillis - asOfMillis <= maxAgeMillis && nowMillis - failedCallSentMillis <= maxAgeMillis
     }
 
     public companion object {
--- a/batch/src/test/kotlin/org/gypsumturn/batch/schedule/StaleKnowledgeTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/schedule/StaleKnowledgeTest.kt
@@ -30,6 +30,16 @@
         allows(2_000, 4_400, null) shouldBe false
     }
 
+    // Guards against: a call that failed counts as evidence of an outage although the store has answered since.
+    @Test
+    fun `a call that was sent before the last answer of the store shows no outage when it fails`() {
+        fun allows(answeredMillis: Long, failedSentMillis: Long) =
+            JobKnowledge(0, answeredMillis, failedSentMillis).allowsStarts(2_900, 2_400)
+        allows(2_300, 600) shouldBe false
+        allows(2_300, 2_299) shouldBe false
+        allows(2_300, 2_300) shouldBe true
+    }
+
     private fun VirtualFleet.pass(knowledge: JobKnowledge): List<ExecutorOrder> =
         scheduler.runSchedulingPass(nowMillis, nowMillis, -1_000, knowledge)
 
