--- a/node/src/test/kotlin/org/gypsumturn/node/SlowStoreStateTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/SlowStoreStateTest.kt
@@ -86,6 +86,7 @@
         JobRows.partitions.first(),
         JobLimits(65_536),
         NodeMetrics(PrometheusRegistry()),
+        { },
         loop::nowMillis,
     )
 
