Start no tasks on executors' entries of unknown age

Callers saw tasks start on executors that had been draining for seconds (DRAIN): the holder follows the executors' entries by one long poll of 1,000 ms, which fails 700 ms later. While its answers do not come it goes on starting tasks, although the store answers everything else. Nothing asked for the age of the entries, except in pools without a check of admission.

The entries are now known up to a time: the sending of a poll, or the end of its wait if the answer is empty. Starts are held back once that is longer ago than 1,400 ms, which are the 2,000 ms until which an executor may get tasks after it drains, less the 600 ms of a start order. In an outage of the whole store starts go on, as for the age of jobs. A poll that is late by 250 ms gets another one beside it, without a wait; its timeout of 900 ms bounds the number of open polls to five. The failures of these polls show an outage before the knowledge is too old for starts.

The store of these tests takes the newest failed call for evidence, as RelayedRowStore does.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -47,7 +47,8 @@
     private val jobRegistry = JobRegistry(epoch, usage, settings.maxProgressBytes, ::markPoolStale)
     private val registry = ExecutorRegistry(settings, epoch, log)
     private val controlLease = ControlLeaseView(epoch, log)
-    private val startHold = StartHold(epoch, settings.maxJobsAgeMillis, log)
+    private val startHold =
+        StartHold(epoch, settings.maxJobsAgeMillis, SchedulerSettings.MAX_EXECUTORS_AGE_MILLIS, log)
     private val recovery = TakeoverRecovery()
     private val queues = KnownQueues()
     private val rosters = PoolRosters(registry, queues) { jobRegistry.activeIn(it).isNotEmpty() }
@@ -129,9 +130,9 @@
         placer.markPoolStale(record.pool)
     }
 
-    /** Records that the entries of all executors were up to date at [nowMillis]. */
-    public fun onExecutorsRead(nowMillis: Long) {
-        placer.onExecutorsRead(nowMillis)
+    /** Records that everything that was stored of the executors' entries until [asOfMillis] is known. */
+    public fun onExecutorsRead(asOfMillis: Long) {
+        placer.onExecutorsRead(asOfMillis)
     }
 
     /** Handles the removal of the entry of executor [id] from the store. Its runs are kept, as it may still be up. */
@@ -453,19 +454,21 @@
      * run lease reaches beyond that time. When too little of it is left for a useful lease, executors are only polled.
      * Run leases that lapse after the control lease end no run, since a later holder may have extended them.
      *
-     * [knowledge] tells how current the jobs and cancellations are that this scheduler was told of. By default the
-     * caller vouches for them. While it is too old no task is started, and no start is repeated. Stops, polls and
-     * extensions of leases go on.
+     * [knowledge] tells how current the jobs and cancellations are that this scheduler was told of, and
+     * [executorsAsOfMillis] up to which time everything that was stored of the executors' entries is known. By default
+     * the caller vouches for them. While one of them is too old no task is started, and no start is repeated. Stops,
+     * polls and extensions of leases go on.
      */
     public fun runSchedulingPass(
         nowMillis: Long,
         wallMillis: Long,
         overdueMillis: Long,
         knowledge: JobKnowledge = JobKnowledge.current(nowMillis),
+        executorsAsOfMillis: Long = nowMillis,
     ): List<ExecutorOrder> {
         controlLease.update(nowMillis, overdueMillis)
         jobKnowledge = knowledge
-        startHold.update(nowMillis, knowledge)
+        startHold.update(nowMillis, knowledge, executorsAsOfMillis)
         starter.jobsAgeMillis = knowledge.ageMillis(nowMillis)
         val soleHolderMillis = controlLease.soleHolderMillis(nowMillis)
         recovery.takeRecoveredPools(soleHolderMillis) { mayReportEnds(soleHolderMillis, it) }.forEach { pool ->
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/SchedulerSettings.kt
@@ -72,6 +72,15 @@
         /** Time after which a start or stop without an answer has failed. */
         public const val ORDER_TIMEOUT_MILLIS: Long = 600
 
+        /** Time after an executor's entry shows that it drains from which on no task may start there. */
+        public const val DRAIN_MILLIS: Long = 2_000
+
+        /**
+         * Age of the knowledge of the executors' entries up to which tasks are started. A start order may take
+         * [ORDER_TIMEOUT_MILLIS] to reach its executor.
+         */
+        public const val MAX_EXECUTORS_AGE_MILLIS: Long = DRAIN_MILLIS - ORDER_TIMEOUT_MILLIS
+
         /**
          * Shortest run lease with which tasks are started. Quick tasks take about as long, so a shorter lease would
          * lapse before they end.
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/WaitingTaskPlacer.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/WaitingTaskPlacer.kt
@@ -18,7 +18,7 @@
 ) {
     private var configuration: FleetConfiguration? = null
     private var lastPlacementMillis = 0L
-    private var executorsReadMillis = Long.MIN_VALUE / 2
+    private var executorsAsOfMillis = Long.MIN_VALUE / 2
 
     /** Pools whose free capacity or waiting tasks have changed since tasks were last placed there. */
     private val stalePools = HashSet<PoolId>()
@@ -29,9 +29,9 @@
         allPoolsStale = true
     }
 
-    /** Records that the entries of all executors were up to date at [nowMillis]. */
-    fun onExecutorsRead(nowMillis: Long) {
-        executorsReadMillis = nowMillis
+    /** Records that everything that was stored of the executors' entries until [asOfMillis] is known. */
+    fun onExecutorsRead(asOfMillis: Long) {
+        executorsAsOfMillis = asOfMillis
     }
 
     /** Lets waiting tasks be placed on the executors of [pool] in the next pass. */
@@ -63,7 +63,7 @@
      */
     private fun hasKnownCapacity(nowMillis: Long, pool: PoolId): Boolean =
         configuration?.pools?.get(pool)?.checksAdmission != false ||
-            nowMillis - executorsReadMillis <= MAX_CAPACITY_AGE_MILLIS
+            nowMillis - executorsAsOfMillis <= MAX_CAPACITY_AGE_MILLIS
 
     private fun waitingSteps(nowMillis: Long, knownMillis: Long, queue: Queue): List<WaitingStep> =
         jobs.activeIn(queue.id)
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -13,7 +13,6 @@
 import org.gypsumturn.batch.port.FleetUpdate
 import org.gypsumturn.batch.port.FleetUpdateFeed
 import org.gypsumturn.batch.port.FleetUpdateKind
-import org.gypsumturn.batch.port.FleetUpdatePage
 import org.gypsumturn.batch.port.MachineControl
 import org.gypsumturn.batch.port.PlacementAdvisor
 import org.gypsumturn.batch.port.RowStore
@@ -29,7 +28,6 @@
 import org.gypsumturn.model.InstanceId
 import org.gypsumturn.model.JobId
 import org.gypsumturn.model.PoolId
-import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 
 /**
@@ -89,6 +87,25 @@
     }
     private val jobFeed =
         JobFeed(ports.store, jobPollWaitMillis(), post, postDelayed, ports.nowMillis, jobFeedListener)
+    private val executorListener = object : FleetUpdateListener {
+        override fun onAllRead(updates: List<FleetUpdate>) = onExecutorsRead(updates)
+
+        override fun onUpdates(updates: List<FleetUpdate>) = updates.forEach(::applyExecutorUpdate)
+
+        override fun onKnown(asOfMillis: Long) = recordExecutorsKnown(asOfMillis)
+
+        override fun onCallResult(verdict: Verdict<*>) = recordStoreResult(verdict)
+    }
+    private val executorFollower = FleetUpdateFollower(
+        ports.updates,
+        FleetUpdateKind.EXECUTORS,
+        EXECUTORS_POLL_WAIT_MILLIS,
+        EXECUTORS_POLL_GAP_MILLIS,
+        post,
+        postDelayed,
+        ports.nowMillis,
+        executorListener,
+    )
     private val takeoverReader = TakeoverReader(ports.store, post, postDelayed, ::onJobsRead)
     private val machines =
         ports.machines?.let {
@@ -113,6 +130,7 @@
     private var ready = false
     private var closed = false
     private val jobFeedAge = FeedAge(MAX_COUNT_AGE_MILLIS)
+    private val executorFeedAge = FeedAge(SchedulerSettings.MAX_EXECUTORS_AGE_MILLIS)
     private val storeOutage = OutageLog("store lost", "store regained", "by" to "holder")
     private var workspacesReportedMillis = 0L
 
@@ -128,7 +146,7 @@
             readStartMillis = ports.nowMillis()
             takeoverReader.start()
         }
-        readExecutors()
+        executorFollower.start()
     }
 
     /** Ends the session. Answers that arrive later are ignored. */
@@ -140,6 +158,7 @@
         machines?.close()
         jobIntake.closed = true
         jobFeed.close()
+        executorFollower.close()
         takeoverReader.cancelled = true
         fence.cancelled = true
     }
@@ -183,8 +202,14 @@
     public fun runDueWork(now: ClockReadings) {
         if (!ready || closed || fencedOff) return
         val overdueMillis = lease.overdueMillis(now)
-        scheduler.runSchedulingPass(now.steadyMillis, now.wallMillis, overdueMillis, jobKnowledge(now.steadyMillis))
-            .forEach(orderSender::send)
+        val orders = scheduler.runSchedulingPass(
+            now.steadyMillis,
+            now.wallMillis,
+            overdueMillis,
+            jobKnowledge(now.steadyMillis),
+            executorFeedAge.asOfMillis ?: readStartMillis,
+        )
+        orders.forEach(orderSender::send)
         scheduler.takeQuestions().forEach(orderSender::askAdvisor)
         if (now.steadyMillis - workspacesReportedMillis >= WORKSPACE_REPORT_MILLIS) {
             workspacesReportedMillis = now.steadyMillis
@@ -241,58 +266,18 @@
         }
     }
 
-    private fun readExecutors() {
-        ports.updates.readAll(FleetUpdateKind.EXECUTORS, CALL_TIMEOUT_MILLIS) { verdict ->
-            post { if (!closed) onExecutorsRead(verdict) }
-        }
-    }
-
-    private fun onExecutorsRead(verdict: Verdict<FleetUpdatePage>) {
-        recordStoreResult(verdict)
-        val page = (verdict as? Verdict.Ran)?.value
-        if (page == null) {
-            postDelayed(RETRY_MILLIS) { if (!closed) readExecutors() }
-            return
-        }
-        val updates = page.updates.orEmpty()
+    private fun onExecutorsRead(updates: List<FleetUpdate>) {
         val listed = updates.mapNotNullTo(HashSet<InstanceId>()) { (it as? FleetUpdate.ExecutorListed)?.executor?.id }
         val nowMillis = ports.nowMillis()
         scheduler.executors.keys.filter { it !in listed }.forEach { scheduler.onExecutorUnlisted(nowMillis, it) }
         updates.forEach(::applyExecutorUpdate)
-        scheduler.onExecutorsRead(nowMillis)
-        executorsLoaded = true
-        awaitExecutorUpdates(page.revision)
-        becomeReadyIfLoaded()
-    }
-
-    private fun awaitExecutorUpdates(after: Revision) {
-        ports.updates.awaitUpdates(
-            FleetUpdateKind.EXECUTORS,
-            after,
-            POLL_WAIT_MILLIS,
-            POLL_WAIT_MILLIS + POLL_TIMEOUT_MILLIS,
-        ) { verdict ->
-            post { if (!closed) onExecutorUpdates(after, verdict) }
-        }
     }
 
-    private fun onExecutorUpdates(after: Revision, verdict: Verdict<FleetUpdatePage>) {
-        recordStoreResult(verdict)
-        val page = (verdict as? Verdict.Ran)?.value
-        when {
-            page == null -> postDelayed(RETRY_MILLIS) { if (!closed) awaitExecutorUpdates(after) }
-
-            page.updates == null -> {
-                logEvent("history discarded", "table" to FleetUpdateKind.EXECUTORS)
-                readExecutors()
-            }
-
-            else -> {
-                page.updates.orEmpty().forEach(::applyExecutorUpdate)
-                scheduler.onExecutorsRead(ports.nowMillis())
-                postDelayed(POLL_GAP_MILLIS) { if (!closed) awaitExecutorUpdates(page.revision) }
-            }
-        }
+    private fun recordExecutorsKnown(asOfMillis: Long) {
+        executorFeedAge.recordKnown(asOfMillis)
+        scheduler.onExecutorsRead(executorFeedAge.asOfMillis ?: asOfMillis)
+        executorsLoaded = true
+        becomeReadyIfLoaded()
     }
 
     private fun applyExecutorUpdate(update: FleetUpdate) {
@@ -320,11 +305,13 @@
     }
 
     private companion object {
-        /** How long a long poll waits for changes. */
-        const val POLL_WAIT_MILLIS = 1_000L
-
-        /** Time after the end of its wait at which a long poll has failed. */
-        const val POLL_TIMEOUT_MILLIS = 700L
+        /**
+         * How long a long poll of the executors' entries waits for changes, and the pause between two polls, since the
+         * entries change with each heartbeat. With both, the entries are known up to less than
+         * [SchedulerSettings.MAX_EXECUTORS_AGE_MILLIS] ago also if the store takes 0.8 s for a call.
+         */
+        const val EXECUTORS_POLL_WAIT_MILLIS = 200L
+        const val EXECUTORS_POLL_GAP_MILLIS = 250L
 
         /** How long a long poll of jobs waits at most. */
         const val MAX_JOB_POLL_WAIT_MILLIS = 500L
@@ -333,15 +320,6 @@
         /** Callers may get a count of waiting jobs that is at most this old. */
         const val MAX_COUNT_AGE_MILLIS = 2_000L
 
-        /** Timeout of a read. */
-        const val CALL_TIMEOUT_MILLIS = 1_500L
-
-        /** Pause before a failed call is repeated. */
-        const val RETRY_MILLIS = 100L
-
-        /** Pause between two polls of the executors' entries, since these change with each heartbeat. */
-        const val POLL_GAP_MILLIS = 250L
-
         /** The clock of an executor may be up to 2 % slow. The lease divided by this is more than that. */
         const val SLOW_CLOCK_DIVISOR = 30
 
--- a/node/src/test/kotlin/org/gypsumturn/node/VirtualExecutors.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/VirtualExecutors.kt
@@ -31,13 +31,17 @@
 import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 
-/** Executors x0, x1, ... of [pool]. Each run takes [runMillis]. */
+/**
+ * Executors x0, x1, ... of [pool]. Each run takes [runMillis]. A call to the store for their entries takes
+ * [storeCallMillis]; null while the store answers nothing.
+ */
 internal class VirtualExecutors(
     private val loop: VirtualLoop,
     count: Int,
     private val pool: PoolId,
     private val capacity: ResourceAmounts,
     private val runMillis: Long,
+    private val storeCallMillis: () -> Long? = { 4 },
 ) : ExecutorCalls {
     private class Executor {
         val running = LinkedHashSet<RunId>()
@@ -48,7 +52,7 @@
     }
 
     /** A start of a run, and the time at which it was ordered. */
-    class Start(val run: RunId, val atMillis: Long)
+    class Start(val run: RunId, val atMillis: Long, val executor: InstanceId)
 
     private val executors = (0 until count).associate { InstanceId("x$it") to Executor() }
     val starts = ArrayList<Start>()
@@ -58,11 +62,60 @@
     /** Job whose start orders get no answer and are not performed. */
     var unansweredStartsOf: JobId? = null
 
-    /** Lists all executors and has no further updates. */
+    private val entryChanges = ArrayList<FleetUpdate>()
+
+    /** Number of polls of the entries that get no answer from now on. */
+    var silentEntryPolls = 0
+
+    /** Whether the entry of x0 changes with each poll, as the entries of a fleet do by their heartbeats. */
+    var entriesChange = false
+
+    /** Lets the entry of [id] show that it is draining. */
+    fun drain(id: InstanceId) {
+        entryChanges += FleetUpdate.ExecutorListed(recordOf(id).copy(draining = true, remainingMillis = 60_000))
+    }
+
+    /** Lists all executors, and then the changes of their entries. */
     val updates = object : SilentFleetUpdateFeed() {
         override fun readAll(kind: FleetUpdateKind, timeoutMillis: Long, onVerdict: VerdictCallback<FleetUpdatePage>) {
             val listed = executors.keys.map { FleetUpdate.ExecutorListed(recordOf(it)) }
-            loop.runAfter(4) { onVerdict(Verdict.Ran(FleetUpdatePage(listed, Revision.ABSENT, 0))) }
+            val page = FleetUpdatePage(listed, Revision(1), 0)
+            val callMillis = storeCallMillis()
+            loop.runAfter(callMillis ?: timeoutMillis) {
+                onVerdict(if (callMillis == null) noAnswer() else Verdict.Ran(page))
+            }
+        }
+
+        override fun awaitUpdates(
+            kind: FleetUpdateKind,
+            after: Revision,
+            waitMillis: Long,
+            timeoutMillis: Long,
+            onVerdict: VerdictCallback<FleetUpdatePage>,
+        ) {
+            var isAnswered = false
+            val answerOnce = { verdict: Verdict<FleetUpdatePage> ->
+                if (!isAnswered) onVerdict(verdict)
+                isAnswered = true
+            }
+            loop.runAfter(timeoutMillis) { answerOnce(noAnswer()) }
+            if (silentEntryPolls > 0) {
+                silentEntryPolls--
+                return
+            }
+            if (storeCallMillis() == null) return
+            if (entriesChange) entryChanges += FleetUpdate.ExecutorListed(recordOf(InstanceId("x0")))
+            follow(after, loop.nowMillis + waitMillis, answerOnce)
+        }
+
+        private fun follow(after: Revision, untilMillis: Long, onVerdict: (Verdict<FleetUpdatePage>) -> Unit) {
+            val changed = entryChanges.drop((after.value - 1).toInt())
+            if (changed.isEmpty() && loop.nowMillis < untilMillis) {
+                loop.runAfter(POLL_STEP_MILLIS) { follow(after, untilMillis, onVerdict) }
+            } else {
+                val page = FleetUpdatePage(changed, Revision(1L + entryChanges.size), 0)
+                storeCallMillis()?.let { loop.runAfter(it) { onVerdict(Verdict.Ran(page)) } }
+            }
         }
     }
 
@@ -84,7 +137,7 @@
         timeoutMillis: Long,
         onVerdict: VerdictCallback<OrderAnswer>,
     ) {
-        starts += Start(order.run, loop.nowMillis)
+        starts += Start(order.run, loop.nowMillis, target.id)
         if (order.run.task.job == unansweredStartsOf) {
             loop.runAfter(timeoutMillis) { onVerdict(noAnswer()) }
             return
--- a/node/src/test/kotlin/org/gypsumturn/node/VirtualNodes.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/VirtualNodes.kt
@@ -32,7 +32,10 @@
     private val settings = SchedulerSettings(5_000, 6_000, 120, cancelMillis = cancelMillis)
     val loop = VirtualLoop()
     val store = VirtualStoreServer(loop, Random(seed))
-    val executors = VirtualExecutors(loop, executors, POOL, ResourceAmounts(4_000, 8_000, 0), RUN_MILLIS)
+    val executors =
+        VirtualExecutors(loop, executors, POOL, ResourceAmounts(4_000, 8_000, 0), RUN_MILLIS) {
+            store.callMillis.takeUnless { store.isDown }
+        }
     val queue = Queue(queueId("h", "/q/"), "h", "/q/", POOL, 0, 2, 1.6, 600, 3_000, null)
     private val configuration =
         FleetConfiguration(1, listOf(queue), mapOf(POOL to PoolRecord(POOL, true, false, "")), CallerLimits(1_000))
--- a/node/src/test/kotlin/org/gypsumturn/node/VirtualStoreServer.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/VirtualStoreServer.kt
@@ -114,7 +114,11 @@
             val finish = { verdict: Verdict<T> ->
                 if (!isFinished) {
                     isFinished = true
-                    if (verdict is Verdict.Ran) lastAnswerMillis = loop.nowMillis else failedCallSentMillis = sentMillis
+                    if (verdict is Verdict.Ran) {
+                        lastAnswerMillis = loop.nowMillis
+                    } else {
+                        failedCallSentMillis = maxOf(failedCallSentMillis ?: sentMillis, sentMillis)
+                    }
                     onVerdict(verdict)
                 }
             }
