--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -345,7 +345,6 @@
         /** Callers may get a count of waiting jobs that is at most this old. */
         const val MAX_COUNT_AGE_MILLIS = 2_000L
 
-
         /** Time between two reports of the state of the workspaces. */
         const val WORKSPACE_REPORT_MILLIS = 2_000L
     }
