Read the rows of jobs while polls of them are not answered

A feed of jobs that is silent while the store answers other calls held back all starts for as long as it lasted. The holder now reads the rows of jobs and cancellations if the store has answered other calls for 1.2 s after the last answer to a poll, and again no sooner than 1.2 s after the last reading began. One reading is under way at a time; it ends when a poll is answered, and polls go on beside it. The knowledge is as of the sending of its first pages. In an outage of the whole store nothing is read, since pages without an answer would keep connections from renewals of the lease. The reader leaves out progress, waves and rosters here.

Now the longest time without one is below 3,000 ms, and no task of the cancelled job starts later than 3 s after the acknowledgement.

StartsDuringFaultsTest held starts by a silent feed alone, which no longer holds them. Pages of one partition get no answer in it now too, so that the same is asserted.

--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -88,8 +88,16 @@
         override fun onPollResult(verdict: Verdict<*>) = recordStoreResult(verdict)
     }
     private val jobFeed =
-        JobFeed(ports.store, jobPollWaitMillis(), post, postDelayed, ports.nowMillis, jobFeedListener)
-    private val takeoverReader = TakeoverReader(ports.store, post, postDelayed, ::onJobsRead)
+        JobFeed(
+            ports.store,
+            jobPollWaitMillis(),
+            post,
+            postDelayed,
+            ports.nowMillis,
+            { ports.storeContact?.lastAnswerMillis ?: ports.nowMillis() },
+            jobFeedListener,
+        )
+    private val takeoverReader = TakeoverReader(ports.store, post, postDelayed, onComplete = ::onJobsRead)
     private val machines =
         ports.machines?.let {
             MachineOrderDispatcher(
--- a/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
@@ -1,6 +1,7 @@
 // Follows the stored jobs and cancellations during one term of the lease, and tells up to which time they are known.
 // The answer to a long poll may be lost or may not come for seconds while the store answers all other calls, so that a
-// poll that is late is not waited for: another one is sent beside it.
+// poll that is late is not waited for: another one is sent beside it. If none is answered although the store answers
+// other calls, the rows are read instead.
 
 package org.gypsumturn.node
 
@@ -16,7 +17,7 @@
     /** Called with changed [rows], in the order of their revisions. */
     fun onRowsChanged(rows: List<StoredRow>)
 
-    /** Called with all rows, after the store has discarded the history of changes. */
+    /** Called with all rows, after the store has discarded the history of changes or while polls are not answered. */
     fun onRowsReadAgain(stored: StoredJobs)
 
     /** Called after the above. Everything that was stored until [asOfMillis] on the steady clock is known. */
@@ -31,6 +32,7 @@
  *
  * @param post runs an action on the thread of the session
  * @param postDelayed runs an action on the thread of the session after a delay in milliseconds
+ * @param storeAnsweredMillis when the store last answered a call of any kind, on the clock of [nowMillis]
  */
 internal class JobFeed(
     private val store: RowStore,
@@ -38,6 +40,7 @@
     private val post: Post,
     private val postDelayed: DelayedPost,
     private val nowMillis: () -> Long,
+    private val storeAnsweredMillis: () -> Long,
     private val listener: JobFeedListener,
 ) {
     private var position = Revision.ABSENT
@@ -47,12 +50,21 @@
 
     /** Number of the newest poll that had been sent when the last reading of all rows began. */
     private var lastPollBeforeReading = 0L
+
+    /** When the last poll was answered, or the last reading began. */
+    private var lastNewsMillis = 0L
+
+    /** The reading of all rows that is under way; null if there is none. */
     private var reader: TakeoverReader? = null
+
+    /** Whether polls go on beside [reader], since only the lack of their answers is the reason for it. */
+    private var readsForSilence = false
     private var closed = false
 
     /** Follows the changes after [revision]. The first poll does not wait, as the rows may have been read long ago. */
     fun start(revision: Revision) {
         position = revision
+        lastNewsMillis = nowMillis()
         poll(0)
     }
 
@@ -63,6 +75,7 @@
     }
 
     private fun poll(waitMillis: Long) {
+        readRowsIfSilent()
         if (openPolls >= MAX_OPEN_POLLS) {
             val newest = newestPoll
             postDelayed(RETRY_MILLIS) { pollUnlessSuperseded(newest) }
@@ -91,6 +104,8 @@
         if (changes != null) lastAnsweredPoll = maxOf(lastAnsweredPoll, number)
         when (changes) {
             is RowChanges.Known -> {
+                lastNewsMillis = nowMillis()
+                if (readsForSilence) endReading()
                 // Another poll may have delivered the first ones of these rows.
                 val rows = changes.rows.filter { it.revision > position }
                 position = maxOf(position, changes.revision)
@@ -100,7 +115,7 @@
             }
 
             // A poll that was superseded tells it too: if calls are slow, no poll is answered before the next is sent.
-            RowChanges.Discarded -> if (number > lastPollBeforeReading) readAgain()
+            RowChanges.Discarded -> if (number > lastPollBeforeReading) onDiscarded()
 
             null -> if (number == newestPoll) postDelayed(RETRY_MILLIS) { pollUnlessSuperseded(number) }
         }
@@ -115,20 +130,45 @@
         return if (waited) sentMillis + waitMillis else sentMillis
     }
 
-    private fun readAgain() {
+    private fun onDiscarded() {
         logEvent("history discarded", "table" to JobRows.TABLE)
+        endReading()
         // Open polls start after a revision that the history does not reach back to.
         lastPollBeforeReading = ++newestPoll
+        readAll { start(position) }
+    }
+
+    /**
+     * Reads the rows if the store has answered other calls for [MAX_SILENCE_MILLIS] after the last answer to a poll. In
+     * an outage of the whole store nothing is read, as calls without an answer would keep connections from other calls.
+     */
+    private fun readRowsIfSilent() {
+        if (reader != null || storeAnsweredMillis() - lastNewsMillis < MAX_SILENCE_MILLIS) return
+        lastNewsMillis = nowMillis()
+        readsForSilence = true
+        logEvent("rows read without feed", "table" to JobRows.TABLE)
+        readAll { }
+    }
+
+    private fun readAll(onRead: () -> Unit) {
         val startMillis = nowMillis()
-        reader = TakeoverReader(store, post, postDelayed) { stored ->
+        reader = TakeoverReader(store, post, postDelayed, onlyJobs = true) { stored ->
             if (!closed) {
+                endReading()
                 listener.onRowsReadAgain(stored)
+                position = maxOf(position, stored.jobsRevision)
                 listener.onKnown(startMillis)
-                start(stored.jobsRevision)
+                onRead()
             }
         }.also { it.start() }
     }
 
+    private fun endReading() {
+        reader?.cancelled = true
+        reader = null
+        readsForSilence = false
+    }
+
     private companion object {
         /**
          * Time after the end of its wait at which a poll has failed, the same as of reads. With 700 ms each poll failed
@@ -142,6 +182,12 @@
         /** Time after the end of its wait at which a poll is late and another one is sent. */
         const val LATE_MILLIS = 300L
 
+        /**
+         * Time without an answer to a poll after which the rows are read, and between two such readings. It is more than
+         * a poll takes while calls take 0.7 s, and the knowledge of jobs is good for twice as long by default.
+         */
+        const val MAX_SILENCE_MILLIS = 1_200L
+
         /** Pause before a failed poll is repeated. */
         const val RETRY_MILLIS = 100L
     }
--- a/node/src/main/kotlin/org/gypsumturn/node/TakeoverReader.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/TakeoverReader.kt
@@ -28,11 +28,14 @@
 /**
  * Reads [StoredJobs] page by page and calls [onComplete] once with all of it. A page that fails is read again until
  * [cancelled].
+ *
+ * @param onlyJobs whether only the rows of jobs and cancellations are read, so that the other lists are empty
  */
 public class TakeoverReader(
     private val store: RowStore,
     private val post: Post,
     private val postDelayed: DelayedPost,
+    private val onlyJobs: Boolean = false,
     private val onComplete: (StoredJobs) -> Unit,
 ) {
     private val jobRows = ArrayList<StoredRow>()
@@ -42,7 +45,7 @@
     private var jobsRevision = Revision(Long.MAX_VALUE)
 
     /** Number of partitions whose last page has not been read. */
-    private var open = JobRows.PARTITIONS + 3
+    private var open = if (onlyJobs) JobRows.PARTITIONS else JobRows.PARTITIONS + 3
 
     /** Set when the result is no longer needed. No further pages are read and [onComplete] is not called. */
     public var cancelled: Boolean = false
@@ -54,6 +57,7 @@
                 jobsRevision = minOf(jobsRevision, revision)
             }
         }
+        if (onlyJobs) return
         readPartition(JobRows.PROGRESS_TABLE, JobRows.PROGRESS_PARTITION, null, progressRows) { }
         readPartition(WaveRows.TABLE, JobRows.PROGRESS_PARTITION, null, waveRows) { }
         readPartition(PoolRoster.TABLE, JobRows.PROGRESS_PARTITION, null, rosterRows) { }
--- a/node/src/test/kotlin/org/gypsumturn/node/StaleJobsTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/StaleJobsTest.kt
@@ -6,6 +6,8 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import org.gypsumturn.batch.state.JobRows
@@ -46,6 +48,23 @@
         }
     }
 
+    // Guards against: a silent job feed holds back all work although the store answers reads (LOST).
+    @Test
+    fun `tasks of other jobs start while only the job feed is silent`() {
+        val (nodes, id) = nodesWithJobUnderWay()
+        nodes.store.silentFeeds += JobRows.TABLE
+        val fromMillis = nodes.loop.nowMillis
+        val (starts, late) = startsAfterCancellation(nodes, id, SILENT_MILLIS)
+        withClue("$starts starts after the acknowledgement, late ones") { late shouldBe 0 }
+        val others = nodes.executors.starts.filter { it.run.task.job != id && it.atMillis >= fromMillis }
+        val times = listOf(fromMillis) + others.map { it.atMillis } + nodes.loop.nowMillis
+        withClue("longest time without a start") { times.zipWithNext { a, b -> b - a }.max() shouldBeLessThan 3_000 }
+        val pages = nodes.store.jobPageReads
+        withClue("pages of jobs that were read in $SILENT_MILLIS ms") {
+            pages shouldBeLessThan (SILENT_MILLIS / 1_000 + 2).toInt() * JobRows.PARTITIONS
+        }
+    }
+
     // Guards against: the same while a holder reads all rows again, since the store has discarded its history, and
     // pages of one partition get no answer.
     @Test
@@ -104,6 +123,9 @@
     private companion object {
         const val TASKS = 400
 
+        /** Time for which the job feed is silent while other jobs are started. */
+        const val SILENT_MILLIS = 12_000L
+
         /** Time after the acknowledgement of a cancellation within which tasks may still start. */
         const val CANCEL_MILLIS = 3_000L
     }
--- a/node/src/test/kotlin/org/gypsumturn/node/StartsDuringFaultsTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/StartsDuringFaultsTest.kt
@@ -65,6 +65,7 @@
     fun `held starts go on at once when the job feed is answered again`() {
         val nodes = busyNodes()
         nodes.store.silentFeeds += JobRows.TABLE
+        nodes.store.unreadablePartitions += JobRows.partitions.last()
         nodes.run(6_000)
         nodes.linesOf("starts held back").size shouldBe 1
         nodes.startsIn(1_000) shouldBe 0
