Apply only unknown rows when all jobs are read again

A job ran again after its end (TWICE) if its rows were removed while all rows were read again: its page had been read, other pages had not, and the holder had forgotten the job when it applied them. It now applies only rows above the position of the feed. All below is known: the position rises only with answers that are complete up to it. Jobs and cancellations that were stored while the holder could not follow lie above it.

The test failed before: three starts of the only task of the job. A second test shows that jobs and cancellations that were stored meanwhile are applied; it passed before too.

Not covered: rows above the position that one reading has applied are applied once more by the next one. A job could run again if that one took longer than ended jobs are kept (30 s and more) and polls stayed silent throughout.

--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -80,8 +80,8 @@
         override fun onRowsChanged(rows: List<StoredRow>) =
             jobIntake.applyRows(ports.nowMillis(), rows, neverStarted = true)
 
-        override fun onRowsReadAgain(stored: StoredJobs) =
-            jobIntake.applyRows(ports.nowMillis(), stored.jobRows, neverStarted = true)
+        override fun onRowsReadAgain(rows: List<StoredRow>) =
+            jobIntake.applyRows(ports.nowMillis(), rows, neverStarted = true)
 
         override fun onKnown(asOfMillis: Long) = recordJobsKnown(asOfMillis)
 
--- a/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
@@ -17,8 +17,11 @@
     /** Called with changed [rows], in the order of their revisions. */
     fun onRowsChanged(rows: List<StoredRow>)
 
-    /** Called with all rows, after the store has discarded the history of changes or while polls are not answered. */
-    fun onRowsReadAgain(stored: StoredJobs)
+    /**
+     * Called with the [rows] that a reading of all of them has brought to light, after the store has discarded the
+     * history of changes or while polls are not answered.
+     */
+    fun onRowsReadAgain(rows: List<StoredRow>)
 
     /** Called after the above. Everything that was stored until [asOfMillis] on the steady clock is known. */
     fun onKnown(asOfMillis: Long)
@@ -155,7 +158,9 @@
         reader = TakeoverReader(store, post, postDelayed, onlyJobs = true) { stored ->
             if (!closed) {
                 endReading()
-                listener.onRowsReadAgain(stored)
+                // What is below the position is known. A job that ended and expired while its page waited for the others
+                // would be taken for a new one.
+                listener.onRowsReadAgain(stored.jobRows.filter { it.revision > position })
                 position = maxOf(position, stored.jobsRevision)
                 listener.onKnown(startMillis)
                 onRead()
--- a/node/src/test/kotlin/org/gypsumturn/node/JobFeedTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/JobFeedTest.kt
@@ -62,6 +62,47 @@
         nodes.store.mostOpenPolls shouldBe 5
     }
 
+    // Guards against: a job that has ended is taken for a new one and runs again, since its rows are removed after the
+    // holder, which reads all rows again, has read its page and before the last page is read.
+    @Test
+    fun `a job that expires while all rows are read again does not run again`() {
+        val nodes = VirtualNodes()
+        nodes.run(500)
+        val id = nodes.submit(1, 1)
+        nodes.run(149_000)
+        nodes.starts(id, 0) shouldBe 1
+        nodes.store.unreadablePartitions += JobRows.partitions.last()
+        nodes.store.discardedUntil = nodes.store.revision
+        nodes.submit(4, 1)
+        nodes.run(600)
+        nodes.store.discardedUntil = nodes.store.revision
+        nodes.run(5_000)
+        nodes.store.unreadablePartitions.clear()
+        nodes.run(5_000)
+        withClue("starts of the only task") { nodes.starts(id, 0) shouldBe 1 }
+    }
+
+    // Guards against: jobs and cancellations that were stored while the holder could not follow are passed over.
+    @Test
+    fun `rows that are read again bring the jobs and cancellations that were stored meanwhile`() {
+        val nodes = VirtualNodes()
+        nodes.run(500)
+        val known = nodes.submit(1, TASKS)
+        nodes.run(1_000)
+        nodes.store.unreadablePartitions += JobRows.partitions.last()
+        nodes.store.discardedUntil = nodes.store.revision
+        val meanwhile = nodes.submit(2, 8)
+        nodes.run(600)
+        nodes.cancel(known) { }
+        nodes.run(100)
+        nodes.store.discardedUntil = nodes.store.revision
+        nodes.run(500)
+        nodes.store.unreadablePartitions.clear()
+        nodes.run(3_000)
+        nodes.starts(meanwhile, 0) shouldBe 8
+        nodes.starts(known, nodes.loop.nowMillis - 1_000) shouldBe 0
+    }
+
     private companion object {
         const val TASKS = 4_000
     }
