--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -82,15 +82,23 @@
         override fun onRowsChanged(rows: List<StoredRow>) =
             jobIntake.applyRows(ports.nowMillis(), rows, neverStarted = true)
 
-        override fun onRowsReadAgain(stored: StoredJobs) =
-            jobIntake.applyRows(ports.nowMillis(), stored.jobRows, neverStarted = true)
+        override fun onRowsReadAgain(rows: List<StoredRow>) =
+            jobIntake.applyRows(ports.nowMillis(), rows, neverStarted = true)
 
         override fun onKnown(asOfMillis: Long) = recordJobsKnown(asOfMillis)
 
         override fun onPollResult(verdict: Verdict<*>) = recordStoreResult(verdict)
     }
     private val jobFeed =
-        JobFeed(ports.store, jobPollWaitMillis(), post, postDelayed, ports.nowMillis, jobFeedListener)
+        JobFeed(
+            ports.store,
+            jobPollWaitMillis(),
+            post,
+            postDelayed,
+            ports.nowMillis,
+            { ports.storeContact?.lastAnswerMillis ?: ports.nowMillis() },
+            jobFeedListener,
+        )
     private val executorListener = object : FleetUpdateListener {
         override fun onAllRead(updates: List<FleetUpdate>) = onExecutorsRead(updates)
 
@@ -110,7 +118,7 @@
         ports.nowMillis,
         executorListener,
     )
-    private val takeoverReader = TakeoverReader(ports.store, post, postDelayed, ::onJobsRead)
+    private val takeoverReader = TakeoverReader(ports.store, post, postDelayed, onComplete = ::onJobsRead)
     private val machines =
         ports.machines?.let {
             MachineOrderDispatcher(
