Keep the shutdown function of the other programs in its place

The start is now the first parameter of an overload. All modules that use the function compile; TerminationTest, NodeStartTest and SoakTest pass.

--- a/node/src/main/kotlin/org/gypsumturn/node/Main.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/Main.kt
@@ -16,10 +16,9 @@
         val reloadableSettings = ReloadableSettings(NodeSettings.schema, file, settings)
         val program = NodeProgram(reloadableSettings)
         reloadSignal.handleWith { reloadableSettings.reloadIfNeeded(requested = true) }
-        val shutDown = {
+        serveUntilShutdown(program::start) {
             program.shutDown()
             stopLogging()
         }
-        serveUntilShutdown(shutDown, program::start)
     }
 }
--- a/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
+++ b/runtime/src/main/kotlin/org/gypsumturn/runtime/program/Program.kt
@@ -94,11 +94,16 @@
     }
 }
 
+/** Blocks until the process is asked to end (SIGTERM or SIGINT), and then runs [close]. */
+public fun serveUntilShutdown(close: () -> Unit) {
+    serveUntilShutdown({}, close)
+}
+
 /**
  * Runs [start], blocks until the process is asked to end (SIGTERM or SIGINT), and then runs [close]. A process that is
  * asked to end while it starts runs [close] too, at the same time as [start].
  */
-public fun serveUntilShutdown(close: () -> Unit, start: () -> Unit = {}) {
+public fun serveUntilShutdown(start: () -> Unit, close: () -> Unit) {
     Runtime.getRuntime().addShutdownHook(Thread(close, "shutdown"))
     start()
     Thread.currentThread().join()
