Hold machine orders back while starts are held

While starts of tasks were held back, upkeep went on: tasks were stopped on machines that were due, and machines ordered down, though no task could start elsewhere until the hold ended.

No task is stopped for upkeep and no machine is ordered while starts are held. Machines of earlier holders are still distrusted, since that holds for a fixed time after a takeover.

MachineOrderPlannerTest, four long-running tasks of a step that may miss one, held for 5 s: failed before with 3 tasks running and 1 machine ordered down; now 4 and 0, and the wave goes on after the hold.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/machines/MachineOrderPlanner.kt
@@ -133,12 +133,14 @@
 
     /**
      * The orders to send now. Each of them must be followed by a call of [onOrderAnswer]. There are none without a
-     * recent list of machines, since an older one may show executors that others have replaced.
+     * recent list of machines, since an older one may show executors that others have replaced, and while starts of
+     * tasks are held back, since tasks that the orders end could not start elsewhere.
      */
     public fun decideOrders(nowMillis: Long, configuration: FleetConfiguration): List<MachineOrder> {
         if (!registry.isListRecent(nowMillis)) return emptyList()
         updateIdleTimes(nowMillis)
         distrustPredecessorsMachines(nowMillis)
+        if (scheduler.areStartsHeld) return emptyList()
         val pools = poolSizingInputs(nowMillis, configuration)
         val retries = dueRetries(nowMillis)
         retries.forEach { markSent(nowMillis, it) }
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/BatchScheduler.kt
@@ -97,6 +97,9 @@
     public var jobKnowledge: JobKnowledge? = null
         private set
 
+    /** Whether no task may be started as of the last scheduling pass, since the knowledge was too old. */
+    internal val areStartsHeld: Boolean get() = startHold.isActive
+
     /** Returns the job with [id], or null if it is not known. */
     public fun job(id: JobId): JobState? = jobRegistry[id]
 
--- a/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineOrderPlannerTest.kt
+++ b/batch/src/test/kotlin/org/gypsumturn/batch/machines/MachineOrderPlannerTest.kt
@@ -3,12 +3,14 @@
 
 package org.gypsumturn.batch.machines
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import org.gypsumturn.batch.POOL
+import org.gypsumturn.batch.TEST_SETTINGS
 import org.gypsumturn.batch.VirtualFleet
 import org.gypsumturn.batch.configuration
 import org.gypsumturn.batch.job
@@ -17,6 +19,7 @@
 import org.gypsumturn.batch.model.UpkeepWave
 import org.gypsumturn.batch.port.MachineAnswer
 import org.gypsumturn.batch.queue
+import org.gypsumturn.batch.schedule.JobKnowledge
 import org.gypsumturn.batch.step
 import org.gypsumturn.model.Verdict
 
@@ -36,6 +39,27 @@
         machines.planner.takeReports().single().completed shouldBe true
     }
 
+    // Guards against: upkeep stops tasks which can't start elsewhere, since starts are held back.
+    @Test
+    fun `no task is moved off a machine and no machine is ordered down while starts are held back`() {
+        val fleet = VirtualFleet(4)
+        val machines = VirtualMachines(fleet, spares = 0)
+        fleet.submit(job(1, longRunningStep)) { Long.MAX_VALUE / 1_000 }
+        machines.run(3_000)
+        val heldMillis = fleet.nowMillis
+        fleet.jobKnowledge = { JobKnowledge(heldMillis - TEST_SETTINGS.maxJobsAgeMillis - 1, it) }
+        machines.run(100)
+        val wave = UpkeepWave(1, machines.machines.map { it.id }, 25_000, 2)
+        machines.planner.addWave(fleet.nowMillis, wave, emptySet(), firstHolder = true)
+        machines.run(5_000)
+        withClue("running tasks, machines that were ordered down") {
+            fleet.executors.values.sumOf { it.runs.size } to machines.upkeepStartMillis.size shouldBe (4 to 0)
+        }
+        fleet.jobKnowledge = JobKnowledge::current
+        machines.run(20_000)
+        machines.upkeepStartMillis.keys shouldBe wave.machines.toSet()
+    }
+
     @Test
     fun `machines that are off count against the cap only for as long as their upkeep takes`() {
         val machines = VirtualMachines(VirtualFleet(2), spares = 6)
