Poll the operator's rows beside a late poll

Callers got 404 for a route that had been configured for seconds, and a dropped route was served as long: a node followed the operator's rows by one long poll of 1,000 ms, which fails 700 ms later. Two polls in a row without an answer took longer than the 2 s within which a configuration must be in force.

The wait is 500 ms, so that each node polls twice a second in place of once.

A configuration of unknown age is still served while no poll at all is answered.

--- a/node/src/main/kotlin/org/gypsumturn/node/ConfigurationSubscriber.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/ConfigurationSubscriber.kt
@@ -8,8 +8,6 @@
 import org.gypsumturn.batch.port.FleetUpdate
 import org.gypsumturn.batch.port.FleetUpdateFeed
 import org.gypsumturn.batch.port.FleetUpdateKind
-import org.gypsumturn.batch.port.FleetUpdatePage
-import org.gypsumturn.model.Revision
 import org.gypsumturn.model.Verdict
 
 /** Runs an action on the thread that owns the caller's state, after a delay in milliseconds. */
@@ -18,15 +16,17 @@
 /**
  * Reads the operator's configuration and requests for waves by long polls.
  *
- * @param postDelayed runs retries, on the thread that calls [start]
+ * @param postDelayed runs what follows on answers and delays, on the thread that calls [start]
  * @param onConfiguration called with each configuration that is newer than the one in force
  * @param onWave called with each requested wave, and again with the same waves when all rows are read again
+ * @param nowMillis reads the steady clock
  */
 public class ConfigurationSubscriber(
-    private val updates: FleetUpdateFeed,
-    private val postDelayed: DelayedPost,
+    updates: FleetUpdateFeed,
+    postDelayed: DelayedPost,
     private val onConfiguration: (FleetConfiguration) -> Unit,
     private val onWave: (UpkeepWave) -> Unit,
+    nowMillis: () -> Long = NodeClock::steadyMillis,
 ) {
     /** The configuration in force; null until one has been read. */
     @Volatile
@@ -34,43 +34,31 @@
         private set
 
     private val storeOutage = OutageLog("store lost", "store regained", "by" to "configuration")
+    private val listener = object : FleetUpdateListener {
+        override fun onAllRead(updates: List<FleetUpdate>) = updates.forEach(::applyUpdate)
 
-    /** Starts reading. Failed calls are retried until they succeed. */
-    public fun start() {
-        readAll()
-    }
+        override fun onUpdates(updates: List<FleetUpdate>) = updates.forEach(::applyUpdate)
 
-    private fun readAll() {
-        updates.readAll(FleetUpdateKind.OPERATOR, CALL_TIMEOUT_MILLIS) { onPage(it, ::readAll) }
-    }
+        override fun onKnown(asOfMillis: Long) = Unit
 
-    private fun awaitUpdates(after: Revision) {
-        updates.awaitUpdates(
-            FleetUpdateKind.OPERATOR,
-            after,
-            POLL_WAIT_MILLIS,
-            POLL_WAIT_MILLIS + POLL_TIMEOUT_MILLIS,
-        ) { verdict ->
-            onPage(verdict) { awaitUpdates(after) }
+        override fun onCallResult(verdict: Verdict<*>) {
+            storeOutage.recordResult(verdict)
         }
     }
+    private val follower = FleetUpdateFollower(
+        updates,
+        FleetUpdateKind.OPERATOR,
+        POLL_WAIT_MILLIS,
+        0,
+        { action -> postDelayed(0, action) },
+        postDelayed,
+        nowMillis,
+        listener,
+    )
 
-    private fun onPage(verdict: Verdict<FleetUpdatePage>, retry: () -> Unit) {
-        storeOutage.recordResult(verdict)
-        if (verdict !is Verdict.Ran) {
-            postDelayed(RETRY_MILLIS, retry)
-            return
-        }
-        val page = verdict.value
-        val pageUpdates = page.updates
-        if (pageUpdates == null) {
-            logEvent("history discarded", "table" to FleetUpdateKind.OPERATOR)
-            readAll()
-            return
-        }
-        pageUpdates.forEach(::applyUpdate)
-        // This also applies when there is no configuration yet, since the first one may be written at any moment.
-        awaitUpdates(page.revision)
+    /** Starts reading. Failed calls are retried until they succeed. */
+    public fun start() {
+        follower.start()
     }
 
     private fun applyUpdate(update: FleetUpdate) {
@@ -96,16 +84,10 @@
     }
 
     private companion object {
-        /** How long a long poll waits for updates. It bounds how late a silent connection is noticed. */
-        const val POLL_WAIT_MILLIS = 1_000L
-
-        /** Time after the end of its wait at which a long poll has failed. A slow store still answers within it. */
-        const val POLL_TIMEOUT_MILLIS = 700L
-
-        /** Timeout of a reading of all rows. */
-        const val CALL_TIMEOUT_MILLIS = 1_500L
-
-        /** Pause before a failed call is repeated. */
-        const val RETRY_MILLIS = 100L
+        /**
+         * How long a long poll waits for updates. A changed configuration must be in force within 2 s, also if several
+         * polls in a row get no answer.
+         */
+        const val POLL_WAIT_MILLIS = 500L
     }
 }
