--- a/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/JobFeed.kt
@@ -158,8 +158,8 @@
         reader = TakeoverReader(store, post, postDelayed, onlyJobs = true) { stored ->
             if (!closed) {
                 endReading()
-                // What is below the position is known. A job that ended and expired while its page waited for the others
-                // would be taken for a new one.
+                // What is below the position is known. A job that ended and expired while its page waited for the
+                // others would be taken for a new one.
                 listener.onRowsReadAgain(stored.jobRows.filter { it.revision > position })
                 position = maxOf(position, stored.jobsRevision)
                 listener.onKnown(startMillis)
@@ -188,8 +188,8 @@
         const val LATE_MILLIS = 300L
 
         /**
-         * Time without an answer to a poll after which the rows are read, and between two such readings. It is more than
-         * a poll takes while calls take 0.7 s, and the knowledge of jobs is good for twice as long by default.
+         * Time without an answer to a poll after which the rows are read, and between two such readings. It is more
+         * than a poll takes while calls take 0.7 s, and the knowledge of jobs is good for twice as long by default.
          */
         const val MAX_SILENCE_MILLIS = 1_200L
 
