Count a long poll without an answer only if no later direct call was answered

One long poll without an answer marked the direct way to the store as lost, so that calls were relayed and, 300 ms later, the node counted as reaching the store only through others, which can end the term of a holder. Its timeout now shows nothing if a direct call that was sent after it has been answered. Refused polls count as before.

The test failed before: true instead of false for isReachedOnlyThroughPeers 310 ms after such a poll, with a direct call answered meanwhile. Without an answered call the poll counts, as before.

--- a/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
@@ -56,6 +56,10 @@
     @Volatile
     private var lastRelayedAnswerMillis = Long.MIN_VALUE / 2
     private var lastDirectCallMillis = 0L
+
+    /** Numbers of the newest direct call that was sent, and of the newest one that was answered. */
+    private var sentDirectCall = 0L
+    private var answeredDirectCall = 0L
     private var probePending = false
     private var failedDirectCalls = 0
     private var peersFailedMillis = Long.MIN_VALUE / 2
@@ -195,11 +199,11 @@
         val avoidsDirect = directFailingSinceMillis != null || (polledTable != null && null to polledTable in openPolls)
         if (avoidsDirect && mayRelay(nowMillis())) {
             relay(call(), decode) { verdict ->
-                if (verdict is Verdict.NotRun) callDirect(callStore, onVerdict) else onVerdict(verdict)
+                if (verdict is Verdict.NotRun) callDirect(callStore, polledTable != null, onVerdict) else onVerdict(verdict)
             }
             return
         }
-        callDirect(callStore) { verdict ->
+        callDirect(callStore, polledTable != null) { verdict ->
             if (verdict is Verdict.NotRun && isWorthRelaying(verdict) && mayRelay(nowMillis())) {
                 relay(call(), decode) { relayed -> onVerdict(if (relayed is Verdict.NotRun) verdict else relayed) }
             } else {
@@ -215,10 +219,21 @@
     private fun isWorthRelaying(verdict: Verdict.NotRun): Boolean =
         verdict.failure.kind != FailureKind.OVERLOADED || directFailingSinceMillis != null
 
-    private fun <T> callDirect(callStore: (VerdictCallback<T>) -> Unit, onVerdict: VerdictCallback<T>) {
+    /**
+     * Calls the store directly. A long poll that gets no answer shows nothing about the direct way if a direct call that
+     * was sent after it has been answered: the feed of one table may hang while the store answers all other calls.
+     */
+    private fun <T> callDirect(
+        callStore: (VerdictCallback<T>) -> Unit,
+        isLongPoll: Boolean,
+        onVerdict: VerdictCallback<T>,
+    ) {
         lastDirectCallMillis = nowMillis()
+        val number = ++sentDirectCall
         callStore { verdict ->
-            recordDirectResult(verdict)
+            if (verdict is Verdict.Ran) answeredDirectCall = maxOf(answeredDirectCall, number)
+            val showsNothing = isLongPoll && verdict is Verdict.MayHaveRun && answeredDirectCall > number
+            if (!showsNothing) recordDirectResult(verdict)
             onVerdict(verdict)
         }
     }
--- a/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
+++ b/node/src/test/kotlin/org/gypsumturn/node/RelayedRowStoreTest.kt
@@ -266,4 +266,38 @@
         store.lastAnswerMillis shouldBe 50
         store.failedCallSentMillis shouldBe 100
     }
+
+    // Guards against: one long poll without an answer makes a holder that reaches the store hand its lease over.
+    @Test
+    fun `a long poll without an answer counts against the direct way only if no later direct call was answered`() {
+        val polls = ArrayList<(Verdict<RowChanges>) -> Unit>()
+        val direct = object : RowStore by localStore {
+            override fun awaitChanges(
+                table: String,
+                after: Revision,
+                waitMillis: Long,
+                timeoutMillis: Long,
+                onVerdict: VerdictCallback<RowChanges>,
+            ) {
+                polls += onVerdict
+            }
+        }
+        val peer = startPeerOf(peerStore)
+        store = RelayedRowStore(direct, client, { listOf(peer) }, { nowMillis }) { loop.execute(it) }
+        val timeout = Verdict.MayHaveRun(Failure(FailureKind.TIMEOUT, "no answer in time"))
+        for (isAnsweredMeanwhile in listOf(true, false)) {
+            nowMillis += 10_000
+            localStore.failureMode = if (isAnsweredMeanwhile) StoreFailureMode.NONE else StoreFailureMode.SILENT
+            val polled = CompletableFuture<Verdict<RowChanges>>()
+            store.awaitChanges("jobs", Revision.ABSENT, 0, CALL_TIMEOUT_MILLIS) { polled.complete(it) }
+            nowMillis += 1_900
+            if (isAnsweredMeanwhile) write()
+            nowMillis += 100
+            loop.execute { polls.last()(timeout) }
+            polled.get(10, TimeUnit.SECONDS)
+            nowMillis += 310
+            awaitVerdict<RowPage> { store.read("jobs", "p", null, 5, CALL_TIMEOUT_MILLIS, it) }
+            store.isReachedOnlyThroughPeers(nowMillis) shouldBe !isAnsweredMeanwhile
+        }
+    }
 }
