--- a/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/RelayedRowStore.kt
@@ -199,7 +199,11 @@
         val avoidsDirect = directFailingSinceMillis != null || (polledTable != null && null to polledTable in openPolls)
         if (avoidsDirect && mayRelay(nowMillis())) {
             relay(call(), decode) { verdict ->
-                if (verdict is Verdict.NotRun) callDirect(callStore, polledTable != null, onVerdict) else onVerdict(verdict)
+                if (verdict is Verdict.NotRun) {
+                    callDirect(callStore, polledTable != null, onVerdict)
+                } else {
+                    onVerdict(verdict)
+                }
             }
             return
         }
@@ -220,8 +224,8 @@
         verdict.failure.kind != FailureKind.OVERLOADED || directFailingSinceMillis != null
 
     /**
-     * Calls the store directly. A long poll that gets no answer shows nothing about the direct way if a direct call that
-     * was sent after it has been answered: the feed of one table may hang while the store answers all other calls.
+     * Calls the store directly. A long poll that gets no answer shows nothing about the direct way if a direct call
+     * that was sent after it has been answered: the feed of one table may hang while the store answers all other calls.
      */
     private fun <T> callDirect(
         callStore: (VerdictCallback<T>) -> Unit,
