Hold no starts by executors' entries while the store is slow or away

Polls of entries now have 1,500 ms, and entries suffice for starts if they are as current as the last answer of the store.

--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobKnowledge.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/JobKnowledge.kt
@@ -37,6 +37,15 @@
         return storeAnsweredMillis - asOfMillis <= maxAgeMillis && nowMillis - failedCallSentMillis <= maxAgeMillis
     }
 
+    /**
+     * Whether the process may start tasks at [nowMillis], if the executors' entries are known up to
+     * [executorsAsOfMillis] and must not lack one that was stored more than [maxAgeMillis] ago. Older entries are
+     * sufficient while the store is silent to this process. That needs no failed call, which a slow store and one that
+     * is away show at the same time: what a suspended process may start is decided by its jobs.
+     */
+    public fun allowsStartsByEntries(nowMillis: Long, executorsAsOfMillis: Long, maxAgeMillis: Long): Boolean =
+        minOf(nowMillis, storeAnsweredMillis) - executorsAsOfMillis <= maxAgeMillis
+
     public companion object {
         /** Complete knowledge at [nowMillis]. */
         public fun current(nowMillis: Long): JobKnowledge = JobKnowledge(nowMillis, nowMillis)
--- a/batch/src/main/kotlin/org/gypsumturn/batch/schedule/StartHold.kt
+++ b/batch/src/main/kotlin/org/gypsumturn/batch/schedule/StartHold.kt
@@ -27,7 +27,7 @@
      */
     fun update(nowMillis: Long, knowledge: JobKnowledge, executorsAsOfMillis: Long) {
         val mayStart = knowledge.allowsStarts(nowMillis, maxJobsAgeMillis) &&
-            knowledge.copy(asOfMillis = executorsAsOfMillis).allowsStarts(nowMillis, maxExecutorsAgeMillis)
+            knowledge.allowsStartsByEntries(nowMillis, executorsAsOfMillis, maxExecutorsAgeMillis)
         val since = sinceMillis
         if (!mayStart && since == null) {
             sinceMillis = nowMillis
--- a/node/src/main/kotlin/org/gypsumturn/node/FleetUpdateFollower.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/FleetUpdateFollower.kt
@@ -132,10 +132,10 @@
         const val READ_TIMEOUT_MILLIS = 1_500L
 
         /**
-         * Time after the end of its wait at which a poll has failed. A slow store still answers within it. The failures
-         * of late polls show an outage of the store before the knowledge that it leaves behind is too old for starts.
+         * Time after the end of its wait at which a poll has failed, the same as of a reading. With a shorter one no
+         * poll succeeds while a call to the store takes longer than that.
          */
-        const val POLL_TIMEOUT_MILLIS = 900L
+        const val POLL_TIMEOUT_MILLIS = 1_500L
 
         /** Time after the end of its wait at which a poll is late and another one is sent. */
         const val LATE_MILLIS = 250L
--- a/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
+++ b/node/src/main/kotlin/org/gypsumturn/node/HolderSession.kt
@@ -246,10 +246,13 @@
     private fun confirmationOf(decided: ClockReadings): ClockReadings {
         val now = ClockReadings(ports.nowMillis(), ports.wallMillis())
         val jobs = jobKnowledge(now.steadyMillis)
-        val executors = jobs.copy(asOfMillis = executorsAsOfMillis)
         val isConfirmed = lease.overdueMillis(now) < 0 &&
             jobs.allowsStarts(now.steadyMillis, settings.maxJobsAgeMillis) &&
-            executors.allowsStarts(now.steadyMillis, SchedulerSettings.MAX_EXECUTORS_AGE_MILLIS)
+            jobs.allowsStartsByEntries(
+                now.steadyMillis,
+                executorsAsOfMillis,
+                SchedulerSettings.MAX_EXECUTORS_AGE_MILLIS,
+            )
         return if (isConfirmed) now else decided
     }
 
